--- /dev/null
+++ b/cmd/poplarwinch/main.go
@@ -0,0 +1,4 @@
+// Command poplarwinch runs an entry instance and its operator commands.
+package main
+
+func main() {}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,15 @@
+package poplarwinch
+
+// Outcome says what is known about the execution of a request.
+type Outcome string
+
+const (
+	// OutcomeCompleted means that the caller received the whole answer.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeNotRun means that no upstream ran any part of the request.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeFailed means that a model prompt may have run in part; sending it again is safe.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeUnknown means that a call that must not be repeated may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
