--- /dev/null
+++ b/completion/assembler_test.go
@@ -0,0 +1,69 @@
+package completion_test
+
+import (
+	"testing"
+
+	"github.com/poplarwinch/poplarwinch/completion"
+)
+
+// An answer assembled wrongly would reach the caller with parts missing or out of place.
+func TestAssemblerBuildsWholeAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		format completion.Format
+		chunks []string
+		want   string
+	}{
+		{
+			"text", completion.FormatText,
+			[]string{
+				`{"id":"c1","created":7,"model":"m","choices":[{"index":0,"text":"a ","finish_reason":null}]}`,
+				`{"id":"c1","created":7,"model":"m","choices":[{"index":0,"text":"b","finish_reason":"stop"}]}`,
+				`{"id":"c1","created":7,"model":"m","choices":[],"usage":{"total_tokens":3}}`,
+			},
+			`{"id":"c1","object":"text_completion","created":7,"model":"m","choices":[{"index":0,"text":"a b","logprobs":null,"finish_reason":"stop"}],"usage":{"total_tokens":3}}`,
+		},
+		{
+			"chat with a tool call", completion.FormatChat,
+			[]string{
+				`{"id":"c2","created":7,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":null}}]}`,
+				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t1","type":"function","function":{"name":"book","arguments":"{\"po"}}]}}]}`,
+				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"d\":4}"}}]}}]}`,
+				`{"choices":[{"index":0,"delta":{},"finish_reason":"tool_calls"}]}`,
+			},
+			`{"id":"c2","object":"chat.completion","created":7,"model":"m","choices":[{"index":0,"message":{"content":null,"refusal":null,"role":"assistant","tool_calls":[{"id":"t1","type":"function","function":{"name":"book","arguments":"{\"pod\":4}"}}]},"logprobs":null,"finish_reason":"tool_calls"}]}`,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := completion.NewAssembler(c.format, 1<<20)
+			for _, data := range c.chunks {
+				if err := a.Add([]byte(data)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got, err := a.Whole()
+			if err != nil || string(got) != c.want {
+				t.Fatalf("Whole() = %s, %v\nwant %s", got, err, c.want)
+			}
+		})
+	}
+}
+
+// A stream that ended early, or one without bound, must not become an answer.
+func TestAssemblerRejectsIncompleteAndOversized(t *testing.T) {
+	a := completion.NewAssembler(completion.FormatText, 200)
+	if err := a.Add([]byte(`{"choices":[{"index":0,"text":"half of"}]}`)); err != nil {
+		t.Fatal(err)
+	}
+	if whole, err := a.Whole(); err == nil {
+		t.Fatalf("Whole() = %s without a finish reason", whole)
+	}
+	var err error
+	for range 10 {
+		err = a.Add([]byte(`{"choices":[{"index":0,"text":"more and more"}]}`))
+	}
+	if err == nil {
+		t.Fatal("Add() accepted more than the limit")
+	}
+}
--- /dev/null
+++ b/completion/blocks.go
@@ -0,0 +1,34 @@
+package completion
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/poplarwinch/poplarwinch"
+)
+
+// BlockBytes is the size of a prefix block.
+const BlockBytes = 4096
+
+// Blocks returns the hashes of the full prefix blocks of prompt. Each hash covers all blocks before it,
+// so equal hashes mean equal prefixes.
+func Blocks(model poplarwinch.ModelName, adapter poplarwinch.AdapterName, prompt []byte) []uint64 {
+	blocks := make([]uint64, 0, len(prompt)/BlockBytes)
+	previous := uint64(0)
+	digest := xxhash.New()
+	var buffer [8]byte
+	for len(prompt) >= BlockBytes {
+		digest.Reset()
+		binary.LittleEndian.PutUint64(buffer[:], previous)
+		_, _ = digest.Write(buffer[:])
+		_, _ = digest.WriteString(string(model))
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.WriteString(string(adapter))
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write(prompt[:BlockBytes])
+		previous = digest.Sum64()
+		blocks = append(blocks, previous)
+		prompt = prompt[BlockBytes:]
+	}
+	return blocks
+}
--- /dev/null
+++ b/completion/request.go
@@ -0,0 +1,163 @@
+package completion
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+// DefaultMaxTokens is the number of tokens that a request without a limit may generate.
+const DefaultMaxTokens poplarwinch.Tokens = 1024
+
+// Request is a completion request of a caller.
+type Request struct {
+	Format  Format
+	Model   poplarwinch.ModelName
+	Adapter poplarwinch.AdapterName
+	// Stream says whether the caller asked for a streamed answer.
+	Stream bool
+	// IncludeUsage says whether the caller asked for the usage chunk of a stream.
+	IncludeUsage bool
+	// MaxTokens bounds the generated tokens of one choice.
+	MaxTokens poplarwinch.Tokens
+	// PromptBytes is the size of the prompt's JSON text.
+	PromptBytes poplarwinch.Bytes
+	// Blocks are the hashes of the prompt's prefix blocks.
+	Blocks []uint64
+	// Body is the request as it is sent to an engine, always asking for a stream with usage.
+	Body []byte
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Parse reads a caller's request body and rewrites it for the engine.
+func Parse(format Format, body []byte) (*Request, error) {
+	fields, err := splitObject(body)
+	if err != nil {
+		return nil, invalid("", "the body can't be read as JSON: "+describe(err), "send one JSON object")
+	}
+	r := &Request{Format: format, MaxTokens: DefaultMaxTokens}
+	var prompt []byte
+	for _, f := range fields {
+		if f.name == format.promptField() {
+			prompt = f.value
+			continue
+		}
+		if err := r.set(f); err != nil {
+			return nil, err
+		}
+	}
+	if r.Model == "" {
+		return nil, invalid("model", "the model is missing", "name a model of GET /v1/models")
+	}
+	if prompt, err = checkPrompt(format, prompt); err != nil {
+		return nil, err
+	}
+	r.PromptBytes = poplarwinch.Bytes(len(prompt))
+	r.Blocks = Blocks(r.Model, r.Adapter, prompt)
+	r.Body = rewrite(fields, len(body), r.MaxTokens)
+	return r, nil
+}
+
+// set reads the fields that the serving layer interprets; all others pass through unchanged.
+func (r *Request) set(f field) error {
+	switch f.name {
+	case "model":
+		var name string
+		if err := json.Unmarshal(f.value, &name); err != nil {
+			return invalid("model", "the model is not a string", "name a model of GET /v1/models")
+		}
+		model, adapter, _ := strings.Cut(name, ":")
+		r.Model, r.Adapter = poplarwinch.ModelName(model), poplarwinch.AdapterName(adapter)
+	case "stream":
+		if err := json.Unmarshal(f.value, &r.Stream); err != nil {
+			return invalid("stream", "stream is not a boolean", "send true or false")
+		}
+	case "stream_options":
+		var options streamOptions
+		if err := json.Unmarshal(f.value, &options); err != nil {
+			return invalid("stream_options", "stream_options is not an object", `send {"include_usage": true}`)
+		}
+		r.IncludeUsage = options.IncludeUsage
+	case "max_tokens", "max_completion_tokens":
+		if bytes.Equal(f.value, []byte("null")) {
+			return nil
+		}
+		if err := json.Unmarshal(f.value, &r.MaxTokens); err != nil || r.MaxTokens < 1 {
+			return invalid(f.name, f.name+" is not a positive integer", "send a whole number of at least 1")
+		}
+	case "n", "best_of":
+		var n int
+		if err := json.Unmarshal(f.value, &n); err != nil || n != 1 {
+			return invalid(f.name, "only one choice for each request is supported", "omit "+f.name+" or send 1")
+		}
+	}
+	return nil
+}
+
+// checkPrompt returns the prompt's text without the quotes of a JSON string.
+func checkPrompt(format Format, value []byte) ([]byte, error) {
+	name := format.promptField()
+	if value == nil {
+		return nil, invalid(name, name+" is missing", "send the prompt in "+name)
+	}
+	if format == FormatText {
+		if value[0] != '"' {
+			return nil, invalid(name, "prompt is not a string", "send one string; send several prompts as several requests")
+		}
+		return value[1 : len(value)-1], nil
+	}
+	if value[0] != '[' || len(bytes.TrimSpace(value[1:len(value)-1])) == 0 {
+		return nil, invalid(name, "messages is not a list with at least one message", "send at least one message")
+	}
+	return value, nil
+}
+
+// rewrite returns the request for the engine: streamed with usage and with an explicit token limit.
+func rewrite(fields []field, size int, maxTokens poplarwinch.Tokens) []byte {
+	out := make([]byte, 0, size+128)
+	out = append(out, `{"stream":true,"stream_options":{"include_usage":true}`...)
+	limited := false
+	for _, f := range fields {
+		if f.name == "stream" || f.name == "stream_options" {
+			continue
+		}
+		if f.name == "max_tokens" || f.name == "max_completion_tokens" {
+			if bytes.Equal(f.value, []byte("null")) {
+				continue
+			}
+			limited = true
+		}
+		name, _ := json.Marshal(f.name)
+		out = append(out, ',')
+		out = append(out, name...)
+		out = append(out, ':')
+		out = append(out, f.value...)
+	}
+	if !limited {
+		out = fmt.Appendf(out, `,"max_tokens":%d`, maxTokens)
+	}
+	return append(out, '}')
+}
+
+func invalid(param, message, remedy string) *poplarwinch.Error {
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindInvalidRequest, Outcome: poplarwinch.OutcomeNotRun,
+		Param: param, Message: message, Remedy: remedy,
+	}
+}
+
+// describe returns err's text with the position of a syntax error.
+func describe(err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("%v at byte %d", err, syntax.Offset)
+	}
+	return err.Error()
+}
