Add upstream, routing, admission and quarantine packages

Cause: the request path needs decisions that run without I/O. Change: public API of the four packages with working logic: registry and watcher, router with prefix index and baselines, admission controller and retry budget, register of suspects. Lock-free window counter and invariant reports in internal packages.

--- /dev/null
+++ b/quarantine/register.go
@@ -0,0 +1,203 @@
+package quarantine
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/invariant"
+)
+
+// Register knows the running requests of this instance and the suspects of all instances.
+type Register struct {
+	clock    *clock.Clock
+	limit    int
+	violated invariant.Report
+
+	// suspects is replaced as a whole, so that Check takes no lock.
+	suspects atomic.Pointer[map[Fingerprint]Suspect]
+	mutex    sync.Mutex
+	runs     map[poplarwinch.UpstreamID]map[*run]struct{}
+}
+
+// New returns an empty register.
+func New(opts ...Option) *Register {
+	g := &Register{
+		clock: clock.System(), limit: 4096, violated: invariant.Log,
+		runs: map[poplarwinch.UpstreamID]map[*run]struct{}{},
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.suspects.Store(&map[Fingerprint]Suspect{})
+	return g
+}
+
+// Check returns how the request may run now.
+func (g *Register) Check(f Fingerprint) Verdict {
+	s := (*g.suspects.Load())[f]
+	return s.verdict(g.clock.Now())
+}
+
+// Start records that the request runs on u. It reports false when the request must not run there now: it is
+// rejected, or it is a suspect and u runs another suspect or this instance runs a copy of it. The caller calls end
+// when the stream has ended.
+func (g *Register) Start(u poplarwinch.UpstreamID, f Fingerprint) (end func(), ok bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	g.prune(u, now)
+	verdict := g.Check(f)
+	if verdict == VerdictReject || verdict == VerdictIsolate && !g.isolated(u, f, now) {
+		return func() {}, false
+	}
+	r := &run{upstream: u, fingerprint: f}
+	if g.runs[u] == nil {
+		g.runs[u] = map[*run]struct{}{}
+	}
+	g.runs[u][r] = struct{}{}
+	g.assertStarted(f)
+	return func() { g.end(r) }, true
+}
+
+// Completed records that the request ran to its end on u, so that a later death of u is not its doing. Call it before
+// end.
+func (g *Register) Completed(u poplarwinch.UpstreamID, f Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for r := range g.runs[u] {
+		if r.fingerprint == f && !r.completed && r.endedAt == 0 {
+			r.completed = true
+			return
+		}
+	}
+}
+
+// Died makes the requests that ran on u suspects and returns those whose record changed, for the peers.
+func (g *Register) Died(u poplarwinch.UpstreamID) []Suspect {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	g.prune(u, now)
+	var found []Suspect
+	for r := range g.runs[u] {
+		if r.completed {
+			continue
+		}
+		found = append(found, Suspect{Fingerprint: r.fingerprint, Deaths: []Death{{Upstream: u, At: now}}})
+	}
+	delete(g.runs, u)
+	return g.merge(found)
+}
+
+// Merge adds suspects that peers know.
+func (g *Register) Merge(suspects []Suspect) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.merge(suspects)
+}
+
+// Suspects returns all suspects that have not expired, in order of their fingerprints.
+func (g *Register) Suspects() []Suspect {
+	now := g.clock.Now()
+	var list []Suspect
+	for _, s := range *g.suspects.Load() {
+		if !s.expired(now) {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b Suspect) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return list
+}
+
+// merge adds suspects and returns those that changed. The caller holds the lock.
+func (g *Register) merge(suspects []Suspect) []Suspect {
+	now := g.clock.Now()
+	next := maps.Clone(*g.suspects.Load())
+	maps.DeleteFunc(next, func(_ Fingerprint, s Suspect) bool { return s.expired(now) })
+	var changed []Suspect
+	for _, s := range suspects {
+		merged, news := next[s.Fingerprint], false
+		merged.Fingerprint = s.Fingerprint
+		for _, d := range s.Deaths {
+			d.At = min(d.At, now)
+			var added bool
+			merged, added = merged.with(d)
+			news = news || added
+		}
+		if !news || merged.expired(now) {
+			continue
+		}
+		next[s.Fingerprint] = merged
+		changed = append(changed, merged)
+	}
+	g.evict(next)
+	g.suspects.Store(&next)
+	return changed
+}
+
+// evict removes the oldest suspects above the limit, rejected ones last.
+func (g *Register) evict(suspects map[Fingerprint]Suspect) {
+	excess := len(suspects) - g.limit
+	if excess <= 0 {
+		return
+	}
+	list := slices.SortedFunc(maps.Values(suspects), func(a, b Suspect) int {
+		if c := len(a.Deaths) - len(b.Deaths); c != 0 {
+			return c
+		}
+		return int(a.Deaths[len(a.Deaths)-1].At - b.Deaths[len(b.Deaths)-1].At)
+	})
+	for _, s := range list[:excess] {
+		delete(suspects, s.Fingerprint)
+	}
+}
+
+// isolated reports whether the suspect f may start on u.
+func (g *Register) isolated(u poplarwinch.UpstreamID, f Fingerprint, now clock.Millis) bool {
+	for r := range g.runs[u] {
+		if r.endedAt == 0 && g.Check(r.fingerprint) != VerdictAllow {
+			return false
+		}
+	}
+	for _, runs := range g.runs {
+		for r := range runs {
+			if r.fingerprint == f && r.endedAt == 0 && !r.over(now) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (g *Register) end(r *run) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if r.endedAt != 0 {
+		return
+	}
+	r.endedAt = g.clock.Now()
+	g.prune(r.upstream, r.endedAt)
+}
+
+// prune drops runs of u that are over.
+func (g *Register) prune(u poplarwinch.UpstreamID, now clock.Millis) {
+	for r := range g.runs[u] {
+		if r.endedAt != 0 && r.over(now) {
+			delete(g.runs[u], r)
+		}
+	}
+	if len(g.runs[u]) == 0 {
+		delete(g.runs, u)
+	}
+}
+
+func (g *Register) assertStarted(f Fingerprint) {
+	if g.Check(f) == VerdictReject {
+		g.violated("quarantined-fingerprint-not-started", f.String())
+	}
+}
--- /dev/null
+++ b/routing/arrivals.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/window"
+)
+
+// The share of long prompts is taken over the last 8 s, so that the set of engines for long prompts follows a change
+// of demand within seconds.
+const (
+	arrivalWidth                = 250 * clock.Millis(1)
+	arrivalBuckets              = 40
+	arrivalSpan    clock.Millis = 8 * clock.Second
+)
+
+// arrivals counts the prefill tokens that arrived recently for one model.
+type arrivals struct {
+	all  *window.Counter
+	long *window.Counter
+}
+
+func newArrivals() *arrivals {
+	return &arrivals{window.New(arrivalWidth, arrivalBuckets), window.New(arrivalWidth, arrivalBuckets)}
+}
+
+func (a *arrivals) add(now clock.Millis, p *Prompt) {
+	a.all.Add(now, int64(p.Tokens))
+	if p.Class == ClassLong {
+		a.long.Add(now, int64(p.Tokens))
+	}
+}
+
+// longSet returns how many of n engines serve long prompts.
+func (a *arrivals) longSet(now clock.Millis, n int) int {
+	return longSetSize(n, a.long.Sum(now, arrivalSpan), a.all.Sum(now, arrivalSpan))
+}
+
+// longSetSize returns the number of engines, out of n, that long prompts may use when they make up long of all recent
+// prefill tokens. It is zero without long prompts and leaves at least one engine to the others.
+func longSetSize(n int, long, all int64) int {
+	if long <= 0 || all <= 0 || n == 0 {
+		return 0
+	}
+	size := int((long*int64(n) + all - 1) / all)
+	return max(1, min(size, n-1))
+}
--- /dev/null
+++ b/routing/baseline.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+// Baseline is a common load balancing policy, for comparison with Router.
+type Baseline struct {
+	// Random is the source of random numbers.
+	Random func() uint64
+
+	choose func(b *Baseline, engines []*upstream.Upstream) *upstream.Upstream
+	turn   atomic.Uint64
+}
+
+// RoundRobin returns a policy that takes the engines in turn.
+func RoundRobin() *Baseline {
+	return &Baseline{choose: func(b *Baseline, engines []*upstream.Upstream) *upstream.Upstream {
+		return engines[(b.turn.Add(1)-1)%uint64(len(engines))]
+	}}
+}
+
+// FewestRequests returns a policy that takes the engine with the fewest reported and own requests.
+func FewestRequests() *Baseline { return least(requests) }
+
+// FewestTokens returns a policy that takes the engine with the fewest reported and own prefill tokens.
+func FewestTokens() *Baseline {
+	return least(func(u *upstream.Upstream) int64 {
+		return int64(u.Load().WaitingPrefillTokens + u.PendingPrefill())
+	})
+}
+
+// PowerOfTwoChoices returns a policy that takes the one with fewer requests of two random engines.
+func PowerOfTwoChoices() *Baseline {
+	return &Baseline{Random: rand.Uint64, choose: func(b *Baseline, engines []*upstream.Upstream) *upstream.Upstream {
+		x, y := engines[b.Random()%uint64(len(engines))], engines[b.Random()%uint64(len(engines))]
+		if requests(y) < requests(x) {
+			return y
+		}
+		return x
+	}}
+}
+
+// Engine selects an engine for the prompt.
+func (b *Baseline) Engine(s *upstream.Snapshot, p *Prompt) (Decision, error) {
+	var engines []*upstream.Upstream
+	all := s.Engines(p.Model, p.Adapter).All
+	for _, u := range all {
+		if eligible(u, p.Avoid) {
+			engines = append(engines, u)
+		}
+	}
+	if len(engines) == 0 {
+		return Decision{}, noEngine(p, len(all))
+	}
+	return Decision{Upstream: b.choose(b, engines), Reason: ReasonBaseline}, nil
+}
+
+// least returns a policy that takes the engine with the smallest measure, starting the search at a random one so that
+// ties don't all go to the first engine.
+func least(measure func(*upstream.Upstream) int64) *Baseline {
+	return &Baseline{Random: rand.Uint64, choose: func(b *Baseline, engines []*upstream.Upstream) *upstream.Upstream {
+		start := int(b.Random() % uint64(len(engines)))
+		best := engines[start]
+		for i := range engines {
+			if u := engines[(start+i)%len(engines)]; measure(u) < measure(best) {
+				best = u
+			}
+		}
+		return best
+	}}
+}
+
+func requests(u *upstream.Upstream) int64 {
+	return max(u.Load().RunningRequests+u.Load().WaitingRequests, u.Running())
+}
+
+var (
+	_ Policy = (*Router)(nil)
+	_ Policy = (*Baseline)(nil)
+)
--- /dev/null
+++ b/routing/candidate.go
@@ -0,0 +1,21 @@
+package routing
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+// Candidate is an upstream that a decision considered, with the figures of its prediction.
+type Candidate struct {
+	Upstream *upstream.Upstream
+	// Predicted is the predicted time to first token.
+	Predicted clock.Millis
+	// Waiting is the prefill work ahead of the prompt: reported, own and announced by peers.
+	Waiting poplarwinch.Tokens
+	// Cached is the part of the prompt that is believed to be in the engine's prefix cache.
+	Cached poplarwinch.Tokens
+	// Running counts requests in flight: the reported ones, or this instance's if they are more.
+	Running      int64
+	LongPrefills int64
+}
--- /dev/null
+++ b/routing/prompt.go
@@ -0,0 +1,18 @@
+package routing
+
+import "github.com/poplarwinch/poplarwinch"
+
+// Prompt describes a model request to the router.
+type Prompt struct {
+	RequestID poplarwinch.RequestID
+	Customer  poplarwinch.CustomerID
+	Model     poplarwinch.ModelName
+	Adapter   poplarwinch.AdapterName
+	Tokens    poplarwinch.Tokens
+	MaxNew    poplarwinch.Tokens
+	// Blocks are the chained hashes of the prompt's whole prefix blocks.
+	Blocks []uint64
+	Class  Class
+	// Avoid names upstreams that must not be selected, for example because an attempt failed there.
+	Avoid []poplarwinch.UpstreamID
+}
--- /dev/null
+++ b/routing/reason.go
@@ -0,0 +1,22 @@
+package routing
+
+// Reason says why an upstream was selected.
+type Reason string
+
+// The reasons of a decision.
+const (
+	// ReasonShortestWait means that the upstream had the smallest prediction of the candidates.
+	ReasonShortestWait Reason = "shortest-wait"
+	// ReasonPrefix means that the prompt's prefix hashes to the upstream and its prediction was within bounds.
+	ReasonPrefix Reason = "prefix"
+	// ReasonLongSet means that a long prompt took the best candidate of the engines for long prompts.
+	ReasonLongSet Reason = "long-set"
+	// ReasonOnly means that no other upstream was eligible.
+	ReasonOnly Reason = "only-candidate"
+	// ReasonOtherDomain means that the own failure domain had no eligible upstream.
+	ReasonOtherDomain Reason = "other-domain"
+	// ReasonFewestRequests means that the server had the fewest requests of this instance among two random ones.
+	ReasonFewestRequests Reason = "fewest-requests"
+	// ReasonBaseline means that a baseline policy selected the upstream.
+	ReasonBaseline Reason = "baseline"
+)
--- /dev/null
+++ b/upstream/limited.go
@@ -0,0 +1,36 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+var errProbeTimeout = errors.New("probe timed out")
+
+// limited calls f and returns after the probe timeout even when f ignores its context.
+func limited[T any](ctx context.Context, c *clock.Clock, f func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 1)
+	go func() {
+		value, err := f(ctx)
+		results <- result{value, err}
+	}()
+	timeout, stop := c.After(probeTimeout)
+	defer stop()
+	var zero T
+	select {
+	case r := <-results:
+		return r.value, r.err
+	case <-timeout:
+		return zero, errProbeTimeout
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
--- /dev/null
+++ b/upstream/ticket.go
@@ -0,0 +1,45 @@
+package upstream
+
+import "sync/atomic"
+
+const (
+	ticketPrefill = iota
+	ticketDecode
+	ticketEnded
+)
+
+// Ticket accounts for one request in flight on an upstream. Its methods may be called repeatedly and concurrently.
+type Ticket struct {
+	upstream *Upstream
+	work     Work
+	epoch    int64
+	phase    atomic.Int32
+}
+
+// FirstToken records that the prompt's prefill is complete.
+func (t *Ticket) FirstToken() {
+	if t.phase.CompareAndSwap(ticketPrefill, ticketDecode) {
+		t.endPrefill()
+	}
+}
+
+// End records that the request no longer runs on the upstream.
+func (t *Ticket) End() {
+	switch t.phase.Swap(ticketEnded) {
+	case ticketPrefill:
+		t.endPrefill()
+	case ticketEnded:
+		return
+	}
+	t.upstream.subtract("running-requests", &t.upstream.running, 1)
+}
+
+func (t *Ticket) endPrefill() {
+	u := t.upstream
+	if t.work.Long {
+		u.subtract("long-prefills", &u.longPrefills, 1)
+	}
+	if u.sent.Remove(t.epoch, int64(t.work.Prefill)) {
+		u.subtract("pending-prefill", &u.pending, int64(t.work.Prefill))
+	}
+}
--- /dev/null
+++ b/upstream/watcher.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const (
+	probeInterval clock.Millis = 500
+	// Interval, probe and repeated probe take at most 2.5 s together, within the 3 s target for leaving upstreams.
+	probeTimeout = clock.Second
+	// An upstream whose last observation is older than this is probed by every instance, because its watchers may be
+	// gone or unreachable.
+	staleTimeout = 2 * clock.Second
+	// At most this number of upstreams without ownership is probed at each interval.
+	maxStaleProbes = 32
+)
+
+// Watcher probes upstreams and merges what it sees into the registry. Set the fields before Run.
+type Watcher struct {
+	// Health asks the upstream for its health. With fresh set it uses a new connection.
+	Health func(ctx context.Context, u *Upstream, fresh bool) (Health, error)
+	// Load reads an engine's load report.
+	Load func(ctx context.Context, u *Upstream) (Load, error)
+	// Owned reports whether this instance is one of the upstream's watchers; nil means that it watches all.
+	Owned func(id poplarwinch.UpstreamID) bool
+	// Died is called when a probe reveals that the upstream's process ended.
+	Died func(id poplarwinch.UpstreamID)
+
+	registry *Registry
+	clock    *clock.Clock
+	mutex    sync.Mutex
+	busy     map[poplarwinch.UpstreamID]struct{}
+	probes   sync.WaitGroup
+}
+
+// NewWatcher returns a watcher for the registry that uses the registry's clock.
+func NewWatcher(r *Registry) *Watcher {
+	return &Watcher{registry: r, clock: r.clock, busy: map[poplarwinch.UpstreamID]struct{}{}}
+}
+
+// Run probes until ctx ends and returns ctx's error after the last probe.
+func (w *Watcher) Run(ctx context.Context) error {
+	defer w.probes.Wait()
+	for {
+		w.round(ctx)
+		if err := w.clock.Sleep(ctx, probeInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// round starts one probe of each upstream that is due.
+func (w *Watcher) round(ctx context.Context) {
+	stale := 0
+	now := w.clock.Now()
+	for _, u := range w.registry.Snapshot().All() {
+		if w.Owned != nil && !w.Owned(u.ID) {
+			if stale == maxStaleProbes || now-w.registry.seenAt(u.ID) <= staleTimeout {
+				continue
+			}
+			stale++
+		}
+		w.mutex.Lock()
+		_, running := w.busy[u.ID]
+		w.busy[u.ID] = struct{}{}
+		w.mutex.Unlock()
+		if !running {
+			w.probes.Go(func() { w.run(ctx, u) })
+		}
+	}
+}
+
+// run probes one upstream once.
+func (w *Watcher) run(ctx context.Context, u *Upstream) {
+	defer func() {
+		w.mutex.Lock()
+		delete(w.busy, u.ID)
+		w.mutex.Unlock()
+	}()
+	o := w.probe(ctx, u)
+	if ctx.Err() != nil {
+		return
+	}
+	// The state is merged before the load is read, so that a slow report doesn't delay leaving.
+	for _, id := range w.registry.merge([]Observation{o}) {
+		if w.Died != nil {
+			w.Died(id)
+		}
+	}
+	if u.Kind != KindEngine || o.State == StateDown || w.Load == nil {
+		return
+	}
+	if load := w.load(ctx, u); load.At != 0 {
+		o.At, o.Load = w.clock.Now(), load
+		w.registry.merge([]Observation{o})
+	}
+}
+
+func (w *Watcher) probe(ctx context.Context, u *Upstream) Observation {
+	health, err := w.health(ctx, u, false)
+	if err != nil {
+		health, err = w.health(ctx, u, true)
+	}
+	o := Observation{ID: u.ID, At: w.clock.Now(), State: StateDown}
+	if err != nil {
+		o.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		return o
+	}
+	o.BootID, o.Models = health.BootID, health.Models
+	if o.Models == nil {
+		o.Models = []Loaded{}
+	}
+	switch {
+	case health.Leaving:
+		o.State = StateLeaving
+	case health.Ready:
+		o.State = StateUp
+	}
+	return o
+}
+
+func (w *Watcher) health(ctx context.Context, u *Upstream, fresh bool) (Health, error) {
+	return limited(ctx, w.clock, func(ctx context.Context) (Health, error) { return w.Health(ctx, u, fresh) })
+}
+
+// load returns the load report, or a zero one if it can't be read.
+func (w *Watcher) load(ctx context.Context, u *Upstream) Load {
+	load, err := limited(ctx, w.clock, func(ctx context.Context) (Load, error) { return w.Load(ctx, u) })
+	if err != nil {
+		return Load{}
+	}
+	if load.At == 0 {
+		load.At = w.clock.Now()
+	}
+	return load
+}
