--- /dev/null
+++ b/manifest/adapter.go
@@ -0,0 +1,9 @@
+package manifest
+
+import "github.com/poplarwinch/poplarwinch"
+
+// Adapter is an adapter of a model; callers select it as MODEL:ADAPTER.
+type Adapter struct {
+	Name    poplarwinch.AdapterName `json:"name"`
+	Version string                  `json:"version"`
+}
--- /dev/null
+++ b/manifest/problem.go
@@ -0,0 +1,18 @@
+package manifest
+
+// Problem is one reason why a manifest is rejected.
+type Problem struct {
+	// Path locates the field, for example customers[3].weight.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// String returns the path, the message and the remedy on one line.
+func (p Problem) String() string {
+	text := p.Message + "; " + p.Remedy
+	if p.Path == "" {
+		return text
+	}
+	return p.Path + ": " + text
+}
--- /dev/null
+++ b/settings/caller.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const mebibyte = 1 << 20
+
+// Caller bounds what callers may occupy.
+type Caller struct {
+	// MaxBody is the longest accepted request body.
+	MaxBody poplarwinch.Bytes
+	// BodyMemory bounds the memory for the bodies of all requests in progress.
+	BodyMemory poplarwinch.Bytes
+	// WriteStall is the time without progress after which a write to a caller fails.
+	WriteStall clock.Millis
+	// HeaderTimeout is the time within which a caller must send the request header.
+	HeaderTimeout clock.Millis
+	// MaxRequests bounds the requests in progress.
+	MaxRequests int
+}
+
+func (c *Caller) read(r *reader) {
+	const section = "caller"
+	body := r.number(section, "max-body-mib", 16, 1, 1024)
+	memory := r.number(section, "body-memory-mib", 256, 1, 1<<20)
+	if memory < body {
+		r.problem(section, "body-memory-mib", "", "raise it or lower max-body-mib",
+			"%d MiB don't hold one body of max-body-mib, %d MiB", memory, body)
+	}
+	c.MaxBody, c.BodyMemory = poplarwinch.Bytes(body*mebibyte), poplarwinch.Bytes(memory*mebibyte)
+	c.WriteStall = clock.Millis(r.number(section, "write-stall-ms", 30_000, 100, 600_000))
+	c.HeaderTimeout = clock.Millis(r.number(section, "header-timeout-ms", 10_000, 100, 600_000))
+	c.MaxRequests = int(r.number(section, "max-requests", 4096, 1, 1_000_000))
+}
