Add configuration store

Change: package configuration with commit by compare-and-set, read-back by commit id, forward-only activation, alarms, polling and news from peers, all over function fields.

--- /dev/null
+++ b/configuration/option.go
@@ -0,0 +1,72 @@
+package configuration
+
+import (
+	"context"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/manifest"
+)
+
+// Option configures a Store.
+type Option func(*Store)
+
+// WithService names the deployment whose manifests the store accepts.
+func WithService(name string) Option { return func(s *Store) { s.service = name } }
+
+// WithClock replaces the system clock.
+func WithClock(c *clock.Clock) Option { return func(s *Store) { s.clock = c } }
+
+// WithTable sets the access to the table service; without it the table counts as unavailable.
+func WithTable(t Table) Option { return func(s *Store) { s.table = t } }
+
+// WithObjects sets the access to the object store; without it the store counts as unavailable.
+func WithObjects(o Objects) Option { return func(s *Store) { s.objects = o } }
+
+// WithPeers sets the access to other instances; without it there are none.
+func WithPeers(p Peers) Option { return func(s *Store) { s.peers = p } }
+
+// WithWatching sets the function that says whether this instance is one of those that read the table every 2 s.
+func WithWatching(watching func() bool) Option { return func(s *Store) { s.watching = watching } }
+
+// WithAnnounce sets the function that tells peers of a version that came from the table or a commit.
+func WithAnnounce(announce func(ctx context.Context, version manifest.Version, digest string)) Option {
+	return func(s *Store) { s.announce = announce }
+}
+
+// WithActivated sets a function that is called after each activation, in the order of versions. It must not block.
+func WithActivated(activated func(*manifest.Index)) Option {
+	return func(s *Store) { s.activated = activated }
+}
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(logger log.Interface) Option { return func(s *Store) { s.alarms.logger = logger } }
+
+// WithCount sets the function that counts alarms.
+func WithCount(count func(Alarm)) Option { return func(s *Store) { s.alarms.count = count } }
+
+func (s *Store) setDefaults() {
+	s.clock = clock.System()
+	s.table = Table{
+		Get: func(context.Context, string) (Row, bool, error) { return Row{}, false, errUnavailable },
+		Put: func(context.Context, Row, Condition) error { return ErrNotWritten },
+	}
+	s.objects = Objects{
+		Get:    func(context.Context, string) ([]byte, error) { return nil, errUnavailable },
+		PutNew: func(context.Context, string, []byte) error { return errUnavailable },
+	}
+	s.peers = Peers{
+		Records: func(context.Context) ([]Record, error) { return nil, nil },
+		Record:  func(context.Context, manifest.Version, string) (Record, error) { return Record{}, ErrNotFound },
+		Sections: func(context.Context, []string) (map[string][]byte, error) {
+			return nil, nil
+		},
+	}
+	s.watching = func() bool { return true }
+	s.announce = func(context.Context, manifest.Version, string) {}
+	s.activated = func(*manifest.Index) {}
+	s.alarms.logger = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
+	s.alarms.count = func(Alarm) {}
+	s.alarms.reported = map[string]bool{}
+}
--- a/manifest/index.go
+++ b/manifest/index.go
@@ -12,8 +12,6 @@
 	Version  Version
 	Digest   string
 	Manifest *Manifest
-	// Sections are the parts in which the manifest is stored and sent to other instances.
-	Sections []Section
 
 	end       clock.Millis
 	keys      keyring
@@ -45,7 +43,7 @@
 		return nil, err
 	}
 	x := &Index{
-		Version: version, Digest: Digest(refs), Manifest: own, Sections: sections, end: end, keys: keyring{},
+		Version: version, Digest: Digest(refs), Manifest: own, end: end, keys: keyring{},
 		customers: make(map[poplarwinch.CustomerID]*Customer, len(own.Customers)),
 		models:    make(map[poplarwinch.ModelName]*Model, len(own.Models)),
 		services:  make(map[poplarwinch.ServiceName]*Service, len(own.Services)),
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -4,9 +4,6 @@
 // MaxBytes bounds the size of a manifest document. The design scale of 4,400 customers needs about 1 MB.
 const MaxBytes = 4 << 20
 
-// Version numbers accepted manifests of one deployment; the first is 1.
-type Version uint64
-
 // Manifest is the configuration of one deployment as operators commit it.
 type Manifest struct {
 	// Service names the deployment; instances refuse the manifest of another one.
