--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/routing"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+const (
+	// isolationWait is the pause before a suspect looks again for an engine without other suspects.
+	isolationWait = 100 * clock.Millis(1)
+	// maxAttempts bounds the engines that one prompt may try, on top of the retry budget.
+	maxAttempts = 5
+)
+
+// errCaller marks a failed write to the caller.
+var errCaller = errors.New("the caller stopped reading")
+
+// run tries engines until one has answered completely.
+func (p *promptRun) run(ctx context.Context) error {
+	for {
+		err := p.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		if final := p.final(ctx, err); final != nil {
+			return final
+		}
+		p.sink.reset()
+	}
+}
+
+// final returns the error with which the request ends, or nil if another engine may be tried.
+func (p *promptRun) final(ctx context.Context, err error) error {
+	var known *poplarwinch.Error
+	switch {
+	case errors.Is(err, errCaller), ctx.Err() != nil:
+		return p.interrupted(ctx, err)
+	case errors.As(err, &known):
+		if p.mayHaveRun && known.Outcome == poplarwinch.OutcomeNotRun {
+			known.Outcome = poplarwinch.OutcomeFailed
+		}
+		return known
+	case p.sink.committed(), p.attempts >= maxAttempts, !p.server.retries.Take():
+		return p.upstreamFailed(err)
+	}
+	p.log.WithField("upstream", string(p.upstream)).WithField("attempt", p.attempts).WithError(err).Warn("attempt failed; trying another engine")
+	return nil
+}
+
+// attempt runs the prompt on one engine.
+func (p *promptRun) attempt(ctx context.Context) error {
+	u, end, err := p.choose(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	p.attempts++
+	p.upstream = u.ID
+	id := engine.StreamID(fmt.Sprintf("%s-%s-%d", p.id, randomHex(6), p.attempts))
+	work := upstream.Work{Prefill: p.prompt.Tokens, Long: p.prompt.Class == routing.ClassLong}
+	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work)}
+	defer a.ticket.End()
+	err = a.run(ctx)
+	if err == nil {
+		p.server.quarantine.Completed(u.ID, p.fingerprint)
+		return nil
+	}
+	p.prompt.Avoid = append(p.prompt.Avoid, u.ID)
+	a.abandon(ctx, err)
+	return err
+}
+
+// choose selects an engine and registers the prompt as running there.
+func (p *promptRun) choose(ctx context.Context) (*upstream.Upstream, func(), error) {
+	s := p.server
+	avoid := len(p.prompt.Avoid)
+	for {
+		decision, err := s.router.Engine(s.upstreams.Snapshot(), &p.prompt)
+		if err == nil {
+			end, ok := s.quarantine.Start(decision.Upstream.ID, p.fingerprint)
+			if ok {
+				s.router.Sent(decision.Upstream, &p.prompt)
+				p.logDecision(&decision)
+				return decision.Upstream, end, nil
+			}
+			if s.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
+				return nil, nil, quarantined()
+			}
+			p.prompt.Avoid = append(p.prompt.Avoid, decision.Upstream.ID)
+			continue
+		}
+		if len(p.prompt.Avoid) == avoid {
+			return nil, nil, err
+		}
+		// Every engine runs a suspect; the avoided ones become available again when those end.
+		p.prompt.Avoid = p.prompt.Avoid[:avoid]
+		if err := s.clock.Sleep(ctx, isolationWait); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// interrupted returns the error of a request whose time limit ended or whose caller went away.
+func (p *promptRun) interrupted(ctx context.Context, cause error) error {
+	outcome := poplarwinch.OutcomeNotRun
+	if p.mayHaveRun {
+		outcome = poplarwinch.OutcomeFailed
+	}
+	if p.request.Context().Err() != nil || errors.Is(cause, errCaller) {
+		return &poplarwinch.Error{
+			Kind: poplarwinch.KindCallerGone, Outcome: outcome, Cause: cause,
+			Message: "the caller disconnected or stopped reading", Remedy: "resume the stream with its Resume-Token",
+		}
+	}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindDeadlineExceeded, Outcome: outcome, Cause: errors.Join(ctx.Err(), cause),
+		Message: fmt.Sprintf("no complete answer within the time limit of %d ms", p.deadline.Sub(p.started).Milliseconds()),
+		Remedy:  "retry with a longer " + timeoutHeader,
+	}
+}
+
+func (p *promptRun) upstreamFailed(cause error) error {
+	outcome := poplarwinch.OutcomeNotRun
+	if p.mayHaveRun {
+		outcome = poplarwinch.OutcomeFailed
+	}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUpstreamFailed, Outcome: outcome, Cause: cause, RetryAfter: clock.Second,
+		Message: fmt.Sprintf("no engine completed the prompt in %d attempts", p.attempts), Remedy: "retry; the prompt is safe to repeat",
+	}
+}
--- /dev/null
+++ b/entry/option.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch/admission"
+	"github.com/poplarwinch/poplarwinch/claim"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/manifest"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/routing"
+	"github.com/poplarwinch/poplarwinch/service"
+	"github.com/poplarwinch/poplarwinch/token"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c *clock.Clock) Option { return func(s *Server) { s.clock = c } }
+
+// WithLog sets the logger; the default is the package log's.
+func WithLog(l log.Interface) Option { return func(s *Server) { s.log = l } }
+
+// WithLimits sets the limits; the default is DefaultLimits.
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+
+// WithActive sets the function that returns the active manifest, or nil without one.
+func WithActive(f func() *manifest.Index) Option { return func(s *Server) { s.active = f } }
+
+// WithRouting sets the known upstreams and the router that selects among them.
+func WithRouting(u *upstream.Registry, r *routing.Router) Option {
+	return func(s *Server) { s.upstreams, s.router = u, r }
+}
+
+// WithAdmission sets the admission control and the retry budget.
+func WithAdmission(c *admission.Controller, b *admission.RetryBudget) Option {
+	return func(s *Server) { s.admission, s.retries = c, b }
+}
+
+// WithQuarantine sets the register of suspects and the function that tells peers about new ones.
+func WithQuarantine(q *quarantine.Register, suspected func([]quarantine.Suspect)) Option {
+	return func(s *Server) { s.quarantine, s.suspected = q, suspected }
+}
+
+// WithEngines sets the client for model engines.
+func WithEngines(c *engine.Client) Option { return func(s *Server) { s.engines = c } }
+
+// WithServices sets the client for plain services and the ledger for calls that must run at most once.
+func WithServices(c *service.Client, l *claim.Ledger) Option {
+	return func(s *Server) { s.services, s.claims = c, l }
+}
+
+// WithSigner sets the signer of resume tokens.
+func WithSigner(t *token.Signer) Option { return func(s *Server) { s.signer = t } }
--- /dev/null
+++ b/entry/prompt.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/admission"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/completion"
+	"github.com/poplarwinch/poplarwinch/manifest"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/routing"
+)
+
+// promptRun is the execution of one prompt, over one or several attempts.
+type promptRun struct {
+	*exchange
+	completion  *completion.Request
+	model       *manifest.Model
+	prompt      routing.Prompt
+	fingerprint quarantine.Fingerprint
+	sink        sink
+	// mayHaveRun says that an engine may have run a part of the prompt, so the outcome can't be not-run.
+	mayHaveRun bool
+	// resumed says that the caller continues an earlier request, so no other engine can take over.
+	resumed bool
+}
+
+func (s *Server) serveChat(ctx context.Context, x *exchange) error {
+	return s.servePrompt(ctx, x, completion.FormatChat)
+}
+
+func (s *Server) serveText(ctx context.Context, x *exchange) error {
+	return s.servePrompt(ctx, x, completion.FormatText)
+}
+
+func (s *Server) servePrompt(ctx context.Context, x *exchange, format completion.Format) error {
+	limits := x.index.Manifest.Limits
+	ctx, cancel, err := x.limit(ctx, limits.DefaultTimeout, limits.MaxTimeout)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	body, release, err := s.bodies.read(ctx, x.writer, x.request)
+	if err != nil {
+		return err
+	}
+	defer release()
+	p, err := x.parsePrompt(format, body)
+	if err != nil {
+		return err
+	}
+	p.sink = newSink(p)
+	return p.admitted(ctx)
+}
+
+// parsePrompt resolves the model, the adapter and the size of the prompt.
+func (x *exchange) parsePrompt(format completion.Format, body []byte) (*promptRun, error) {
+	request, err := completion.Parse(format, body)
+	if err != nil {
+		return nil, err
+	}
+	model, err := x.resolve(request)
+	if err != nil {
+		return nil, err
+	}
+	tokens := x.server.ratios.tokens(model, request.PromptBytes)
+	if limit := min(x.index.Manifest.Limits.MaxPromptTokens, model.ContextTokens); tokens > limit+limit/promptSlack {
+		return nil, &poplarwinch.Error{
+			Kind: poplarwinch.KindTooLarge, Outcome: poplarwinch.OutcomeNotRun,
+			Message: fmt.Sprintf("the prompt has about %d tokens; model %s takes at most %d", tokens, model.Name, limit),
+			Remedy:  "send a shorter prompt",
+		}
+	}
+	p := &promptRun{
+		exchange: x, completion: request, model: model,
+		fingerprint: quarantine.Of(x.customer.ID, request.Model, request.Body),
+		prompt: routing.Prompt{
+			RequestID: x.id, Customer: x.customer.ID, Model: request.Model, Adapter: request.Adapter,
+			Tokens: tokens, MaxNew: request.MaxTokens, Blocks: request.Blocks, Class: routing.ClassOf(tokens),
+		},
+	}
+	x.class = string(p.prompt.Class)
+	return p, nil
+}
+
+// promptSlack allows for the error of the token estimate: prompts are rejected early only above the limit by this fraction.
+const promptSlack = 10
+
+func (x *exchange) resolve(r *completion.Request) (*manifest.Model, error) {
+	model, ok := x.index.Model(r.Model)
+	if !ok {
+		return nil, &poplarwinch.Error{
+			Kind: poplarwinch.KindUnknownModel, Outcome: poplarwinch.OutcomeNotRun, Param: "model",
+			Message: fmt.Sprintf("model %q does not exist", r.Model), Remedy: "name a model of GET /v1/models",
+		}
+	}
+	if !x.customer.MayUseModel(r.Model) {
+		return nil, &poplarwinch.Error{
+			Kind: poplarwinch.KindForbidden, Outcome: poplarwinch.OutcomeNotRun, Param: "model",
+			Message: fmt.Sprintf("customer %s may not use model %q", x.customer.ID, r.Model), Remedy: "ask the operators for access",
+		}
+	}
+	if r.Adapter == "" {
+		return model, nil
+	}
+	if _, ok := model.Adapter(r.Adapter); !ok {
+		return nil, &poplarwinch.Error{
+			Kind: poplarwinch.KindUnknownAdapter, Outcome: poplarwinch.OutcomeNotRun, Param: "model",
+			Message: fmt.Sprintf("model %q has no adapter %q", r.Model, r.Adapter), Remedy: "name an adapter of GET /v1/models",
+		}
+	}
+	return model, nil
+}
+
+// admitted waits for admission and runs the prompt.
+func (p *promptRun) admitted(ctx context.Context) error {
+	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
+		return quarantined()
+	}
+	release, err := p.server.admission.Admit(ctx, admission.Request{
+		Prompt: &p.prompt, Deadline: clock.FromTime(p.deadline), Weight: p.customer.Weight,
+		MaxRequests: p.customer.MaxRequestsInFlight, MaxTokens: p.customer.MaxTokensInFlight,
+	})
+	if err != nil {
+		return err
+	}
+	defer release()
+	p.server.retries.Earn()
+	return p.run(ctx)
+}
+
+// observe records the end of a whole answer.
+func (p *promptRun) observe(usage completion.Usage) {
+	if p.resumed {
+		return
+	}
+	p.server.ratios.learn(p.model, p.completion.PromptBytes, usage.PromptTokens)
+}
+
+// sinceStart returns the time since the request arrived.
+func (x *exchange) sinceStart() clock.Millis { return clock.FromDuration(time.Since(x.started)) }
+
+func quarantined() *poplarwinch.Error {
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: 10 * clock.Minute,
+		Message: "this request has crashed two engines", Remedy: "change the request, or ask the operators to look at the engines' logs",
+	}
+}
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+const (
+	// maxResumes bounds consecutive resumes of a stream that bring no new frame.
+	maxResumes = 4
+	// resumeBackoff is the pause before the first repeated resume; it doubles each time.
+	resumeBackoff = 50 * clock.Millis(1)
+)
+
+// attempt is one run of a prompt on one engine.
+type attempt struct {
+	*promptRun
+	upstream *upstream.Upstream
+	id       engine.StreamID
+	ticket   *upstream.Ticket
+	last     int
+}
+
+// run opens the stream and passes its frames on until the answer is complete.
+func (a *attempt) run(ctx context.Context) error {
+	call := engine.Call{
+		ID: a.id, Path: a.completion.Format.Path(), Body: a.completion.Body, Priority: a.prompt.Class.Priority(),
+	}
+	stream, err := a.server.engines.Open(ctx, a.upstream.Address, call)
+	if a.sent(err) {
+		a.mayHaveRun = true
+	}
+	if lookup(err) {
+		stream, err = a.resume(ctx, err)
+	}
+	if err != nil {
+		return err
+	}
+	return a.follow(ctx, stream)
+}
+
+// follow relays the stream and resumes it when its connection breaks, until the answer is complete.
+func (a *attempt) follow(ctx context.Context, stream *engine.Stream) error {
+	for fruitless := 0; ; {
+		before := a.last
+		err := a.relay(ctx, stream)
+		stream.Close()
+		if err == nil || !resumable(err) || ctx.Err() != nil {
+			return err
+		}
+		if fruitless++; a.last > before {
+			fruitless = 0
+		}
+		if fruitless > maxResumes {
+			return err
+		}
+		a.log.WithField("stream", string(a.id)).WithField("after", a.last).WithError(err).Warn("stream broke; resuming it on a new connection")
+		if stream, err = a.resume(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// relay passes frames on until the stream ends.
+func (a *attempt) relay(ctx context.Context, stream *engine.Stream) error {
+	for {
+		f, err := stream.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if f.Waiting {
+			continue
+		}
+		if a.firstToken == 0 {
+			a.firstToken = max(1, a.sinceStart())
+		}
+		a.ticket.FirstToken()
+		if err := a.sink.frame(a, f); err != nil {
+			return err
+		}
+		a.last = f.Sequence
+		if f.Done {
+			return a.sink.finish()
+		}
+	}
+}
+
+// resume continues the stream on a new connection. The engine is given up when it does not know the stream or can't be
+// reached several times in a row.
+func (a *attempt) resume(ctx context.Context, cause error) (*engine.Stream, error) {
+	pause := resumeBackoff
+	for range maxResumes {
+		stream, err := a.server.engines.Resume(ctx, a.upstream.Address, a.id, a.last)
+		if err == nil {
+			return stream, nil
+		}
+		cause = err
+		if reason(err) != engine.ReasonUnreachable {
+			break
+		}
+		if err := a.server.clock.Sleep(ctx, pause); err != nil {
+			return nil, err
+		}
+		pause *= 2
+	}
+	return nil, cause
+}
+
+// abandon cancels the engine's stream after a failed attempt. A disconnected caller of a stream gets time to resume it.
+func (a *attempt) abandon(ctx context.Context, err error) {
+	if !a.mayHaveRun || reason(err) == engine.ReasonUnknownStream {
+		return
+	}
+	delay := clock.Millis(0)
+	if ctx.Err() == nil && errors.Is(err, errCaller) || a.request.Context().Err() != nil {
+		if a.sink.committed() {
+			delay = a.server.limits.ResumeGrace
+		}
+	}
+	a.server.abandoned.cancel(a.upstream.Address, a.id, delay)
+}
+
+// sent reports whether the engine may have run a part of the prompt after Open returned err.
+func (a *attempt) sent(err error) bool {
+	var refused *engine.RefusedError
+	var failed *engine.StreamError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &refused):
+		return false
+	case errors.As(err, &failed):
+		return failed.Sent
+	}
+	return true
+}
+
+// reason returns the reason of a stream error, or an empty one.
+func reason(err error) engine.Reason {
+	var failed *engine.StreamError
+	if errors.As(err, &failed) {
+		return failed.Reason
+	}
+	return ""
+}
+
+// lookup reports whether a failed Open leaves open if the engine has the stream.
+func lookup(err error) bool {
+	var failed *engine.StreamError
+	return errors.As(err, &failed) && failed.Reason == engine.ReasonUnreachable && failed.Sent
+}
+
+// resumable reports whether the engine may still have the stream whose reading failed.
+func resumable(err error) bool {
+	switch reason(err) {
+	case engine.ReasonTruncated, engine.ReasonStalled, engine.ReasonGap, engine.ReasonForeign, engine.ReasonMalformed:
+		return true
+	}
+	return false
+}
--- a/error.go
+++ b/error.go
@@ -29,6 +29,7 @@
 	KindOverQuota        Kind = "over-quota"
 	KindOverloaded       Kind = "overloaded"
 	KindUnavailable      Kind = "unavailable"
+	KindCallerGone       Kind = "caller-gone"
 	KindUpstreamFailed   Kind = "upstream-failed"
 	KindDeadlineExceeded Kind = "deadline-exceeded"
 	KindInternal         Kind = "internal"
@@ -52,6 +53,7 @@
 	KindOverQuota:        http.StatusTooManyRequests,
 	KindOverloaded:       http.StatusServiceUnavailable,
 	KindUnavailable:      http.StatusServiceUnavailable,
+	KindCallerGone:       499,
 	KindUpstreamFailed:   http.StatusBadGateway,
 	KindDeadlineExceeded: http.StatusGatewayTimeout,
 	KindInternal:         http.StatusInternalServerError,
