--- /dev/null
+++ b/emulator/engine/engine.go
@@ -0,0 +1,167 @@
+// Package engine emulates a model engine: continuous batching, prefix cache, KV memory, streams with resume,
+// orders, and faults that can be switched while it runs. It is an http.Handler.
+package engine
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/emulator/fault"
+)
+
+// Engine is an emulated model engine.
+type Engine struct {
+	config      config
+	mux         *http.ServeMux
+	connections fault.Connections
+	peers       *http.Transport
+	wake        chan struct{}
+	cancel      context.CancelFunc
+	ended       <-chan struct{}
+
+	mutex  sync.Mutex
+	faults Faults
+	record Record
+	random *rand.Rand
+	boot   *boot
+	boots  int
+}
+
+// New starts an engine; Close stops it.
+func New(opts ...Option) *Engine {
+	c := config{
+		clock:                  clock.System(),
+		prefillTokensPerSecond: 40_000,
+		step:                   20,
+		capacity:               400_000,
+		bytesPerToken:          4,
+		maxRunning:             256,
+		maxWaiting:             1024,
+		waitingInterval:        clock.Second,
+		retention:              clock.Minute,
+		role:                   "mixed",
+		seed:                   1,
+	}
+	for _, o := range opts {
+		o(&c)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		config: c, wake: make(chan struct{}, 1), cancel: cancel, ended: ctx.Done(),
+		peers:  &http.Transport{DisableKeepAlives: true},
+		random: rand.New(rand.NewPCG(c.seed, 0)),
+	}
+	e.mux = e.routes()
+	e.Restart()
+	go e.loop(ctx)
+	return e
+}
+
+// Close stops the engine and aborts all requests.
+func (e *Engine) Close() {
+	e.cancel()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.boot.stop()
+}
+
+// Restart replaces a dead or running engine by a fresh one with a new boot id and empty memory. Faults and the
+// record are kept.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.boot != nil {
+		e.boot.stop()
+	}
+	e.boots++
+	e.boot = newBoot(&e.config, e.boots)
+}
+
+// Crash puts the engine into the dead state: all connections are aborted until Restart.
+func (e *Engine) Crash() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.boot.stop()
+}
+
+// ConnState is to be set as http.Server.ConnState; stalling connections relies on it.
+func (e *Engine) ConnState(n net.Conn, s http.ConnState) { e.connections.ConnState(n, s) }
+
+// ServeHTTP handles the engine protocol, /faults and /record.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mutex.Lock()
+	down, f := e.boot.down, e.faults
+	e.mutex.Unlock()
+	stalled := e.connections.Stalled(r)
+	select {
+	case <-down:
+		panic(http.ErrAbortHandler)
+	case <-stalled:
+		e.hang(r, down)
+	default:
+	}
+	if r.URL.Path != "/faults" && r.URL.Path != "/record" {
+		if f.Hang {
+			e.hang(r, down)
+		}
+		if f.Delay > 0 {
+			_ = e.config.clock.Sleep(r.Context(), f.Delay)
+		}
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// hang leaves a request unanswered until its connection or the engine ends, and aborts it.
+func (e *Engine) hang(r *http.Request, down <-chan struct{}) {
+	// net/http notices a closed connection only after the request body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-r.Context().Done():
+	case <-down:
+	case <-e.ended:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Engine) routes() *http.ServeMux {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/completions", e.postCompletions)
+	m.HandleFunc("POST /v1/chat/completions", e.postChatCompletions)
+	m.HandleFunc("GET /v1/streams/{id}", e.getStream)
+	m.HandleFunc("DELETE /v1/streams/{id}", e.deleteStream)
+	m.HandleFunc("PUT /kv/reservations/{id}", e.putReservation)
+	m.HandleFunc("GET /kv/reservations", e.getReservations)
+	m.HandleFunc("DELETE /kv/reservations/{id}", e.deleteReservation)
+	m.HandleFunc("POST /kv/exports", e.postExport)
+	m.HandleFunc("GET /kv/exports", e.getExports)
+	m.HandleFunc("GET /kv/exports/{id}", e.getExport)
+	m.HandleFunc("DELETE /kv/exports/{id}", e.deleteExport)
+	m.HandleFunc("POST /kv/imports", e.postImport)
+	m.HandleFunc("GET /kv/events", e.getEvents)
+	m.HandleFunc("GET /metrics", e.getMetrics)
+	m.HandleFunc("GET /health", e.getHealth)
+	m.HandleFunc("PUT /orders", e.putOrder)
+	m.HandleFunc("GET /faults", e.getFaults)
+	m.HandleFunc("PUT /faults", e.putFaults)
+	m.HandleFunc("GET /record", e.getRecord)
+	return m
+}
+
+// signal wakes the scheduler.
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// refuse rejects a request before it runs.
+func refuse(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Refused", "true")
+	http.Error(w, text, status)
+}
--- /dev/null
+++ b/emulator/engine/events.go
@@ -0,0 +1,139 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const (
+	eventStored  = "stored"
+	eventRemoved = "removed"
+	// maxEvents bounds the log; readers that are further behind see a gap.
+	maxEvents = 8192
+)
+
+// cacheEvent is one change of the prefix cache.
+type cacheEvent struct {
+	Sequence uint64   `json:"sequence"`
+	Event    string   `json:"event"`
+	Model    string   `json:"model"`
+	Blocks   []string `json:"blocks"`
+	due      clock.Millis
+}
+
+// eventLog holds published cache events and those that wait for the next publication.
+type eventLog struct {
+	pending   []cacheEvent
+	published []cacheEvent
+	sequence  uint64
+	changed   chan struct{}
+}
+
+// add appends a pending event; none for an empty list of blocks.
+func (l *eventLog) add(kind, model string, blocks []uint64) {
+	if len(blocks) == 0 {
+		return
+	}
+	ev := cacheEvent{Event: kind, Model: model}
+	for _, h := range blocks {
+		ev.Blocks = append(ev.Blocks, hex(h))
+	}
+	l.pending = append(l.pending, ev)
+}
+
+// publish numbers the pending events and those of evicted blocks, and makes them visible after the delay, except
+// for lost ones.
+func (b *boot) publish(e *Engine, now clock.Millis) {
+	l := &b.events
+	var removed []uint64
+	for i, x := range b.memory.evicted {
+		removed = append(removed, x.hash)
+		if i+1 == len(b.memory.evicted) || b.memory.evicted[i+1].model != x.model {
+			l.add(eventRemoved, x.model, removed)
+			removed = nil
+		}
+	}
+	b.memory.evicted = nil
+	if len(l.pending) == 0 {
+		return
+	}
+	for _, ev := range l.pending {
+		l.sequence++
+		ev.Sequence, ev.due = l.sequence, now+e.faults.EventDelay
+		if e.faults.EventLoss <= 0 || e.random.Float64() >= e.faults.EventLoss {
+			l.published = append(l.published, ev)
+		}
+	}
+	l.pending = nil
+	if n := len(l.published) - maxEvents; n > 0 {
+		l.published = append([]cacheEvent(nil), l.published[n:]...)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// after returns the events that are due after a sequence number, the wait for the next one (0 for none known),
+// and a channel that is closed when further ones are published.
+func (l *eventLog) after(sequence uint64, now clock.Millis) (due []cacheEvent, wait clock.Millis, changed <-chan struct{}) {
+	for _, ev := range l.published {
+		if ev.Sequence <= sequence {
+			continue
+		}
+		if ev.due > now {
+			return due, ev.due - now, l.changed
+		}
+		due = append(due, ev)
+	}
+	return due, 0, l.changed
+}
+
+func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
+	var after uint64
+	if v := r.URL.Query().Get("after"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		after = n
+	}
+	e.mutex.Lock()
+	b := e.boot
+	e.mutex.Unlock()
+	stalled := e.connections.Stalled(r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	for {
+		_ = control.Flush()
+		e.mutex.Lock()
+		due, wait, changed := b.events.after(after, e.config.clock.Now())
+		e.mutex.Unlock()
+		for _, ev := range due {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", ev.Sequence, encode(ev))
+			after = ev.Sequence
+		}
+		_ = control.Flush()
+		if wait == 0 {
+			wait = clock.Hour
+		}
+		later, stop := e.config.clock.After(wait)
+		select {
+		case <-changed:
+		case <-later:
+		case <-stalled:
+			e.hang(r, b.down)
+		case <-b.down:
+			panic(http.ErrAbortHandler)
+		case <-e.ended:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			stop()
+			return
+		}
+		stop()
+	}
+}
--- /dev/null
+++ b/emulator/engine/group.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+// groupTimeout bounds the question to another engine of a group; they are in the same failure domain.
+const groupTimeout = 2 * time.Second
+
+// groupTokens asks the engines of a Group header for the named reservations and returns their sum.
+func (e *Engine) groupTokens(ctx context.Context, header string) (poplarwinch.Tokens, error) {
+	var sum poplarwinch.Tokens
+	seen := map[string]bool{}
+	for member := range strings.SplitSeq(header, ",") {
+		address, id, ok := strings.Cut(strings.TrimSpace(member), "/")
+		if !ok || seen[member] {
+			return 0, fmt.Errorf("group member %q is malformed or repeated", member)
+		}
+		seen[member] = true
+		tokens, err := e.memberTokens(ctx, address, id)
+		if err != nil {
+			return 0, fmt.Errorf("group member %s: %w", member, err)
+		}
+		sum += tokens
+	}
+	return sum, nil
+}
+
+func (e *Engine) memberTokens(ctx context.Context, address, id string) (poplarwinch.Tokens, error) {
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/kv/reservations", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := e.peers.RoundTrip(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	var list []reservation
+	if err := json.NewDecoder(io.LimitReader(response.Body, 16<<20)).Decode(&list); err != nil {
+		return 0, err
+	}
+	for _, v := range list {
+		if v.ID == id {
+			return v.Tokens, nil
+		}
+	}
+	return 0, fmt.Errorf("unknown reservation")
+}
--- /dev/null
+++ b/emulator/engine/health.go
@@ -0,0 +1,25 @@
+package engine
+
+import (
+	"net/http"
+
+	"github.com/poplarwinch/poplarwinch/emulator/fault"
+)
+
+// health is the answer of GET /health.
+type health struct {
+	Ready   bool    `json:"ready"`
+	Leaving bool    `json:"leaving"`
+	BootID  string  `json:"boot-id"`
+	Role    string  `json:"role"`
+	Models  []Model `json:"models"`
+}
+
+func (e *Engine) getHealth(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	b := e.boot
+	b.settle(e.config.clock.Now())
+	h := health{Ready: true, Leaving: e.faults.Leaving, BootID: b.id, Role: b.role, Models: append([]Model{}, b.models...)}
+	e.mutex.Unlock()
+	fault.Reply(w, http.StatusOK, h)
+}
--- /dev/null
+++ b/emulator/engine/model.go
@@ -0,0 +1,40 @@
+package engine
+
+import "slices"
+
+// Model is a loaded or ordered model.
+type Model struct {
+	Name     string    `json:"name"`
+	Version  string    `json:"version"`
+	Adapters []Adapter `json:"adapters"`
+}
+
+// Adapter is a loaded or ordered adapter of a model.
+type Adapter struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+func (m Model) has(adapter string) bool {
+	if adapter == "" {
+		return true
+	}
+	for _, a := range m.Adapters {
+		if a.Name == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+func (m Model) equal(x Model) bool {
+	return m.Name == x.Name && m.Version == x.Version && slices.Equal(m.Adapters, x.Adapters)
+}
+
+// normalized returns m with an empty instead of a null list of adapters.
+func (m Model) normalized() Model {
+	if m.Adapters == nil {
+		m.Adapters = []Adapter{}
+	}
+	return m
+}
--- /dev/null
+++ b/emulator/engine/order.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/emulator/fault"
+)
+
+// order is the body of PUT /orders.
+type order struct {
+	FencingNumber uint64       `json:"fencing-number"`
+	ValidUntil    clock.Millis `json:"valid-until-ms"`
+	Role          string       `json:"role"`
+	Models        []Model      `json:"models"`
+}
+
+// loading is a model that becomes available at a time.
+type loading struct {
+	model Model
+	at    clock.Millis
+}
+
+// settle makes models available whose loading has ended.
+func (b *boot) settle(now clock.Millis) {
+	b.loading = slices.DeleteFunc(b.loading, func(l loading) bool {
+		if l.at > now {
+			return false
+		}
+		b.models = append(slices.Clone(b.models), l.model)
+		return true
+	})
+}
+
+func (e *Engine) putOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := fault.Decode(w, r, 1<<20, &o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	b, now := e.boot, e.config.clock.Now()
+	text := ""
+	switch {
+	case now > o.ValidUntil:
+		text = "the order has expired"
+	case e.config.checksFencing && !e.faults.IgnoreFencing && o.FencingNumber < b.fencing:
+		text = "the fencing number is stale"
+	}
+	e.record.Orders = append(e.record.Orders, RecordedOrder{
+		At: now, FencingNumber: o.FencingNumber, Accepted: text == "", Role: o.Role, Models: o.Models,
+	})
+	if text != "" {
+		http.Error(w, text, http.StatusPreconditionFailed)
+		return
+	}
+	b.fencing = max(b.fencing, o.FencingNumber)
+	b.apply(o, now, e.config.loadTime)
+	fault.Reply(w, http.StatusOK, struct{}{})
+}
+
+// apply unloads models that the order does not name and starts to load missing ones; a model whose version or
+// adapters change counts as missing.
+func (b *boot) apply(o order, now, loadTime clock.Millis) {
+	b.settle(now)
+	if o.Role != "" {
+		b.role = o.Role
+	}
+	wanted := func(m Model) bool {
+		return slices.ContainsFunc(o.Models, func(x Model) bool { return x.equal(m) })
+	}
+	b.models = slices.DeleteFunc(slices.Clone(b.models), func(m Model) bool { return !wanted(m) })
+	b.loading = slices.DeleteFunc(b.loading, func(l loading) bool { return !wanted(l.model) })
+	for _, m := range o.Models {
+		m = m.normalized()
+		present := func(x Model) bool { return x.equal(m) }
+		if slices.ContainsFunc(b.models, present) || slices.ContainsFunc(b.loading, func(l loading) bool { return present(l.model) }) {
+			continue
+		}
+		b.loading = append(b.loading, loading{model: m, at: now + loadTime})
+	}
+	b.settle(now)
+}
--- /dev/null
+++ b/emulator/engine/record.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"net/http"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/emulator/fault"
+)
+
+// Record says what an engine did since New, across restarts.
+type Record struct {
+	Boot string `json:"boot-id"`
+	// Runs lists the accepted prompts in order of arrival.
+	Runs    []*Run          `json:"runs"`
+	Orders  []RecordedOrder `json:"orders"`
+	Refused int             `json:"refused"`
+}
+
+// Run is one accepted prompt; times are Unix milliseconds, 0 for what did not happen.
+type Run struct {
+	Stream   string `json:"stream"`
+	Boot     string `json:"boot-id"`
+	Model    string `json:"model"`
+	Adapter  string `json:"adapter"`
+	Priority int    `json:"priority"`
+	// Prompt is the xxhash64 of the prompt text as 16 hexadecimal digits.
+	Prompt     string             `json:"prompt"`
+	Tokens     poplarwinch.Tokens `json:"tokens"`
+	Leaving    bool               `json:"leaving"`
+	Crashed    bool               `json:"crashed"`
+	Accepted   clock.Millis       `json:"accepted-ms"`
+	Started    clock.Millis       `json:"started-ms"`
+	FirstToken clock.Millis       `json:"first-token-ms"`
+	Completed  clock.Millis       `json:"completed-ms"`
+	Failed     clock.Millis       `json:"failed-ms"`
+	Cancelled  clock.Millis       `json:"cancelled-ms"`
+}
+
+// RecordedOrder is one received order.
+type RecordedOrder struct {
+	At            clock.Millis `json:"at-ms"`
+	FencingNumber uint64       `json:"fencing-number"`
+	Accepted      bool         `json:"accepted"`
+	Role          string       `json:"role"`
+	Models        []Model      `json:"models"`
+}
+
+func (r *Record) add(x Run) *Run {
+	r.Runs = append(r.Runs, &x)
+	return &x
+}
+
+// Record returns a copy of what the engine did so far.
+func (e *Engine) Record() Record {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	out := e.record
+	out.Boot = e.boot.id
+	out.Runs = make([]*Run, len(e.record.Runs))
+	for i, x := range e.record.Runs {
+		c := *x
+		out.Runs[i] = &c
+	}
+	out.Orders = append([]RecordedOrder{}, e.record.Orders...)
+	return out
+}
+
+func (e *Engine) getRecord(w http.ResponseWriter, _ *http.Request) {
+	fault.Reply(w, http.StatusOK, e.Record())
+}
--- /dev/null
+++ b/emulator/engine/stream.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// sendStream writes the frames of s after number after as server-sent events until the last one.
+func (e *Engine) sendStream(w http.ResponseWriter, r *http.Request, s *sequence, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Stream-Id", s.id)
+	w.WriteHeader(http.StatusOK)
+	o := newStreamWriter(w, s.id, e.takeFrameFaults())
+	o.flush()
+	e.mutex.Lock()
+	down := e.boot.down
+	e.mutex.Unlock()
+	stalled := e.connections.Stalled(r)
+	tick, stop := e.config.clock.After(e.config.waitingInterval)
+	defer func() { stop() }()
+	for {
+		e.mutex.Lock()
+		available, p, failure, hit, changed := s.available(), s.phase, s.failure, int(s.hit), s.changed
+		e.mutex.Unlock()
+		select {
+		case <-stalled:
+			e.hang(r, down)
+		case <-down:
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		for ; after < available; after++ {
+			data := s.prompt.frame(after+1, hit)
+			if p == phaseFailed && after+1 == available {
+				data = []byte(`{"error":{"message":` + strconv.Quote(failure) + `,"type":"engine"}}`)
+			}
+			if !o.frame(after+1, data) {
+				return
+			}
+		}
+		o.flush()
+		switch p {
+		case phaseDone, phaseFailed:
+			return
+		case phaseCancelled:
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-tick:
+			if p == phaseWaiting || p == phasePrefill {
+				o.comment("waiting")
+			}
+			tick, stop = e.config.clock.After(e.config.waitingInterval)
+		case <-stalled:
+		case <-down:
+		case <-e.ended:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// sendWhole waits for the end of s and writes the answer as one JSON object.
+func (e *Engine) sendWhole(w http.ResponseWriter, r *http.Request, s *sequence) {
+	e.mutex.Lock()
+	down := e.boot.down
+	e.mutex.Unlock()
+	stalled := e.connections.Stalled(r)
+	for {
+		e.mutex.Lock()
+		p, failure, hit, changed := s.phase, s.failure, int(s.hit), s.changed
+		e.mutex.Unlock()
+		switch p {
+		case phaseDone:
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Stream-Id", s.id)
+			_, _ = w.Write(s.prompt.whole(hit))
+			return
+		case phaseFailed:
+			http.Error(w, failure, http.StatusGatewayTimeout)
+			return
+		case phaseCancelled:
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-stalled:
+			e.hang(r, down)
+		case <-down:
+			panic(http.ErrAbortHandler)
+		case <-e.ended:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) getStream(w http.ResponseWriter, r *http.Request) {
+	after := 0
+	if v := r.Header.Get("Last-Event-ID"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 {
+			http.Error(w, fmt.Sprintf("header Last-Event-ID: %q is not an event number", v), http.StatusBadRequest)
+			return
+		}
+		after = n
+	}
+	e.mutex.Lock()
+	s := e.boot.sequences[r.PathValue("id")]
+	known := s != nil && s.phase != phaseCancelled
+	e.mutex.Unlock()
+	if !known {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	e.sendStream(w, r, s, after)
+}
+
+func (e *Engine) deleteStream(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	e.mutex.Lock()
+	b, now := e.boot, e.config.clock.Now()
+	// A prompt that arrives after its cancellation is a duplicate and must not run.
+	b.used[id] = struct{}{}
+	if s := b.sequences[id]; s != nil {
+		b.end(s, phaseCancelled, now)
+		b.sample(now, e.faults.LoadLag)
+	}
+	e.signal()
+	e.mutex.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/emulator/engine/submit.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// maxPromptBytes bounds a request body; a prompt of 1,000,000 tokens has about 4 MB.
+const maxPromptBytes = 64 << 20
+
+func (e *Engine) postCompletions(w http.ResponseWriter, r *http.Request) { e.submit(w, r, false) }
+
+func (e *Engine) postChatCompletions(w http.ResponseWriter, r *http.Request) { e.submit(w, r, true) }
+
+func (e *Engine) submit(w http.ResponseWriter, r *http.Request, chat bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPromptBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s, err := e.newSequence(r.Header, data, chat)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if members := r.Header.Get("Group"); members != "" {
+		if s.remote, err = e.groupTokens(r.Context(), members); err != nil {
+			refuse(w, http.StatusInsufficientStorage, err.Error())
+			return
+		}
+	}
+	dropReply, status, text := e.accept(s, r.Header.Get("Reservation"))
+	switch {
+	case status == http.StatusConflict:
+		http.Error(w, text, status)
+	case status != 0:
+		refuse(w, status, text)
+	case dropReply:
+		panic(http.ErrAbortHandler)
+	case s.prompt.stream:
+		e.sendStream(w, r, s, 0)
+	default:
+		e.sendWhole(w, r, s)
+	}
+}
+
+func (e *Engine) newSequence(header http.Header, data []byte, chat bool) (*sequence, error) {
+	p, err := parsePrompt(data, chat)
+	if err != nil {
+		return nil, err
+	}
+	now := e.config.clock.Now()
+	s := &sequence{id: header.Get("Request-Id"), prompt: p, phase: phaseWaiting, changed: make(chan struct{})}
+	if s.id == "" {
+		return nil, fmt.Errorf("header Request-Id is missing")
+	}
+	if v := header.Get("Priority"); v != "" {
+		if s.priority, err = strconv.Atoi(v); err != nil {
+			return nil, fmt.Errorf("header Priority: %w", err)
+		}
+	}
+	if v := header.Get("Deadline-Ms"); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("header Deadline-Ms: %w", err)
+		}
+		s.deadline = now + clock.Millis(ms)
+	}
+	s.tokens = poplarwinch.Tokens((len(p.text) + e.config.bytesPerToken - 1) / e.config.bytesPerToken)
+	s.hashes = hashBlocks(p.model, p.adapter, p.text)
+	p.id, p.size, p.created = s.id, int(s.tokens), int64(now/clock.Second)
+	return s, nil
+}
+
+// accept registers a sequence, or returns the status and text of its rejection.
+func (e *Engine) accept(s *sequence, reservationID string) (dropReply bool, status int, text string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	b, now := e.boot, e.config.clock.Now()
+	if b.dead {
+		panic(http.ErrAbortHandler)
+	}
+	b.settle(now)
+	if _, ok := b.used[s.id]; ok {
+		return false, http.StatusConflict, "stream id already used"
+	}
+	if status, text = e.admissible(s, reservationID); status != 0 {
+		e.record.Refused++
+		return false, status, text
+	}
+	b.used[s.id] = struct{}{}
+	b.sequences[s.id] = s
+	b.waiting = append(b.waiting, s)
+	b.arrived++
+	s.order = b.arrived
+	s.run = e.record.add(Run{
+		Stream: s.id, Boot: b.id, Model: s.prompt.model, Adapter: s.prompt.adapter, Priority: s.priority,
+		Prompt: fmt.Sprintf("%016x", xxhash.Sum64String(s.prompt.text)), Tokens: s.tokens,
+		Leaving: e.faults.Leaving, Accepted: now,
+	})
+	b.sample(now, e.faults.LoadLag)
+	e.signal()
+	return e.faults.DropReply.Take(), 0, ""
+}
+
+func (e *Engine) admissible(s *sequence, reservationID string) (int, string) {
+	b := e.boot
+	if e.faults.Refuse.Take() {
+		return http.StatusServiceUnavailable, "refused by a fault switch"
+	}
+	if m := b.model(s.prompt.model); m == nil || !m.has(s.prompt.adapter) {
+		return http.StatusServiceUnavailable, "model or adapter not loaded"
+	}
+	if len(b.waiting) >= e.config.maxWaiting {
+		return http.StatusServiceUnavailable, "too many waiting requests"
+	}
+	if reservationID != "" {
+		if s.reserved = b.reservations[reservationID]; s.reserved == nil {
+			return http.StatusInsufficientStorage, "unknown reservation"
+		}
+	}
+	if s.need() > e.config.capacity {
+		return http.StatusInsufficientStorage, "the prompt exceeds the KV memory of this engine and its group"
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,40 @@
+// Package engine is the client of the model engine protocol: streams with checked event numbers, health, load,
+// KV memory and orders.
+package engine
+
+import (
+	"net/http"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// Client calls model engines by address (IP:port).
+type Client struct {
+	config config
+	// pooled reuses connections; fresh opens one for each call, for engines whose open connections are stalled.
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// New returns a client with the given options.
+func New(opts ...Option) *Client {
+	c := config{
+		dialTimeout:   1 * clock.Second,
+		headerTimeout: 3 * clock.Second,
+		callTimeout:   5 * clock.Second,
+		idleTimeout:   5 * clock.Second,
+		idleAge:       15 * clock.Second,
+		maxLine:       1 << 20,
+		maxBody:       64 << 20,
+	}
+	for _, o := range opts {
+		o(&c)
+	}
+	return &Client{config: c, pooled: newTransport(&c, false), fresh: newTransport(&c, true)}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/engine/operation.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// operation describes a call other than a stream.
+type operation struct {
+	name, method, path string
+	// send is encoded as JSON unless it is a []byte.
+	send any
+	// receive is decoded from JSON unless it is a *[]byte; nil discards the body.
+	receive any
+	fresh   bool
+}
+
+// call performs o within the call timeout; its errors are *RefusedError and *CallError.
+func (c *Client) call(ctx context.Context, o operation, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.config.callTimeout.Duration())
+	defer cancel()
+	data, header, err := o.encode()
+	if err != nil {
+		return &CallError{Operation: o.name, Address: address, Cause: err}
+	}
+	t := c.pooled
+	if o.fresh {
+		t = c.fresh
+	}
+	response, sent, err := exchange(ctx, t, o.method, "http://"+address+o.path, header, data)
+	if err != nil {
+		c.pooled.CloseIdleConnections()
+		return &CallError{Operation: o.name, Address: address, Sent: sent, Cause: err}
+	}
+	if refused(response) {
+		return &RefusedError{Address: address, Status: response.StatusCode, Message: message(response)}
+	}
+	if response.StatusCode/100 != 2 {
+		return &CallError{Operation: o.name, Address: address, Status: response.StatusCode, Sent: true, Cause: statusCause(response)}
+	}
+	defer response.Body.Close()
+	if err := o.decode(response.Body, c.config.maxBody); err != nil {
+		return &CallError{Operation: o.name, Address: address, Status: response.StatusCode, Sent: true, Cause: err}
+	}
+	return nil
+}
+
+func statusCause(r *http.Response) error {
+	text := message(r)
+	switch r.StatusCode {
+	case http.StatusPreconditionFailed:
+		return fmt.Errorf("%w: %s", ErrStaleOrder, text)
+	case http.StatusNotFound:
+		return fmt.Errorf("%w: %s", ErrUnknown, text)
+	}
+	return errors.New(text)
+}
+
+func (o operation) encode() ([]byte, http.Header, error) {
+	header := http.Header{}
+	switch v := o.send.(type) {
+	case nil:
+		return nil, header, nil
+	case []byte:
+		header.Set("Content-Type", "application/octet-stream")
+		return v, header, nil
+	default:
+		header.Set("Content-Type", "application/json")
+		data, err := json.Marshal(v)
+		return data, header, err
+	}
+}
+
+func (o operation) decode(r io.Reader, limit int64) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return fmt.Errorf("read the answer: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return fmt.Errorf("the answer exceeds %d bytes", limit)
+	}
+	switch v := o.receive.(type) {
+	case nil:
+		return nil
+	case *[]byte:
+		*v = data
+		return nil
+	default:
+		if err := json.Unmarshal(data, v); err != nil {
+			return fmt.Errorf("decode the answer: %w", err)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,158 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	doneData    = []byte("[DONE]")
+	errorPrefix = []byte(`{"error"`)
+)
+
+// Stream is an open answer of an engine. One goroutine reads it.
+type Stream struct {
+	id      StreamID
+	address string
+	reader  *eventReader
+	body    io.Closer
+	last    int
+	done    bool
+	failure error
+	idle    time.Duration
+	timer   *time.Timer
+	stalled atomic.Bool
+	cancel  context.CancelFunc
+	ctx     context.Context
+	parent  context.Context // the context of Open or Resume, from which ctx derives
+	discard func()
+}
+
+func newStream(parent, ctx context.Context, cancel context.CancelFunc, c *Client, address string, id StreamID, after int, r *http.Response) *Stream {
+	s := &Stream{
+		id: id, address: address, reader: newEventReader(r.Body, c.config.maxLine), body: r.Body, last: after,
+		idle: c.config.idleTimeout.Duration(), cancel: cancel, ctx: ctx, parent: parent, discard: c.pooled.CloseIdleConnections,
+	}
+	s.timer = time.AfterFunc(s.idle, s.stall)
+	s.timer.Stop()
+	return s
+}
+
+func (s *Stream) stall() {
+	s.stalled.Store(true)
+	s.cancel()
+}
+
+// ID returns the stream id.
+func (s *Stream) ID() StreamID { return s.id }
+
+// Last returns the number of the last frame that Next returned.
+func (s *Stream) Last() int { return s.last }
+
+// Next returns the next frame in order. Repeated frames are dropped. After the frame with Done set it returns
+// io.EOF; any other error is a *StreamError and final, and the rest can be read only by Client.Resume. When ctx
+// ends, the connection is closed but the engine keeps the stream.
+func (s *Stream) Next(ctx context.Context) (Frame, error) {
+	if s.failure != nil {
+		return Frame{}, s.failure
+	}
+	if s.done {
+		return Frame{}, io.EOF
+	}
+	if ctx != s.parent && ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, s.cancel)
+		defer stop()
+	}
+	s.timer.Reset(s.idle)
+	f, err := s.read(ctx)
+	s.timer.Stop()
+	if err != nil {
+		s.failure = err
+		s.Close()
+	}
+	return f, err
+}
+
+// Close closes the connection; the engine keeps the stream until it ends or is cancelled.
+func (s *Stream) Close() {
+	s.timer.Stop()
+	s.cancel()
+	s.body.Close()
+}
+
+func (s *Stream) read(ctx context.Context) (Frame, error) {
+	for {
+		e, err := s.reader.next()
+		if err != nil {
+			return Frame{}, s.readError(ctx, err)
+		}
+		if e.comment {
+			if string(e.data) == "waiting" {
+				return Frame{Waiting: true}, nil
+			}
+			continue
+		}
+		sequence, err := s.check(e.id)
+		if err != nil {
+			return Frame{}, err
+		}
+		if sequence <= s.last {
+			continue
+		}
+		s.last = sequence
+		if bytes.HasPrefix(e.data, errorPrefix) {
+			return Frame{}, s.fail(ReasonFailed, string(e.data), nil)
+		}
+		if bytes.Equal(e.data, doneData) {
+			s.done = true
+		}
+		return Frame{Sequence: sequence, Data: e.data, Done: s.done}, nil
+	}
+}
+
+// check returns the number in an event id STREAM-ID/N.
+func (s *Stream) check(id []byte) (int, error) {
+	i := bytes.LastIndexByte(id, '/')
+	if i < 0 {
+		return 0, s.fail(ReasonMalformed, "event id "+strconv.Quote(string(id)), nil)
+	}
+	if string(id[:i]) != string(s.id) {
+		return 0, s.fail(ReasonForeign, "event id "+strconv.Quote(string(id)), nil)
+	}
+	n, err := strconv.Atoi(string(id[i+1:]))
+	if err != nil || n < 1 {
+		return 0, s.fail(ReasonMalformed, "event id "+strconv.Quote(string(id)), nil)
+	}
+	if n > s.last+1 {
+		return 0, s.fail(ReasonGap, "event "+strconv.Itoa(n)+" follows "+strconv.Itoa(s.last), nil)
+	}
+	return n, nil
+}
+
+func (s *Stream) readError(ctx context.Context, err error) error {
+	switch {
+	case s.stalled.Load():
+		// The pool may hold further connections that are stalled in the same way.
+		s.discard()
+		return s.fail(ReasonStalled, "no data within the idle timeout", nil)
+	case ctx.Err() != nil:
+		return s.fail(ReasonCanceled, "", context.Cause(ctx))
+	case s.ctx.Err() != nil:
+		return s.fail(ReasonCanceled, "", context.Cause(s.ctx))
+	case errors.Is(err, errLineTooLong):
+		return s.fail(ReasonMalformed, "", err)
+	case errors.Is(err, io.EOF):
+		return s.fail(ReasonTruncated, "the response ended before [DONE]", nil)
+	}
+	return s.fail(ReasonTruncated, "the connection broke", err)
+}
+
+func (s *Stream) fail(reason Reason, detail string, cause error) error {
+	return &StreamError{Reason: reason, Address: s.address, Stream: s.id, Sent: true, Detail: detail, Cause: cause}
+}
--- /dev/null
+++ b/service/header.go
@@ -0,0 +1,30 @@
+package service
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop lists the headers that apply to one connection (RFC 9110, section 7.6.1). Expect is included
+// because this client always sends the body at once.
+var hopByHop = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers and without those that Connection names.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
