Add table, objects, roster clients, their emulators and the claim ledger

Cause: other packages need the API of the platform's services and of claims. Change: clients over the AWS SDK with retries off and errors split by effect, emulators with faults that can be changed at run time, ledger of non-repeatable calls.

--- /dev/null
+++ b/claim/option.go
@@ -0,0 +1,43 @@
+package claim
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/table"
+)
+
+// Option configures a Ledger.
+type Option func(*Ledger)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c *clock.Clock) Option { return func(l *Ledger) { l.clock = c } }
+
+// WithLog sets the logger.
+func WithLog(i log.Interface) Option { return func(l *Ledger) { l.log = i } }
+
+// WithTable sets the functions that read and write rows, with the contracts of table.Table. They must return within a
+// time limit of their own, also if the context does not end.
+func WithTable(
+	get func(ctx context.Context, key string) (table.Row, bool, error),
+	put func(ctx context.Context, row table.Row, condition table.Condition) error,
+) Option {
+	return func(l *Ledger) { l.get, l.put = get, put }
+}
+
+// WithObjects sets the functions that read and write objects, with the contracts of objects.Objects.
+func WithObjects(
+	get func(ctx context.Context, key string) ([]byte, error),
+	putNew func(ctx context.Context, key string, data []byte) error,
+) Option {
+	return func(l *Ledger) { l.getObject, l.putObject = get, putNew }
+}
+
+// WithTimeLimit sets the function that returns the longest time limit of calls. A claim that has been in the state
+// sending for longer gets no answer any more. The default is ten minutes.
+func WithTimeLimit(f func() clock.Millis) Option { return func(l *Ledger) { l.timeLimit = f } }
+
+// WithViolation sets a function that is called, for example to count it, when an invariant is broken.
+func WithViolation(f func(error)) Option { return func(l *Ledger) { l.violation = f } }
--- /dev/null
+++ b/emulator/fault/response.go
@@ -0,0 +1,19 @@
+package fault
+
+import "net/http"
+
+// Response is the reply of an emulator.
+type Response struct {
+	Status int
+	Header map[string]string
+	Body   []byte
+}
+
+func (r Response) write(w http.ResponseWriter) {
+	for name, value := range r.Header {
+		w.Header().Set(name, value)
+	}
+	w.WriteHeader(r.Status)
+	// A write fails only if the client has gone.
+	_, _ = w.Write(r.Body)
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,80 @@
+// Package roster is the client of the platform's list of live and leaving instances.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/internal/connection"
+)
+
+// path selects the endpoint slices that carry the label of this system.
+const path = "/apis/discovery.k8s.io/v1/endpointslices?labelSelector=poplarwinch%2Fkind"
+
+// Roster reads the list of instances. Each call has a deadline.
+type Roster struct {
+	endpoint string
+	token    string
+	timeout  time.Duration
+	maxBytes poplarwinch.Bytes
+	pool     *connection.Pool
+}
+
+// New returns a client of the instance list.
+func New(opts ...Option) *Roster {
+	r := &Roster{timeout: 2 * time.Second, maxBytes: 32 << 20, pool: connection.New()}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// List returns all endpoints of the list, which may lag behind the actual state. Its errors are *UnavailableError;
+// callers keep the last list then.
+func (r *Roster) List(ctx context.Context) ([]Endpoint, error) {
+	var list endpointSliceList
+	_, err := r.pool.Call(ctx, r.timeout, func(ctx context.Context) error { return r.read(ctx, &list) })
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	return list.endpoints(), nil
+}
+
+func (r *Roster) read(ctx context.Context, list *endpointSliceList) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.endpoint+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Accept", "application/json")
+	if r.token != "" {
+		request.Header.Set("Authorization", "Bearer "+r.token)
+	}
+	response, err := r.pool.Client().Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, int64(r.maxBytes)+1))
+	if err != nil {
+		return err
+	}
+	if poplarwinch.Bytes(len(data)) > r.maxBytes {
+		return fmt.Errorf("list is longer than %d bytes", r.maxBytes)
+	}
+	if err := json.Unmarshal(data, list); err != nil {
+		return err
+	}
+	// Other documents, such as a Status object, would otherwise read as an empty list.
+	if list.Kind != "EndpointSliceList" {
+		return fmt.Errorf("document has kind %q instead of EndpointSliceList", list.Kind)
+	}
+	return nil
+}
