Add the open-loop load generator

Arrivals are Poisson with a seed; prompts are cut from one shared buffer, and every answer is compared with the expected text.

--- /dev/null
+++ b/cmd/load/client.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// client spreads requests round robin over the entry addresses.
+type client struct {
+	entries []string
+	http    *http.Client
+	next    atomic.Uint64
+}
+
+// newClient returns a client that keeps connections open, or opens a fresh one for each request.
+func newClient(entries []string, fresh bool) *client {
+	urls := make([]string, len(entries))
+	for i, e := range entries {
+		if !strings.Contains(e, "://") {
+			e = "http://" + e
+		}
+		urls[i] = strings.TrimRight(e, "/")
+	}
+	return &client{entries: urls, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 4096,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+	}}}
+}
+
+// do sends the request that build returns for an entry. It goes on to the next entry only when
+// the connection was refused, since any other failure may hide a request that ran.
+func (c *client) do(ctx context.Context, build func(ctx context.Context, entry string) (*http.Request, error)) (*http.Response, error) {
+	start := c.next.Add(1)
+	var refused error
+	for i := range uint64(len(c.entries)) {
+		request, err := build(ctx, c.entries[(start+i)%uint64(len(c.entries))])
+		if err != nil {
+			return nil, err
+		}
+		response, err := c.http.Do(request)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return response, err
+		}
+		refused = err
+	}
+	return nil, refused
+}
--- /dev/null
+++ b/cmd/load/ledger.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+)
+
+// ledger remembers what the caller was told about each call, to compare it with the record of executions.
+type ledger struct {
+	mutex   sync.Mutex
+	entries map[string]told
+}
+
+// told is what the replies to all copies of one call said.
+type told struct{ completed, notRun bool }
+
+func (l *ledger) add(key string, replies []callReply) {
+	t := told{notRun: true}
+	for _, r := range replies {
+		t.completed = t.completed || r.result.status == statusCompleted
+		t.notRun = t.notRun && r.result.status == statusRejected
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries[key] = t
+}
+
+// compare counts the calls that ran more than once, or whose replies contradict the record.
+func (l *ledger) compare(executions map[string]uint64, f *figures) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for key, t := range l.entries {
+		n := executions[key]
+		if n > 1 {
+			f.doubled++
+		}
+		if n > 0 && t.notRun {
+			f.falseNotRun++
+		}
+		if n == 0 && t.completed {
+			f.falseCompleted++
+		}
+	}
+}
+
+// fetchExecutions sums the records of executions of all service emulators.
+func fetchExecutions(ctx context.Context, urls []string) (map[string]uint64, error) {
+	executions := map[string]uint64{}
+	for _, url := range urls {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return nil, err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return nil, err
+		}
+		var record struct {
+			Executions map[string]uint64 `json:"executions"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&record)
+		response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK {
+			return nil, fmt.Errorf("record %s: status %d: %w", url, response.StatusCode, err)
+		}
+		for key, n := range record.Executions {
+			executions[key] += n
+		}
+	}
+	return executions, nil
+}
--- /dev/null
+++ b/cmd/load/record_test.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+)
+
+// record is a service that runs every call it receives, and reports how often.
+type record struct {
+	mutex      sync.Mutex
+	Executions map[string]uint64 `json:"executions"`
+}
+
+func (r *record) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if request.URL.Path == "/record" {
+		json.NewEncoder(w).Encode(r)
+		return
+	}
+	r.Executions[request.Header.Get("Idempotency-Key")]++
+}
+
+func newTestRandom() *rand.Rand { return rand.New(rand.NewPCG(7, 7)) }
--- /dev/null
+++ b/cmd/load/run_test.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// writeStream streams texts as completion chunks; ids gives the event ids, end the last event.
+func writeStream(w http.ResponseWriter, texts []string, id func(i int) int, end string) {
+	for i, text := range texts {
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"text\":%q}]}\n\n", id(i), text)
+	}
+	if end != "" {
+		fmt.Fprintf(w, "data: %s\n\n", end)
+	}
+}
+
+func oneBased(i int) int { return i + 1 }
+
+func writeError(w http.ResponseWriter, status int, kind, outcome string) {
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"error":{"type":%q,"outcome":%q}}`, kind, outcome)
+}
+
+// A generator that takes a truncated or foreign answer for a complete one would hide the faults it exists to find.
+func TestAnswersAreClassified(t *testing.T) {
+	cases := map[string]struct {
+		stream string // share of streamed requests
+		handle func(w http.ResponseWriter, prompt string, texts []string)
+		read   func(c countReport) uint64
+		code   int
+	}{
+		"complete stream": {
+			"1", func(w http.ResponseWriter, _ string, texts []string) { writeStream(w, texts, oneBased, "[DONE]") },
+			func(c countReport) uint64 { return c.Completed }, exitOK,
+		},
+		"stream without end": {
+			"1", func(w http.ResponseWriter, _ string, texts []string) { writeStream(w, texts, oneBased, "") },
+			func(c countReport) uint64 { return c.Partial }, exitBadAnswers,
+		},
+		"stream that ends early with DONE": {
+			"1", func(w http.ResponseWriter, _ string, texts []string) { writeStream(w, texts[:3], oneBased, "[DONE]") },
+			func(c countReport) uint64 { return c.Partial }, exitBadAnswers,
+		},
+		"stream with a gap in the ids": {"1", func(w http.ResponseWriter, _ string, texts []string) {
+			writeStream(w, texts, func(i int) int { return i + 1 + i/2 }, "[DONE]")
+		}, func(c countReport) uint64 { return c.Partial }, exitBadAnswers},
+		"stream with a repeated id": {"1", func(w http.ResponseWriter, _ string, texts []string) {
+			writeStream(w, texts, func(int) int { return 1 }, "[DONE]")
+		}, func(c countReport) uint64 { return c.Foreign }, exitBadAnswers},
+		"aborted stream": {"1", func(w http.ResponseWriter, _ string, texts []string) {
+			writeStream(w, texts[:3], oneBased, "")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, func(c countReport) uint64 { return c.Failed["connection-broken"] }, exitOK},
+		"error event": {"1", func(w http.ResponseWriter, _ string, texts []string) {
+			writeStream(w, texts[:3], oneBased, `{"error":{"type":"upstream-failed","outcome":"failed"}}`)
+		}, func(c countReport) uint64 { return c.Failed["upstream-failed"] }, exitOK},
+		"complete whole answer": {"0", func(w http.ResponseWriter, _ string, texts []string) {
+			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(texts, ""))
+		}, func(c countReport) uint64 { return c.Completed }, exitOK},
+		"part of a whole answer": {"0", func(w http.ResponseWriter, _ string, texts []string) {
+			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(texts[:5], ""))
+		}, func(c countReport) uint64 { return c.Partial }, exitBadAnswers},
+		"answer to another prompt": {"0", func(w http.ResponseWriter, prompt string, texts []string) {
+			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(answer("x"+prompt, len(texts)), ""))
+		}, func(c countReport) uint64 { return c.Foreign }, exitBadAnswers},
+		"rejection": {
+			"0", func(w http.ResponseWriter, _ string, _ []string) { writeError(w, 503, "overloaded", "not-run") },
+			func(c countReport) uint64 { return c.Rejected["overloaded"] }, exitOK,
+		},
+		"silence": {
+			"0", nil,
+			func(c countReport) uint64 { return c.Lost }, exitBadAnswers,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				var body struct {
+					Prompt    string `json:"prompt"`
+					MaxTokens int    `json:"max_tokens"`
+				}
+				if err := json.NewDecoder(r.Body).Decode(&body); err != nil || len(body.Prompt) != classes[0].bytes() {
+					t.Errorf("request: %v, prompt of %d bytes, want %d", err, len(body.Prompt), classes[0].bytes())
+				}
+				if c.handle == nil {
+					<-r.Context().Done()
+					return
+				}
+				c.handle(w, body.Prompt, answer(body.Prompt, body.MaxTokens))
+			}))
+			server.Start()
+			defer server.Close()
+			timeout := "30000"
+			if c.handle == nil {
+				timeout = "100"
+			}
+			got, code := execute(t, "--entry", server.Listener.Addr().String(), "--stream", c.stream, "--seconds", "0.1",
+				"--rate", "100", "--mix", "1k=1", "--timeout-ms", timeout, "--grace-ms", "100")
+			if got.Prompts.Sent == 0 || c.read(got.Prompts) != got.Prompts.Sent {
+				t.Errorf("figures = %+v, want all of %d prompts in one count", got.Prompts, got.Prompts.Sent)
+			}
+			if code != c.code {
+				t.Errorf("exit code = %d, want %d", code, c.code)
+			}
+		})
+	}
+}
+
+func execute(t *testing.T, args ...string) (report, int) {
+	t.Helper()
+	var out bytes.Buffer
+	code := run(context.Background(), append(args, "--json"), &out, io.Discard)
+	var r report
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatalf("report: %v\n%s", err, out.Bytes())
+	}
+	return r, code
+}
+
+// A booking that runs twice must fail the run even when the caller saw nothing unusual.
+func TestDoubledCallsAreFound(t *testing.T) {
+	for repeat, want := range map[string]int{"0": exitOK, "1": exitBadAnswers} {
+		executions := &record{Executions: map[string]uint64{}}
+		server := httptest.NewServer(executions)
+		r, code := execute(t, "--entry", server.URL, "--seconds", "0.2", "--rate", "0", "--service", "bookings",
+			"--call-rate", "50", "--repeat", repeat, "--record", server.URL+"/record")
+		server.Close()
+		if code != want || r.Calls == nil || r.Calls.Completed != r.Calls.Sent {
+			t.Errorf("repeat %s: exit code %d, want %d; report %+v", repeat, code, want, r)
+		}
+	}
+}
+
+// A surge that is not generated would make every service figure of a surge look perfect.
+func TestSurgeRaisesTheRate(t *testing.T) {
+	p := profile{base: 10, factor: 10, start: 100, end: 200}
+	g := &arrivals{random: newTestRandom(), profile: p, mix: mix{[len(classes)]float64{1}, 1}, keys: 1, documents: 1}
+	var inside, outside int
+	for a := g.next(); a.due < seconds(300); a = g.next() {
+		if a.surge {
+			inside++
+		} else {
+			outside++
+		}
+	}
+	if inside < 9500 || inside > 10500 || outside < 1800 || outside > 2200 {
+		t.Errorf("%d arrivals in the surge and %d outside, want about 10000 and 2000", inside, outside)
+	}
+}
+
+// A changed mix must not move the short arrivals, or the slowdown compares different runs.
+func TestShortArrivalsDoNotDependOnOtherOptions(t *testing.T) {
+	a := &arrivals{random: newTestRandom(), profile: profile{base: 10}, mix: mix{[len(classes)]float64{1}, 1}, keys: 1, documents: 1}
+	b := &arrivals{random: newTestRandom(), profile: profile{base: 10}, mix: mix{[len(classes)]float64{1}, 1}, keys: 1, documents: 1, documentShare: 1}
+	for range 100 {
+		x, y := a.next(), b.next()
+		if y.document < 0 || x.due != y.due || x.offset != y.offset {
+			t.Fatalf("arrivals differ: %+v and %+v", x, y)
+		}
+	}
+}
+
+// A quantile below the true value would report a service as faster than it was.
+func TestQuantileIsAnUpperBound(t *testing.T) {
+	var h histogram
+	for ms := range 1000 {
+		h.add(seconds(float64(ms+1) / 1000))
+	}
+	for q, want := range map[float64]float64{0.5: 500, 0.95: 950, 0.99: 990, 1: 1000} {
+		if got := h.quantile(q); got < want || got > want*1.016 {
+			t.Errorf("quantile(%v) = %v, want %v to %v", q, got, want, want*1.016)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/load/send.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// lateMargin allows for the way of the deadline's own error reply back to the caller.
+const lateMargin = 250 * time.Millisecond
+
+// sendPrompt sends one prompt and records its result.
+func (p *phase) sendPrompt(ctx context.Context, a arrival, due time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(p.timeout+p.grace))
+	defer cancel()
+	r := p.prompt(ctx, a, due)
+	r = p.finish(ctx, r, due)
+	p.figures.addPrompt(a, r, p.limit)
+}
+
+// finish adds the times to a result and turns it into a lost one when the deadline passed first.
+func (p *phase) finish(ctx context.Context, r result, due time.Time) result {
+	r.took = time.Since(due)
+	if ctx.Err() != nil && r.status == statusFailed {
+		r.status = statusLost
+	}
+	r.late = r.status != statusLost && r.took > p.timeout+lateMargin
+	return r
+}
+
+func (p *phase) prompt(ctx context.Context, a arrival, due time.Time) result {
+	text := p.library.prompt(a, p.name)
+	body, size := text.body(p.model, p.maxTokens, a.stream)
+	response, err := p.keep.do(ctx, func(ctx context.Context, entry string) (*http.Request, error) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/completions", body())
+		if err != nil {
+			return nil, err
+		}
+		request.ContentLength = size
+		request.GetBody = func() (io.ReadCloser, error) { return body(), nil }
+		request.Header.Set("Content-Type", "application/json")
+		p.setHeaders(request, a.key)
+		return request, nil
+	})
+	if err != nil {
+		return transportFailure(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errorReply(response)
+	}
+	if a.stream {
+		return p.readStream(response.Body, a, text, due)
+	}
+	return p.readWhole(response.Body, text)
+}
+
+func (p *phase) setHeaders(request *http.Request, key int) {
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(p.timeout.Milliseconds(), 10))
+	if p.keys[key] != "" {
+		request.Header.Set("Authorization", "Bearer "+p.keys[key])
+	}
+}
+
+func (p *phase) readStream(body io.Reader, a arrival, text prompt, due time.Time) result {
+	var last time.Time
+	s := stream{onText: func(at time.Time) {
+		if last.IsZero() {
+			p.figures.firstToken[a.class].add(at.Sub(due))
+		} else {
+			p.figures.interToken.add(at.Sub(last))
+		}
+		last = at
+	}}
+	failure, done, err := s.read(body)
+	switch {
+	case failure != nil:
+		return *failure
+	case err != nil:
+		return transportFailure(err)
+	case s.broken != "":
+		return result{status: s.broken}
+	case !done:
+		return result{status: statusPartial}
+	}
+	return p.judge(text, s.text.String())
+}
+
+func (p *phase) readWhole(body io.Reader, text prompt) result {
+	data, err := io.ReadAll(io.LimitReader(body, replyLimit))
+	if err != nil {
+		return transportFailure(err)
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) == 0 {
+		return result{status: statusPartial}
+	}
+	return p.judge(text, c.text())
+}
+
+func (p *phase) judge(text prompt, got string) result {
+	switch verify(text, p.maxTokens, got) {
+	case verdictComplete:
+		return result{status: statusCompleted}
+	case verdictPartial:
+		return result{status: statusPartial}
+	default:
+		return result{status: statusForeign}
+	}
+}
