Test the upstream registry and watcher

Cause: the registry had no tests; a load read in the same millisecond as the state was dropped. Change: table and property tests, the watcher in virtual time; load reports merge by their own time.

--- a/upstream/record.go
+++ b/upstream/record.go
@@ -32,6 +32,9 @@
 	if o.BootID != "" && o.BootID == e.previousBoot {
 		return news, false
 	}
+	if o.Load.At > e.seen.Load.At {
+		e.seen.Load, news = o.Load, true
+	}
 	if o.At < e.seen.At || o.At == e.seen.At && o.State.severity() <= e.seen.State.severity() {
 		return news, false
 	}
@@ -43,9 +46,7 @@
 	if o.Models == nil {
 		o.Models = before.Models
 	}
-	if o.Load.At < before.Load.At {
-		o.Load = before.Load
-	}
+	o.Load = before.Load
 	switch {
 	case before.BootID != "" && o.BootID != before.BootID:
 		died, e.alive = e.alive, true
--- /dev/null
+++ b/upstream/registry_test.go
@@ -0,0 +1,259 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const start clock.Millis = 1_000_000
+
+var models = []Loaded{{Name: "drafting", Adapters: []LoadedAdapter{{Name: "binder"}}}}
+
+func engineEntry(id poplarwinch.UpstreamID) Listed {
+	return Listed{ID: id, Kind: KindEngine, Pool: "drafting", Address: "127.0.0.1:1", FailureDomain: "arima", Ready: true}
+}
+
+func newTest(t rapid.TB, opts ...Option) (*Registry, *clock.Manual) {
+	m := clock.NewManual(start)
+	violated := func(name, detail string) { t.Errorf("invariant %s broken: %s", name, detail) }
+	return New(append([]Option{WithClock(m.Clock()), WithViolated(violated)}, opts...)...), m
+}
+
+// Guards against work for an upstream that leaves or is down, and against losing one that only misses from the list.
+func TestStateAfterListAndObservations(t *testing.T) {
+	up := Observation{ID: "e", At: start, State: StateUp, BootID: "b1", Models: models}
+	at := func(o Observation, after clock.Millis, s State) Observation {
+		o.At, o.State = start+after, s
+		return o
+	}
+	terminating := engineEntry("e")
+	terminating.Terminating = true
+	for name, c := range map[string]struct {
+		steps []any
+		want  State
+		known bool
+	}{
+		"listed and never observed":             {[]any{[]Listed{engineEntry("e")}}, StateUp, true},
+		"list says leaving":                     {[]any{[]Listed{engineEntry("e")}, up, []Listed{terminating}}, StateLeaving, true},
+		"stale ready after leaving":             {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateLeaving), []Listed{engineEntry("e")}}, StateLeaving, true},
+		"stale ready after down":                {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateDown), []Listed{engineEntry("e")}}, StateDown, true},
+		"newer up after leaving":                {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateLeaving), at(up, 400, StateUp)}, StateLeaving, true},
+		"leaving, down, up":                     {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateLeaving), at(up, 1, StateDown), at(up, 400, StateUp)}, StateLeaving, true},
+		"old leaving arrives late":              {[]any{[]Listed{engineEntry("e")}, at(up, 400, StateUp), at(up, 0, StateLeaving)}, StateLeaving, true},
+		"older down does not count":             {[]any{[]Listed{engineEntry("e")}, at(up, 400, StateUp), at(up, 0, StateDown)}, StateUp, true},
+		"same time, worse state counts":         {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateDown), up}, StateDown, true},
+		"leaving before it is listed":           {[]any{at(up, 0, StateLeaving), []Listed{engineEntry("e")}}, StateLeaving, true},
+		"missing from the list while answering": {[]any{[]Listed{engineEntry("e")}, up, []Listed{}}, StateUp, true},
+		"missing from the list and down":        {[]any{[]Listed{engineEntry("e")}, at(up, 0, StateDown), []Listed{}}, "", false},
+		"missing, silent for long":              {[]any{[]Listed{engineEntry("e")}, up, 11 * clock.Second, []Listed{}}, "", false},
+		"forgotten leaving listed again":        {[]any{[]Listed{terminating}, []Listed{}, clock.Minute, []Listed{engineEntry("e")}}, StateLeaving, true},
+		"clock far ahead is cut":                {[]any{[]Listed{engineEntry("e")}, at(up, clock.Hour, StateDown), clock.Second, at(up, clock.Second, StateUp)}, StateUp, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, m := newTest(t)
+			for _, s := range c.steps {
+				switch s := s.(type) {
+				case []Listed:
+					r.Apply(s)
+				case Observation:
+					r.Merge([]Observation{s})
+				case clock.Millis:
+					m.Advance(s)
+				}
+			}
+			u, known := r.Snapshot().Lookup("e")
+			if known != c.known || known && u.State() != c.want {
+				t.Fatalf("known %v, want %v, state %v, want %v", known, c.known, u, c.want)
+			}
+			if n := len(r.Snapshot().Engines("drafting", "binder").All); n > 0 && c.want != StateUp {
+				t.Fatalf("%d engines are selectable in state %s", n, c.want)
+			}
+		})
+	}
+}
+
+// Guards against instances that disagree forever because gossip reached them in another order.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		observations := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Observation {
+			return Observation{
+				ID: "e", At: start + clock.Millis(rapid.IntRange(-50, 50).Draw(t, "at")), Models: models,
+				State: rapid.SampledFrom([]State{StateUp, StateLeaving, StateDown}).Draw(t, "state"),
+			}
+		}), 1, 8).Draw(t, "observations")
+		shuffled := rapid.Permutation(observations).Draw(t, "order")
+		a, _ := newTest(t)
+		b, _ := newTest(t)
+		c, _ := newTest(t)
+		for _, r := range []*Registry{a, b, c} {
+			r.Apply([]Listed{engineEntry("e")})
+		}
+		a.Merge(observations)
+		b.Merge(shuffled)
+		told, _ := a.Changes(0)
+		c.Merge(told)
+		for i, r := range []*Registry{b, c} {
+			x, _ := a.Snapshot().Lookup("e")
+			if y, _ := r.Snapshot().Lookup("e"); x.State() != y.State() {
+				t.Fatalf("states differ: %s and, at registry %d, %s", x.State(), i, y.State())
+			}
+			if x, y := a.records["e"].leaving, r.records["e"].leaving; x != y {
+				t.Fatalf("leaving differs: %v and %v", x, y)
+			}
+		}
+	})
+}
+
+// Guards against gossip that repeats unchanged upstreams at every exchange or leaves a change out.
+func TestChangesTellNewsOnce(t *testing.T) {
+	r, m := newTest(t)
+	r.Apply([]Listed{engineEntry("e")})
+	observe := func(waiting poplarwinch.Tokens, s State) {
+		m.Advance(100)
+		r.Merge([]Observation{{ID: "e", At: m.Now(), State: s, Load: Load{At: m.Now(), WaitingPrefillTokens: waiting}}})
+	}
+	observe(0, StateUp)
+	position := uint64(0)
+	for i, c := range []struct {
+		waiting poplarwinch.Tokens
+		state   State
+		want    int
+	}{{0, StateUp, 1}, {100, StateUp, 0}, {50_000, StateUp, 1}, {50_100, StateUp, 0}, {50_100, StateLeaving, 1}} {
+		observe(c.waiting, c.state)
+		told, next := r.Changes(position)
+		if len(told) != c.want {
+			t.Fatalf("step %d: told %v, want %d observations", i, told, c.want)
+		}
+		position = next
+	}
+	m.Advance(clock.Second)
+	observe(50_100, StateLeaving)
+	if told, _ := r.Changes(position); len(told) != 1 {
+		t.Fatalf("an unchanged upstream was not refreshed after the refresh interval")
+	}
+}
+
+// Guards against missed and repeated deaths: each would let a crashing request go unnoticed or accuse innocent ones.
+func TestDeathsAreReportedOnce(t *testing.T) {
+	var deaths int
+	r, _ := newTest(t, WithDied(func(poplarwinch.UpstreamID) { deaths++ }))
+	r.Apply([]Listed{engineEntry("e")})
+	for i, c := range []struct {
+		o    Observation
+		want int
+	}{
+		{Observation{State: StateUp, BootID: "b1"}, 0},
+		{Observation{State: StateDown}, 0}, // silent, not dead
+		{Observation{State: StateDown, Refused: true}, 1},
+		{Observation{State: StateDown, Refused: true}, 1},
+		{Observation{State: StateDown, BootID: "b2"}, 1}, // the same death, seen by its new process
+		{Observation{State: StateUp, BootID: "b1"}, 1},   // late observation of the old process
+		{Observation{State: StateUp, BootID: "b3"}, 2},
+	} {
+		c.o.ID, c.o.At = "e", start+clock.Millis(i)
+		r.Merge([]Observation{c.o})
+		if deaths != c.want {
+			t.Fatalf("step %d: %d deaths, want %d", i, deaths, c.want)
+		}
+	}
+}
+
+// Guards against counters that drift: an engine would look loaded or idle for ever.
+func TestCountersAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, m := newTest(t)
+		r.Apply([]Listed{engineEntry("e")})
+		u, _ := r.Snapshot().Lookup("e")
+		var tickets []*Ticket
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				tickets = append(tickets, u.Begin(Work{Prefill: poplarwinch.Tokens(rapid.IntRange(0, 1<<20).Draw(t, "prefill")), Long: rapid.Bool().Draw(t, "long")}))
+			},
+			"first token": func(t *rapid.T) { pick(t, tickets).FirstToken() },
+			"end":         func(t *rapid.T) { pick(t, tickets).End() },
+			"time":        func(t *rapid.T) { m.Advance(clock.Millis(rapid.IntRange(1, 5000).Draw(t, "span"))) },
+			"report": func(t *rapid.T) {
+				at := m.Now() - clock.Millis(rapid.IntRange(0, 2000).Draw(t, "lag"))
+				r.Merge([]Observation{{ID: "e", At: m.Now(), State: StateUp, Load: Load{At: at}}})
+			},
+			"": func(t *rapid.T) {
+				if u.PendingPrefill() < 0 || u.Running() < 0 || u.LongPrefills() < 0 {
+					t.Fatalf("negative counter")
+				}
+			},
+		})
+		for _, ticket := range tickets {
+			ticket.End()
+		}
+		if u.PendingPrefill() != 0 || u.Running() != 0 || u.LongPrefills() != 0 {
+			t.Fatalf("left over: %d tokens, %d requests, %d long", u.PendingPrefill(), u.Running(), u.LongPrefills())
+		}
+	})
+}
+
+func pick(t *rapid.T, tickets []*Ticket) *Ticket {
+	if len(tickets) == 0 {
+		t.Skip("no ticket")
+	}
+	return rapid.SampledFrom(tickets).Draw(t, "ticket")
+}
+
+// Guards against counting peers' work twice, once announced and once reported, or after the peer is gone.
+func TestAnnouncedWorkEndsWithTheReport(t *testing.T) {
+	a, _ := newTest(t)
+	b, m := newTest(t)
+	for _, r := range []*Registry{a, b} {
+		r.Apply([]Listed{engineEntry("e")})
+	}
+	sender, _ := a.Snapshot().Lookup("e")
+	sender.Begin(Work{Prefill: 5000, Long: true})
+	b.Announce("a", a.Announcements("a"))
+	u, _ := b.Snapshot().Lookup("e")
+	if u.PeerPrefill() != 5000 || u.LongPrefills() != 1 {
+		t.Fatalf("peer work is %d tokens, %d long, want 5000 and 1", u.PeerPrefill(), u.LongPrefills())
+	}
+	m.Advance(10)
+	b.Merge([]Observation{{ID: "e", At: m.Now(), State: StateUp, Load: Load{At: m.Now()}}})
+	if u.PeerPrefill() != 0 || u.LongPrefills() != 1 {
+		t.Fatalf("after the report peer work is %d tokens, %d long, want 0 and 1", u.PeerPrefill(), u.LongPrefills())
+	}
+	b.Announce("a", nil)
+	if u.LongPrefills() != 0 {
+		t.Fatalf("%d long prefills remain after the peer announced none", u.LongPrefills())
+	}
+}
+
+// Guards against reading a snapshot that changes or shows a leaving upstream while writers run.
+func TestSnapshotsUnderConcurrentWrites(t *testing.T) {
+	r, m := newTest(t)
+	list := make([]Listed, 20)
+	for i := range list {
+		list[i] = engineEntry(poplarwinch.UpstreamID(fmt.Sprint("e", i)))
+	}
+	r.Apply(list)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 500 {
+			l := list[i%len(list)]
+			s := []State{StateUp, StateDown}[i/len(list)%2]
+			r.Merge([]Observation{{ID: l.ID, At: m.Now(), State: s, Models: models, Load: Load{At: m.Now()}}})
+			m.Advance(1)
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		for _, u := range r.Snapshot().Engines("drafting", "").All {
+			u.Begin(Work{Prefill: 10}).End()
+		}
+	}
+}
