--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,39 @@
 // Command standin runs emulators of the systems around the serving layer.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// arguments are the command line arguments.
+type arguments struct {
+	Engine  *engineCommand  `arg:"subcommand:engine" help:"emulate a model engine"`
+	Service *serviceCommand `arg:"subcommand:service" help:"emulate a plain service"`
+}
+
+// command is a subcommand; it runs until ctx ends.
+type command interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var a arguments
+	parser := arg.MustParse(&a)
+	c, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.Fail("a subcommand is required")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := c.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -89,6 +89,13 @@
 	e.boot.stop()
 }
 
+// Active returns the number of prompts that wait or run.
+func (e *Engine) Active() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.boot.waiting) + len(e.boot.running)
+}
+
 // ConnState is to be set as http.Server.ConnState; stalling connections relies on it.
 func (e *Engine) ConnState(n net.Conn, s http.ConnState) { e.connections.ConnState(n, s) }
 
--- a/emulator/engine/option.go
+++ b/emulator/engine/option.go
@@ -19,6 +19,7 @@
 	role                   string
 	models                 []Model
 	crash                  func()
+	started                func(Run)
 	seed                   uint64
 }
 
@@ -71,3 +72,6 @@
 
 // WithSeed sets the seed of random faults (default 1).
 func WithSeed(seed uint64) Option { return func(g *config) { g.seed = seed } }
+
+// WithStarted sets a function that is called for each prompt when it enters the batch, one call at a time.
+func WithStarted(f func(Run)) Option { return func(g *config) { g.started = f } }
--- a/emulator/engine/scheduler.go
+++ b/emulator/engine/scheduler.go
@@ -47,7 +47,7 @@
 	slices.SortStableFunc(b.running, byPriority)
 	budget -= e.decode(b, now, budget)
 	e.prefill(b, budget)
-	b.running = slices.DeleteFunc(b.running, func(s *sequence) bool { return s.phase.ended() })
+	b.sweep()
 	b.publish(e, now)
 	b.sample(now, e.faults.LoadLag)
 	b.forget(now - e.config.retention)
@@ -85,8 +85,11 @@
 		}
 		s.run.Started = now
 		b.running = append(b.running, s)
-		if s.contains(e.faults.CrashMarker) {
-			s.run.Crashed = true
+		s.run.Crashed = s.contains(e.faults.CrashMarker)
+		if e.config.started != nil {
+			e.config.started(*s.run)
+		}
+		if s.run.Crashed {
 			b.stop()
 			if e.config.crash != nil {
 				go e.config.crash()
@@ -215,6 +218,11 @@
 	s.broadcast()
 }
 
+// sweep removes ended sequences from the batch.
+func (b *boot) sweep() {
+	b.running = slices.DeleteFunc(b.running, func(s *sequence) bool { return s.phase.ended() })
+}
+
 // forget drops streams that ended before the given time; their ids stay used.
 func (b *boot) forget(before clock.Millis) {
 	for id, s := range b.sequences {
--- a/emulator/engine/stream.go
+++ b/emulator/engine/stream.go
@@ -128,6 +128,7 @@
 	b.used[id] = struct{}{}
 	if s := b.sequences[id]; s != nil {
 		b.end(s, phaseCancelled, now)
+		b.sweep()
 		b.sample(now, e.faults.LoadLag)
 	}
 	e.signal()
--- a/engine/cache_event.go
+++ b/engine/cache_event.go
@@ -1,10 +1,7 @@
 package engine
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strconv"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -43,35 +40,3 @@
 	*b = Block(v)
 	return nil
 }
-
-// CacheEvents passes events after the given sequence number to handle until ctx ends or the connection breaks,
-// and returns the reason. It has no idle timeout, since a cache without changes sends nothing.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64, handle func(CacheEvent)) error {
-	const name = "cache events"
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	url := "http://" + address + "/kv/events?after=" + strconv.FormatUint(after, 10)
-	response, sent, err := exchange(ctx, c.fresh, http.MethodGet, url, nil, nil)
-	if err != nil {
-		return &CallError{Operation: name, Address: address, Sent: sent, Cause: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return &CallError{Operation: name, Address: address, Status: response.StatusCode, Sent: true, Cause: statusCause(response)}
-	}
-	defer response.Body.Close()
-	r := newEventReader(response.Body, c.config.maxLine)
-	for {
-		e, err := r.next()
-		if err != nil {
-			return &CallError{Operation: name, Address: address, Status: response.StatusCode, Sent: true, Cause: err}
-		}
-		if e.comment {
-			continue
-		}
-		var ce CacheEvent
-		if err := json.Unmarshal(e.data, &ce); err != nil {
-			return &CallError{Operation: name, Address: address, Status: response.StatusCode, Sent: true, Cause: err}
-		}
-		handle(ce)
-	}
-}
--- a/engine/client.go
+++ b/engine/client.go
@@ -24,6 +24,7 @@
 		callTimeout:   5 * clock.Second,
 		idleTimeout:   5 * clock.Second,
 		idleAge:       15 * clock.Second,
+		quietPeriod:   10 * clock.Second,
 		maxLine:       1 << 20,
 		maxBody:       64 << 20,
 	}
--- a/engine/option.go
+++ b/engine/option.go
@@ -3,9 +3,9 @@
 import "github.com/poplarwinch/poplarwinch/clock"
 
 type config struct {
-	dialTimeout, headerTimeout, callTimeout, idleTimeout, idleAge clock.Millis
-	maxLine                                                       int
-	maxBody                                                       int64
+	dialTimeout, headerTimeout, callTimeout, idleTimeout, idleAge, quietPeriod clock.Millis
+	maxLine                                                                    int
+	maxBody                                                                    int64
 }
 
 // Option changes a setting of a Client.
@@ -33,3 +33,6 @@
 
 // WithMaxBody sets the longest accepted body of a call other than a stream in bytes (default 64 MiB).
 func WithMaxBody(n int64) Option { return func(c *config) { c.maxBody = n } }
+
+// WithQuietPeriod sets the time without cache events after which they are read on a new connection (default 10 s).
+func WithQuietPeriod(m clock.Millis) Option { return func(c *config) { c.quietPeriod = m } }
--- /dev/null
+++ b/service/contract_test.go
@@ -0,0 +1,239 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	emulated "github.com/poplarwinch/poplarwinch/emulator/service"
+	"github.com/poplarwinch/poplarwinch/service"
+)
+
+func start(t *testing.T, opts ...emulated.Option) (*emulated.Service, string) {
+	t.Helper()
+	e := emulated.New(opts...)
+	s := httptest.NewUnstartedServer(e)
+	s.Config.ConnState = e.ConnState
+	s.Start()
+	t.Cleanup(func() {
+		e.Close()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return e, s.Listener.Addr().String()
+}
+
+func deadline(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func booking(key string) service.Call {
+	h := http.Header{"Idempotency-Key": {key}, "Content-Type": {"application/json"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}}
+	return service.Call{Method: http.MethodPost, Path: "/bookings", Header: h, Body: []byte(`{"seat":1}`)}
+}
+
+// classify names the type of a client error.
+func classify(err error) string {
+	var (
+		notSent     *service.NotSentError
+		refused     *service.RefusedError
+		interrupted *service.InterruptedError
+	)
+	switch {
+	case err == nil:
+		return "answer"
+	case errors.As(err, &notSent):
+		return "not sent"
+	case errors.As(err, &refused):
+		return "refused"
+	case errors.As(err, &interrupted):
+		return "interrupted"
+	}
+	return "untyped"
+}
+
+// An error type that promises "not run" for a call that ran would let the call run twice; a call that ran once
+// must not have run again by the transport's own retries.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults emulated.Faults
+		want   string
+		ran    int
+	}{
+		{"none", emulated.Faults{}, "answer", 1},
+		{"reply dropped", emulated.Faults{DropReply: 1}, "interrupted", 1},
+		{"refused", emulated.Faults{Refuse: 1}, "refused", 0},
+		{"truncated", emulated.Faults{Truncate: 1}, "interrupted", 1},
+		{"unframed", emulated.Faults{Unframed: 1}, "interrupted", 1},
+		{"crash", emulated.Faults{Crash: 1}, "interrupted", 1},
+		{"crash marker", emulated.Faults{CrashMarker: "seat"}, "interrupted", 1},
+		{"hang", emulated.Faults{Hang: true}, "interrupted", 0},
+	} {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/repeatable=%t", c.name, repeatable), func(t *testing.T) {
+				e, address := start(t)
+				client := service.New()
+				warm := service.Call{Method: http.MethodGet, Path: "/warm", Repeatable: true}
+				if _, err := client.Do(deadline(t, 20*time.Second), address, warm); err != nil {
+					t.Fatal(err)
+				}
+				e.SetFaults(c.faults)
+				limit := 20 * time.Second
+				if c.faults.Hang {
+					limit = 100 * time.Millisecond
+				}
+				call := booking("k")
+				call.Repeatable = repeatable
+				a, err := client.Do(deadline(t, limit), address, call)
+				if got := classify(err); got != c.want {
+					t.Fatalf("%s (%v), want %s", got, err, c.want)
+				}
+				if err == nil && (a.Status != 200 || string(a.Body) != `{"execution":2,"key":"k","path":"/bookings"}`) {
+					t.Fatalf("answer %d %s", a.Status, a.Body)
+				}
+				if n := e.Record().Counts["POST /bookings k"]; n != c.ran {
+					t.Fatalf("ran %d times, want %d", n, c.ran)
+				}
+			})
+		}
+	}
+}
+
+// A refused connection is the one transport failure after which a non-repeatable call may be sent elsewhere.
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	if _, err := service.New().Do(deadline(t, 20*time.Second), address, booking("k")); classify(err) != "not sent" {
+		t.Fatalf("%s: %v", classify(err), err)
+	}
+}
+
+// A path must not be able to redirect a call to another address.
+func TestPathCannotChangeAddress(t *testing.T) {
+	_, address := start(t)
+	for _, path := range []string{"@127.0.0.2/x", ".example/x", "0/x"} {
+		if _, err := service.New().Do(deadline(t, 20*time.Second), address, service.Call{Method: "GET", Path: path}); classify(err) != "not sent" {
+			t.Fatalf("path %q: %v", path, err)
+		}
+	}
+}
+
+// Non-repeatable calls must not share a connection, since a reused one may be stalled or half closed.
+func TestFreshConnectionForNonRepeatableCalls(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		e, address := start(t)
+		client := service.New()
+		for i := range 3 {
+			call := booking(fmt.Sprint(i))
+			call.Repeatable = repeatable
+			if _, err := client.Do(deadline(t, 20*time.Second), address, call); err != nil {
+				t.Fatal(err)
+			}
+		}
+		remotes := map[string]bool{}
+		for _, x := range e.Record().Executions {
+			remotes[x.Remote] = true
+		}
+		if want := map[bool]int{false: 3, true: 1}[repeatable]; len(remotes) != want {
+			t.Fatalf("repeatable=%t: %d connections, want %d", repeatable, len(remotes), want)
+		}
+	}
+}
+
+// net/http resends a POST with an Idempotency-Key when a reused connection breaks. The control with a plain
+// transport shows that the emulated fault provokes this; the client must execute the call once in the same case.
+func TestTransportDoesNotResend(t *testing.T) {
+	send := map[string]func(address, key string) error{
+		"plain transport": func() func(string, string) error {
+			c := &http.Client{Transport: &http.Transport{}}
+			return func(address, key string) error {
+				r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/bookings", strings.NewReader("{}"))
+				r.Header.Set("Idempotency-Key", key)
+				a, err := c.Do(r)
+				if err == nil {
+					_, _ = fmt.Fscan(a.Body, new(string))
+					a.Body.Close()
+				}
+				return err
+			}
+		}(),
+	}
+	for _, repeatable := range []bool{false, true} {
+		c := service.New()
+		send[fmt.Sprintf("client, repeatable=%t", repeatable)] = func(address, key string) error {
+			call := booking(key)
+			call.Repeatable = repeatable
+			_, err := c.Do(context.Background(), address, call)
+			return err
+		}
+	}
+	for name, do := range send {
+		t.Run(name, func(t *testing.T) {
+			e, address := start(t)
+			if err := do(address, "first"); err != nil {
+				t.Fatal(err)
+			}
+			e.SetFaults(emulated.Faults{DropReply: 1})
+			err := do(address, "second")
+			want := 1
+			if name == "plain transport" {
+				want = 2
+			}
+			if n := e.Record().Counts["POST /bookings second"]; n != want || (err == nil) != (want == 2) {
+				t.Fatalf("ran %d times, want %d (error %v)", n, want, err)
+			}
+		})
+	}
+}
+
+// An answer above the bound must not be delivered in part, whether its length is announced or not.
+func TestAnswerBound(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if chunked {
+				_ = http.NewResponseController(w).Flush()
+			}
+			_, _ = w.Write(make([]byte, 1001))
+		}))
+		c := service.New(service.WithMaxAnswer(1000))
+		if a, err := c.Do(deadline(t, 20*time.Second), s.Listener.Addr().String(), booking("k")); classify(err) != "interrupted" {
+			t.Fatalf("chunked=%t: %v, %v", chunked, a, err)
+		}
+		s.Close()
+	}
+}
+
+// A stalled pooled connection must not block calls on new ones.
+func TestStalledConnections(t *testing.T) {
+	e, address := start(t)
+	c := service.New()
+	call := booking("k")
+	call.Repeatable = true
+	if _, err := c.Do(deadline(t, 20*time.Second), address, call); err != nil {
+		t.Fatal(err)
+	}
+	e.SetFaults(emulated.Faults{StallConnections: true})
+	if _, err := c.Do(deadline(t, 100*time.Millisecond), address, call); classify(err) != "interrupted" {
+		t.Fatalf("stalled: %v", err)
+	}
+	if _, err := c.Do(deadline(t, 20*time.Second), address, call); err != nil {
+		t.Fatalf("after the stall: %v", err)
+	}
+	if n := e.Record().Counts["POST /bookings k"]; n != 2 {
+		t.Fatalf("ran %d times, want 2", n)
+	}
+}
--- a/service/do.go
+++ b/service/do.go
@@ -8,16 +8,13 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
-	"time"
 )
 
 var errNoLength = errors.New("the answer has neither a length nor chunks, so a truncation is not detectable")
 
-// Do sends a call once and returns the whole answer, whatever its status. The end of ctx ends the call, and its
-// deadline is sent as Deadline-Ms. The error is a *NotSentError, a *RefusedError or an *InterruptedError; the
-// first two mean that the call did not run.
+// Do sends a call once and returns the whole answer, whatever its status. The end of ctx ends the call. The
+// error is a *NotSentError, a *RefusedError or an *InterruptedError; the first two mean that the call did not run.
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Answer, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
@@ -69,9 +66,6 @@
 		// An explicit empty value stops net/http from adding its own.
 		request.Header.Set("User-Agent", "")
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set("Deadline-Ms", strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10))
-	}
 	return request, nil
 }
 
