--- a/entry/option.go
+++ b/entry/option.go
@@ -40,10 +40,8 @@
 	return func(s *Server) { s.admission, s.retries = c, b }
 }
 
-// WithQuarantine sets the register of suspects and the function that tells peers about new ones.
-func WithQuarantine(q *quarantine.Register, suspected func([]quarantine.Suspect)) Option {
-	return func(s *Server) { s.quarantine, s.suspected = q, suspected }
-}
+// WithQuarantine sets the register of requests that are suspected of crashing engines.
+func WithQuarantine(q *quarantine.Register) Option { return func(s *Server) { s.quarantine = q } }
 
 // WithEngines sets the client for model engines.
 func WithEngines(c *engine.Client) Option { return func(s *Server) { s.engines = c } }
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,7 +38,6 @@
 	services   *service.Client
 	claims     *claim.Ledger
 	signer     *token.Signer
-	suspected  func([]quarantine.Suspect)
 
 	bodies    *bodyBudget
 	ratios    ratios
@@ -53,7 +52,7 @@
 // New returns a server that is not ready until SetReady.
 func New(opts ...Option) *Server {
 	s := &Server{
-		clock: clock.System(), log: log.Log, limits: DefaultLimits(), suspected: func([]quarantine.Suspect) {},
+		clock: clock.System(), log: log.Log, limits: DefaultLimits(),
 		idle: make(chan struct{}, 1), metrics: newMetrics(),
 	}
 	for _, opt := range opts {
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,235 @@
+// Package instance assembles one entry instance: its clients, decisions, servers and graceful shutdown.
+package instance
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/admission"
+	"github.com/poplarwinch/poplarwinch/claim"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/configuration"
+	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/entry"
+	"github.com/poplarwinch/poplarwinch/membership"
+	"github.com/poplarwinch/poplarwinch/objects"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/roster"
+	"github.com/poplarwinch/poplarwinch/routing"
+	"github.com/poplarwinch/poplarwinch/service"
+	"github.com/poplarwinch/poplarwinch/settings"
+	"github.com/poplarwinch/poplarwinch/table"
+	"github.com/poplarwinch/poplarwinch/token"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings *settings.Settings
+	clock    *clock.Clock
+	log      log.Interface
+	version  string
+
+	engines  *engine.Client
+	services *service.Client
+	table    *table.Table
+	objects  *objects.Objects
+	roster   *roster.Roster
+
+	registry   *upstream.Registry
+	router     *routing.Router
+	admission  *admission.Controller
+	retries    *admission.RetryBudget
+	quarantine *quarantine.Register
+	claims     *claim.Ledger
+	store      *configuration.Store
+	members    *membership.Members
+	entry      *entry.Server
+	alarms     *alarms
+
+	listeners listeners
+	loops     sync.WaitGroup
+}
+
+// New returns an instance with the given settings; Run starts it.
+func New(s *settings.Settings, opts ...Option) *Instance {
+	i := &Instance{settings: s, clock: clock.System(), log: log.Log, alarms: newAlarms()}
+	for _, opt := range opts {
+		opt(i)
+	}
+	i.log = i.log.WithField("instance", string(s.Instance.ID))
+	i.connect()
+	i.decide()
+	i.serve()
+	return i
+}
+
+// connect creates the clients of upstreams and platform.
+func (i *Instance) connect() {
+	p := i.settings.Platform
+	i.engines = engine.New()
+	i.services = service.New()
+	i.table = table.New(
+		table.WithEndpoint(p.TableEndpoint), table.WithName(p.TableName), table.WithRegion(p.Region),
+		table.WithCredentials(p.AccessKeyID, p.SecretAccessKey.Reveal()), table.WithTimeout(p.Timeout.Duration()),
+	)
+	i.objects = objects.New(
+		objects.WithEndpoint(p.ObjectsEndpoint), objects.WithBucket(p.Bucket), objects.WithRegion(p.Region),
+		objects.WithCredentials(p.AccessKeyID, p.SecretAccessKey.Reveal()), objects.WithTimeout(p.Timeout.Duration()),
+	)
+	i.roster = roster.New(roster.WithEndpoint(p.InstanceList), roster.WithTimeout(p.Timeout.Duration()))
+}
+
+// decide creates the decision logic.
+func (i *Instance) decide() {
+	domain := i.settings.Instance.FailureDomain
+	i.quarantine = quarantine.New(quarantine.WithClock(i.clock), quarantine.WithViolated(i.alarms.violated))
+	i.registry = upstream.New(
+		upstream.WithClock(i.clock), upstream.WithDied(i.died), upstream.WithViolated(i.alarms.violated),
+	)
+	i.router = routing.New(
+		routing.WithClock(i.clock), routing.WithFailureDomain(domain), routing.WithViolated(i.alarms.violated),
+	)
+	i.admission = admission.New(
+		admission.WithClock(i.clock), admission.WithViolated(i.alarms.violated), admission.WithInstances(i.instances),
+		admission.WithForecast(func(p *routing.Prompt) (routing.Forecast, bool) {
+			return i.router.Forecast(i.registry.Snapshot(), p)
+		}),
+	)
+	i.retries = admission.NewRetryBudget(i.clock)
+	i.claims = claim.New(
+		claim.WithClock(i.clock), claim.WithLog(i.log), claim.WithTable(i.table.Get, i.table.Put),
+		claim.WithObjects(i.objects.Get, i.objects.PutNew), claim.WithTimeLimit(i.longestTimeout),
+		claim.WithViolation(func(err error) { i.alarms.violated("claim", err.Error()) }),
+	)
+	i.store = configuration.New(
+		configuration.WithService(i.settings.Instance.Service), configuration.WithClock(i.clock),
+		configuration.WithTable(configurationTable(i.table)), configuration.WithObjects(configurationObjects(i.objects)),
+		configuration.WithLogger(i.log), configuration.WithCount(i.alarms.configuration),
+	)
+}
+
+// serve creates the server for callers.
+func (i *Instance) serve() {
+	c := i.settings.Caller
+	limits := entry.DefaultLimits()
+	limits.MaxBody, limits.BodyMemory = c.MaxBody, c.BodyMemory
+	limits.WriteStall, limits.MaxRequests = c.WriteStall, int64(c.MaxRequests)
+	i.entry = entry.New(
+		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActive(i.store.Active),
+		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
+		entry.WithQuarantine(i.quarantine), entry.WithEngines(i.engines),
+		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
+	)
+}
+
+// Run serves until ctx ends, then shuts down gracefully: it reports unready, keeps accepting while the load balancer's
+// view lags, and finishes the requests in progress.
+func (i *Instance) Run(ctx context.Context) error {
+	if err := i.listeners.open(i.settings); err != nil {
+		return err
+	}
+	loops, stop := context.WithCancel(context.Background())
+	defer stop()
+	i.start(loops)
+	failed := i.listeners.serve(i)
+	i.log.WithField("version", i.version).WithField("caller", i.listeners.caller.Addr().String()).Info("instance started")
+	i.entry.SetReady(true)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	i.shutDown()
+	stop()
+	i.loops.Wait()
+	i.log.Info("instance stopped")
+	return err
+}
+
+// start starts the loops of the instance.
+func (i *Instance) start(ctx context.Context) {
+	i.loop(ctx, i.store.Run)
+	i.loop(ctx, i.claims.Run)
+	i.loop(ctx, i.watcher().Run)
+	l := &listing{
+		clock: i.clock, log: i.log, self: i.self(), list: i.roster.List, registry: i.registry,
+		offer: func([]membership.Candidate) {},
+	}
+	i.loops.Go(func() { l.run(ctx) })
+}
+
+func (i *Instance) loop(ctx context.Context, run func(context.Context) error) {
+	i.loops.Go(func() {
+		if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			i.log.WithError(err).Error("loop ended")
+		}
+	})
+}
+
+func (i *Instance) watcher() *upstream.Watcher {
+	p := &prober{clock: i.clock, engines: i.engines, services: i.services}
+	w := upstream.NewWatcher(i.registry)
+	w.Health, w.Load, w.Died = p.health, p.load, i.died
+	return w
+}
+
+// died makes the requests that ran on an upstream suspects.
+func (i *Instance) died(id poplarwinch.UpstreamID) {
+	suspects := i.quarantine.Died(id)
+	i.log.WithField("upstream", string(id)).WithField("suspects", len(suspects)).Warn("upstream process ended")
+}
+
+// instances returns the number of live instances that share the engines of the failure domain.
+func (i *Instance) instances() int { return 1 }
+
+func (i *Instance) self() membership.Member {
+	return membership.Member{
+		ID: i.settings.Instance.ID, FailureDomain: i.settings.Instance.FailureDomain,
+		Address: i.settings.Advertise.Peer.String(),
+	}
+}
+
+// longestTimeout returns the longest time limit of requests.
+func (i *Instance) longestTimeout() clock.Millis {
+	if x := i.store.Active(); x != nil {
+		return x.Manifest.Limits.MaxTimeout
+	}
+	return 10 * clock.Minute
+}
+
+// shutDown stops accepting requests and waits for those in progress.
+func (i *Instance) shutDown() {
+	started := i.clock.Now()
+	i.entry.SetReady(false)
+	i.listeners.leaveConnections()
+	i.log.WithField("in-flight", i.entry.InFlight()).Info("shutting down; unready and still accepting")
+	_ = i.clock.Sleep(context.Background(), i.settings.Stop.Unready)
+	drain := i.settings.Stop.Drain
+	if drain == 0 {
+		drain = i.longestTimeout()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drain.Duration())
+	defer cancel()
+	if err := i.entry.Stop(ctx); err != nil {
+		i.log.WithField("in-flight", i.entry.InFlight()).Error("requests still in progress at the end of the drain time")
+	}
+	i.settleClaims(ctx)
+	i.listeners.close(ctx)
+	i.log.WithField("took-ms", int64(i.clock.Now()-started)).Info("requests in progress have ended")
+}
+
+// settleClaims waits until uncertain writes about non-repeatable calls are confirmed, because repeats of those calls
+// would otherwise be told that their outcome is unknown.
+func (i *Instance) settleClaims(ctx context.Context) {
+	for i.claims.Pending() > 0 {
+		if i.clock.Sleep(ctx, 50) != nil {
+			i.log.WithField("pending", i.claims.Pending()).Error("claims not settled; repeats of these calls get the outcome unknown")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/instance/platform.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"context"
+	"errors"
+
+	"github.com/poplarwinch/poplarwinch/configuration"
+	"github.com/poplarwinch/poplarwinch/objects"
+	"github.com/poplarwinch/poplarwinch/table"
+)
+
+// configurationTable connects the configuration store to the table service.
+func configurationTable(t *table.Table) configuration.Table {
+	return configuration.Table{
+		Get: func(ctx context.Context, key string) (configuration.Row, bool, error) {
+			row, found, err := t.Get(ctx, key)
+			return configuration.Row{Key: row.Key, Body: row.Body, Version: row.Version}, found, err
+		},
+		Put: func(ctx context.Context, row configuration.Row, c configuration.Condition) error {
+			condition := table.VersionIs(c.Version)
+			if c.Absent {
+				condition = table.Absent()
+			}
+			err := t.Put(ctx, table.Row{Key: row.Key, Body: row.Body, Version: row.Version}, condition)
+			var unavailable *table.UnavailableError
+			switch {
+			case errors.Is(err, table.ErrConditionFailed):
+				return errors.Join(configuration.ErrConditionFailed, err)
+			case errors.As(err, &unavailable):
+				return errors.Join(configuration.ErrNotWritten, err)
+			}
+			return err
+		},
+	}
+}
+
+// configurationObjects connects the configuration store to the object store.
+func configurationObjects(o *objects.Objects) configuration.Objects {
+	return configuration.Objects{
+		Get: func(ctx context.Context, key string) ([]byte, error) {
+			data, err := o.Get(ctx, key)
+			if errors.Is(err, objects.ErrNotFound) {
+				return nil, errors.Join(configuration.ErrNotFound, err)
+			}
+			return data, err
+		},
+		PutNew: func(ctx context.Context, key string, data []byte) error {
+			err := o.PutNew(ctx, key, data)
+			if errors.Is(err, objects.ErrExists) {
+				return errors.Join(configuration.ErrExists, err)
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/upstream/detached.go
@@ -0,0 +1,12 @@
+package upstream
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/invariant"
+)
+
+// Detached returns an engine that no registry knows, for a stream that is still running on it. It never gets new work.
+func Detached(id poplarwinch.UpstreamID, address string) *Upstream {
+	return newUpstream(Listed{ID: id, Kind: KindEngine, Address: address}, 0, clock.System(), invariant.Log)
+}
