--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	"github.com/poplarwinch/poplarwinch/membership"
+)
+
+var errNoMessage = errors.New("reply without membership message")
+
+// exchangeRequest opens an exchange, or closes it with the observations that the reply asked for.
+type exchangeRequest struct {
+	Message      *wireMessage      `cbor:"1,keyasint,omitempty"` // nil in the closing request
+	Digest       []byte            `cbor:"2,keyasint,omitempty"` // nil between domains
+	Suspects     []wireSuspect     `cbor:"3,keyasint,omitempty"`
+	SuspectHash  uint64            `cbor:"4,keyasint,omitempty"` // of all suspects of the sender
+	Observations []wireObservation `cbor:"5,keyasint,omitempty"`
+	Loads        []byte            `cbor:"6,keyasint,omitempty"`
+}
+
+type exchangeReply struct {
+	Message      *wireMessage      `cbor:"1,keyasint,omitempty"`
+	Suspects     []wireSuspect     `cbor:"2,keyasint,omitempty"`
+	SuspectHash  uint64            `cbor:"3,keyasint,omitempty"`
+	Observations []wireObservation `cbor:"4,keyasint,omitempty"`
+	Loads        []byte            `cbor:"5,keyasint,omitempty"`
+	Want         []byte            `cbor:"6,keyasint,omitempty"` // keys of whole observations
+	Fresh        []byte            `cbor:"7,keyasint,omitempty"` // keys of loads
+}
+
+// Exchange exchanges what changed with a member or candidate.
+func (e *Endpoint) Exchange(ctx context.Context, target membership.Member, message membership.Message) (membership.Message, error) {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+	inside := target.FailureDomain == message.From.FailureDomain
+	wire := encodeMessage(message)
+	request := &exchangeRequest{Message: &wire}
+	var own *keyed
+	if inside {
+		own = e.observations()
+		request.Digest = own.digest()
+	}
+	request.Suspects, request.SuspectHash = e.suspectsUnlessKnown(target.ID)
+	l := e.link(target.Address)
+	reply, err := call(ctx, e, l, l.exchange, request)
+	if err != nil {
+		return membership.Message{}, err
+	}
+	if reply.Message == nil {
+		return membership.Message{}, callError(connect.NewError(connect.CodeInternal, errNoMessage))
+	}
+	e.rememberSuspects(reply.Message.From.ID, reply.SuspectHash)
+	e.mergeSuspects(decodeSuspects(reply.Suspects))
+	e.offerVersion(ctx, reply.Message.From.ManifestVersion, reply.Message.From.ManifestDigest)
+	if inside {
+		if err := e.finishExchange(ctx, l, own, reply); err != nil {
+			return membership.Message{}, err
+		}
+	}
+	return reply.Message.decode(), nil
+}
+
+// finishExchange takes over the observations of a reply and sends those that it asks for.
+func (e *Endpoint) finishExchange(ctx context.Context, l *link, own *keyed, reply *exchangeReply) error {
+	updated, err := own.apply(reply.Loads)
+	if err != nil {
+		return callError(connect.NewError(connect.CodeInternal, err))
+	}
+	e.mergeObservations(append(updated, decodeObservations(reply.Observations)...))
+	whole, loads, err := own.answer(reply.Want, reply.Fresh)
+	if err != nil {
+		return callError(connect.NewError(connect.CodeInternal, err))
+	}
+	if len(whole) == 0 && len(loads) == 0 {
+		return nil
+	}
+	_, err = call(ctx, e, l, l.exchange, &exchangeRequest{Observations: encodeObservations(whole), Loads: loads})
+	return err
+}
+
+func (e *Endpoint) handleExchange(ctx context.Context, request *connect.Request[exchangeRequest]) (*connect.Response[exchangeReply], error) {
+	r := request.Msg
+	reply := &exchangeReply{}
+	e.mergeSuspects(decodeSuspects(r.Suspects))
+	if r.Message != nil {
+		message := r.Message.decode()
+		wire := encodeMessage(e.members.Answer(message))
+		reply.Message = &wire
+		e.offerVersion(ctx, message.From.ManifestVersion, message.From.ManifestDigest)
+		reply.Suspects, reply.SuspectHash = e.currentSuspects()
+		if reply.SuspectHash == r.SuspectHash {
+			reply.Suspects = nil
+		}
+	}
+	own := e.observations()
+	if r.Digest != nil {
+		d, err := own.compare(r.Digest)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		reply.Observations, reply.Loads = encodeObservations(d.whole), d.loads
+		reply.Want, reply.Fresh = d.want, d.fresh
+	}
+	updated, err := own.apply(r.Loads)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	e.mergeObservations(append(updated, decodeObservations(r.Observations)...))
+	return connect.NewResponse(reply), nil
+}
+
+func (e *Endpoint) observations() *keyed {
+	if e.Observations == nil {
+		return newKeyed(nil)
+	}
+	return newKeyed(e.Observations())
+}
--- /dev/null
+++ b/peer/limits.go
@@ -0,0 +1,31 @@
+package peer
+
+import "time"
+
+const (
+	// messageLimit bounds a message; the largest one carries a whole manifest of about 1 MB.
+	messageLimit = 8 << 20
+	// handlerTimeout bounds calls whose sender set no deadline.
+	handlerTimeout = 10 * time.Second
+	// callTimeout is the deadline of calls whose context has none.
+	callTimeout = 2 * time.Second
+	// pingAfter and pingTimeout close a connection that went silent. Calls do not wait for that,
+	// since they change to a fresh connection on their own. With 89 idle connections, pings after
+	// 5 s cost about 1 KB/s.
+	pingAfter   = 5 * time.Second
+	pingTimeout = 2 * time.Second
+	// serverPingAfter lets the server forget callers that vanished; the callers' pings come first.
+	serverPingAfter = 30 * time.Second
+	// linkLimit bounds the connections to peers: twice the design's largest domain.
+	linkLimit = 256
+	// notifyConcurrency bounds the calls of one notice in flight.
+	notifyConcurrency = 16
+)
+
+// Procedures.
+const (
+	exchangeProcedure = "/poplarwinch.peer/Exchange"
+	probeProcedure    = "/poplarwinch.peer/Probe"
+	noticeProcedure   = "/poplarwinch.peer/Notice"
+	manifestProcedure = "/poplarwinch.peer/Manifest"
+)
--- /dev/null
+++ b/peer/manifestcall.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/membership"
+)
+
+type manifestRequest struct {
+	Version uint64   `cbor:"1,keyasint,omitempty"`
+	Want    []string `cbor:"2,keyasint,omitempty"`
+}
+
+type manifestReply struct {
+	Version  uint64        `cbor:"1,keyasint"`
+	Digest   string        `cbor:"2,keyasint"`
+	Sections []wireSection `cbor:"3,keyasint"`
+}
+
+type wireSection struct {
+	Name   string `cbor:"1,keyasint,omitempty"`
+	Digest string `cbor:"2,keyasint"`
+	Data   []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Manifest asks a member for a manifest.
+func (e *Endpoint) Manifest(ctx context.Context, target membership.Member, query ManifestQuery) (ManifestPart, error) {
+	l := e.link(target.Address)
+	reply, err := call(ctx, e, l, l.manifest, &manifestRequest{Version: query.Version, Want: query.Want})
+	if err != nil {
+		return ManifestPart{}, err
+	}
+	part := ManifestPart{Version: reply.Version, Digest: reply.Digest}
+	for _, s := range reply.Sections {
+		part.Sections = append(part.Sections, Section(s))
+	}
+	return part, nil
+}
+
+func (e *Endpoint) handleManifest(ctx context.Context, request *connect.Request[manifestRequest]) (*connect.Response[manifestReply], error) {
+	if e.ServeManifest == nil {
+		return nil, handlerError(&poplarwinch.Error{
+			Kind: poplarwinch.KindNotFound, Outcome: poplarwinch.OutcomeNotRun,
+			Message: "this instance has no manifest", Remedy: "ask another peer",
+		})
+	}
+	part, err := e.ServeManifest(ctx, ManifestQuery{Version: request.Msg.Version, Want: request.Msg.Want})
+	if err != nil {
+		return nil, handlerError(err)
+	}
+	reply := &manifestReply{Version: part.Version, Digest: part.Digest}
+	for _, s := range part.Sections {
+		reply.Sections = append(reply.Sections, wireSection(s))
+	}
+	return connect.NewResponse(reply), nil
+}
--- /dev/null
+++ b/peer/notify.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/poplarwinch/poplarwinch/membership"
+)
+
+type noticeRequest struct {
+	From            wireMember        `cbor:"1,keyasint"`
+	Observations    []wireObservation `cbor:"2,keyasint,omitempty"`
+	Suspects        []wireSuspect     `cbor:"3,keyasint,omitempty"`
+	ManifestVersion uint64            `cbor:"4,keyasint,omitempty"`
+	ManifestDigest  string            `cbor:"5,keyasint,omitempty"`
+}
+
+type noticeReply struct{}
+
+// Notify sends a notice to all live members of the domain. It returns the errors of those that
+// did not answer; they learn the news from the next exchanges.
+func (e *Endpoint) Notify(ctx context.Context, notice Notice) error {
+	v := e.members.Snapshot()
+	request := &noticeRequest{
+		From: wireMember(v.Self), Observations: encodeObservations(notice.Observations), Suspects: encodeSuspects(notice.Suspects),
+		ManifestVersion: notice.ManifestVersion, ManifestDigest: notice.ManifestDigest,
+	}
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, notifyConcurrency)
+	failures := make([]error, len(v.Live))
+	for i, m := range v.Live {
+		if m.ID == v.Self.ID {
+			continue
+		}
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			failures[i] = e.notify(ctx, m, request)
+		})
+	}
+	wait.Wait()
+	return errors.Join(failures...)
+}
+
+func (e *Endpoint) notify(ctx context.Context, target membership.Member, request *noticeRequest) error {
+	l := e.link(target.Address)
+	if _, err := call(ctx, e, l, l.notice, request); err != nil {
+		return fmt.Errorf("notice to %s: %w", target.ID, err)
+	}
+	return nil
+}
+
+func (e *Endpoint) handleNotice(ctx context.Context, request *connect.Request[noticeRequest]) (*connect.Response[noticeReply], error) {
+	n := request.Msg
+	e.mergeObservations(decodeObservations(n.Observations))
+	e.mergeSuspects(decodeSuspects(n.Suspects))
+	e.offerVersion(ctx, n.ManifestVersion, n.ManifestDigest)
+	return connect.NewResponse(&noticeReply{}), nil
+}
+
+func (e *Endpoint) mergeObservations(observations []Observation) {
+	if e.MergeObservations != nil && len(observations) > 0 {
+		e.MergeObservations(observations)
+	}
+}
+
+func (e *Endpoint) mergeSuspects(suspects []Suspect) {
+	if e.MergeSuspects != nil && len(suspects) > 0 {
+		e.MergeSuspects(suspects)
+	}
+}
+
+func (e *Endpoint) offerVersion(ctx context.Context, version uint64, digest string) {
+	if e.OfferVersion != nil && version > 0 {
+		e.OfferVersion(ctx, version, digest)
+	}
+}
--- /dev/null
+++ b/peer/observation.go
@@ -0,0 +1,17 @@
+package peer
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// Observation is what an instance saw of an upstream at a point in time.
+type Observation struct {
+	ID     poplarwinch.UpstreamID
+	At     clock.Millis // Unix time
+	State  string       // "up", "leaving" or "down"
+	BootID string
+	Role   string
+	Load   Load
+	Models []Loaded
+}
