--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,130 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+const (
+	// manifestLimit bounds a committed manifest; those of the design are about 1 MB.
+	manifestLimit = 8 << 20
+	// commitTimeout bounds a commit; it includes writes to the object store and the table.
+	commitTimeout = 30 * time.Second
+	// shutdownTimeout bounds the wait for requests in progress.
+	shutdownTimeout = 5 * time.Second
+)
+
+// Server answers operators. Its function fields connect it to the data and are set before the first request.
+type Server struct {
+	// Status returns the state of the instance.
+	Status func() Status
+	// Manifest returns the active manifest as it was committed; an *poplarwinch.Error of kind not-found means that there is none.
+	Manifest func(ctx context.Context) ([]byte, ManifestVersion, error)
+	// Commit commits a manifest that replaces the given version.
+	Commit func(ctx context.Context, data []byte, replaces uint64, commitID string) (ManifestVersion, error)
+	// Ready returns nil when the instance accepts requests, and the reason otherwise.
+	Ready func() error
+	// Metrics writes all metrics in Prometheus text format; the default writes the global set and the process's.
+	Metrics func(w io.Writer)
+
+	token   *[sha256.Size]byte
+	handler http.Handler
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithToken requires a bearer token on all paths but /healthz and /readyz; an empty token requires none.
+func WithToken(token string) Option {
+	return func(s *Server) {
+		if token != "" {
+			hash := sha256.Sum256([]byte(token))
+			s.token = &hash
+		}
+	}
+}
+
+// New returns a server.
+func New(opts ...Option) *Server {
+	s := &Server{Metrics: func(w io.Writer) { metrics.WritePrometheus(w, true) }}
+	for _, o := range opts {
+		o(s)
+	}
+	s.handler = s.newHandler()
+	return s
+}
+
+// Handler returns the handler of all paths.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+func (s *Server) newHandler() http.Handler {
+	r := chi.NewRouter()
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, &poplarwinch.Error{
+			Kind: poplarwinch.KindNotFound, Outcome: poplarwinch.OutcomeNotRun, Message: "no such path: " + r.URL.Path,
+			Remedy: "use /status, /manifest, /metrics, /healthz or /readyz",
+		})
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, request *http.Request) { methodNotAllowed(r, w, request) })
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, "ok\n") })
+	r.Get("/readyz", s.getReady)
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Get("/status", s.getStatus)
+		r.Get("/manifest", s.getManifest)
+		r.Put("/manifest", s.putManifest)
+		r.Get("/metrics", s.getMetrics)
+	})
+	return r
+}
+
+// Serve answers requests on the listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler: s.handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: commitTimeout,
+		WriteTimeout: 2 * commitTimeout, IdleTimeout: 2 * time.Minute,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close() // the requests still in progress have had their time
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (s *Server) getReady(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		e := &poplarwinch.Error{
+			Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun,
+			Message: "not ready: " + err.Error(), Remedy: "wait until the instance has a manifest, or use another instance",
+		}
+		writeError(w, e)
+		return
+	}
+	writeText(w, "ready\n")
+}
+
+func (s *Server) getMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	s.Metrics(w)
+}
