--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -85,10 +86,13 @@
 	case !exists:
 		// The table was restored to an older state. The row protects the call from a second run again.
 		return a.ledger.put(ctx, target, table.Absent())
-	case row.Attempt == a.id && row.State == target.State:
+	case row.Attempt == a.id && row.State == target.State && bytes.Equal(row.Body, target.Body):
 		return nil
 	case row.Attempt == a.id:
 		return fmt.Errorf("own row is in the state %s", row.State)
+	case target.State == stateClosed:
+		// An earlier try closed the row, its reply was lost, and another attempt has superseded the row since.
+		return nil
 	}
 	a.ledger.report(fmt.Errorf("row of attempt %s was replaced by attempt %s before it ended", a.id, row.Attempt))
 	return nil
--- a/claim/option.go
+++ b/claim/option.go
@@ -41,3 +41,7 @@
 
 // WithViolation sets a function that is called, for example to count it, when an invariant is broken.
 func WithViolation(f func(error)) Option { return func(l *Ledger) { l.violation = f } }
+
+// WithAttemptIDs sets the function that returns ids of attempts, which must be unique among all instances for ever. The
+// default returns 130 random bits.
+func WithAttemptIDs(f func() string) Option { return func(l *Ledger) { l.attemptID = f } }
