Serve prompts end to end through an entry instance

Cause: the packages were not connected yet. Change: caller edge, instance assembly with peers, operator surface, graceful stop; readiness waits for the instance list and a first probe.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 
@@ -17,6 +18,8 @@
 	"github.com/poplarwinch/poplarwinch/entry"
 	"github.com/poplarwinch/poplarwinch/membership"
 	"github.com/poplarwinch/poplarwinch/objects"
+	"github.com/poplarwinch/poplarwinch/operator"
+	"github.com/poplarwinch/poplarwinch/peer"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/roster"
 	"github.com/poplarwinch/poplarwinch/routing"
@@ -27,6 +30,16 @@
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
+const (
+	// A fresh instance waits this long for the instance list, and then for the first probe of each upstream.
+	listPatience  = 5 * clock.Second
+	probePatience = 3 * clock.Second
+	readyPoll     = 20 * clock.Millis(1)
+)
+
+// leaveTimeout bounds telling the peers that this instance leaves; they notice its silence otherwise.
+const leaveTimeout = 2 * time.Second
+
 // Instance is one entry instance.
 type Instance struct {
 	settings *settings.Settings
@@ -48,7 +61,9 @@
 	claims     *claim.Ledger
 	store      *configuration.Store
 	members    *membership.Members
+	peers      *peer.Endpoint
 	entry      *entry.Server
+	operator   *operator.Server
 	alarms     *alarms
 
 	listeners listeners
@@ -56,16 +71,21 @@
 }
 
 // New returns an instance with the given settings; Run starts it.
-func New(s *settings.Settings, opts ...Option) *Instance {
-	i := &Instance{settings: s, clock: clock.System(), log: log.Log, alarms: newAlarms()}
+func New(s *settings.Settings, opts ...Option) (*Instance, error) {
+	i := &Instance{settings: s, clock: clock.System(), log: log.Log}
 	for _, opt := range opts {
 		opt(i)
 	}
 	i.log = i.log.WithField("instance", string(s.Instance.ID))
+	i.alarms = newAlarms(i.clock)
 	i.connect()
+	if err := i.join(); err != nil {
+		return nil, err
+	}
 	i.decide()
 	i.serve()
-	return i
+	i.operate()
+	return i, nil
 }
 
 // connect creates the clients of upstreams and platform.
@@ -110,6 +130,8 @@
 		configuration.WithService(i.settings.Instance.Service), configuration.WithClock(i.clock),
 		configuration.WithTable(configurationTable(i.table)), configuration.WithObjects(configurationObjects(i.objects)),
 		configuration.WithLogger(i.log), configuration.WithCount(i.alarms.configuration),
+		configuration.WithPeers(i.configurationPeers()), configuration.WithWatching(i.readsManifest),
+		configuration.WithAnnounce(i.announce), configuration.WithActivated(i.activated),
 	)
 }
 
@@ -135,32 +157,74 @@
 	}
 	loops, stop := context.WithCancel(context.Background())
 	defer stop()
-	i.start(loops)
+	known := i.start(loops)
 	failed := i.listeners.serve(i)
 	i.log.WithField("version", i.version).WithField("caller", i.listeners.caller.Addr().String()).Info("instance started")
-	i.entry.SetReady(true)
+	i.loops.Go(func() { i.becomeReady(loops, known) })
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
 	i.shutDown()
+	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	i.members.Leave(leaving)
+	cancel()
 	stop()
 	i.loops.Wait()
 	i.log.Info("instance stopped")
 	return err
 }
 
-// start starts the loops of the instance.
-func (i *Instance) start(ctx context.Context) {
+// start starts the loops of the instance. The channel is closed when the instance list has been read.
+func (i *Instance) start(ctx context.Context) <-chan struct{} {
 	i.loop(ctx, i.store.Run)
 	i.loop(ctx, i.claims.Run)
 	i.loop(ctx, i.watcher().Run)
+	i.loop(ctx, i.members.Run)
+	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
+	i.loop(ctx, func(ctx context.Context) error { return i.operator.Serve(ctx, i.listeners.operator) })
 	l := &listing{
-		clock: i.clock, log: i.log, self: i.self(), list: i.roster.List, registry: i.registry,
-		offer: func([]membership.Candidate) {},
+		clock: i.clock, log: i.log, self: i.self(), list: i.roster.List, registry: i.registry, offer: i.members.Offer,
+		first: make(chan struct{}),
 	}
 	i.loops.Go(func() { l.run(ctx) })
+	return l.first
+}
+
+// becomeReady reports the instance ready once it has seen its upstreams, or after a time limit: without the platform's
+// list it may still learn of upstreams from peers.
+func (i *Instance) becomeReady(ctx context.Context, known <-chan struct{}) {
+	limit, stop := i.clock.After(listPatience)
+	defer stop()
+	select {
+	case <-known:
+	case <-limit:
+	case <-ctx.Done():
+		return
+	}
+	for end := i.clock.Now() + probePatience; i.clock.Now() < end && !i.observed(); {
+		if i.clock.Sleep(ctx, readyPoll) != nil {
+			return
+		}
+	}
+	i.entry.SetReady(true)
+	i.log.WithField("upstreams", len(i.registry.Snapshot().All())).Info("instance ready")
+}
+
+// observed reports whether each known upstream has been probed by this instance or a peer.
+func (i *Instance) observed() bool {
+	observations, _ := i.registry.Changes(0)
+	seen := map[poplarwinch.UpstreamID]bool{}
+	for _, o := range observations {
+		seen[o.ID] = o.At != 0
+	}
+	for _, u := range i.registry.Snapshot().All() {
+		if !seen[u.ID] {
+			return false
+		}
+	}
+	return true
 }
 
 func (i *Instance) loop(ctx context.Context, run func(context.Context) error) {
@@ -174,19 +238,10 @@
 func (i *Instance) watcher() *upstream.Watcher {
 	p := &prober{clock: i.clock, engines: i.engines, services: i.services}
 	w := upstream.NewWatcher(i.registry)
-	w.Health, w.Load, w.Died = p.health, p.load, i.died
+	w.Health, w.Load, w.Died, w.Owned = p.health, p.load, i.died, i.watches
 	return w
 }
 
-// died makes the requests that ran on an upstream suspects.
-func (i *Instance) died(id poplarwinch.UpstreamID) {
-	suspects := i.quarantine.Died(id)
-	i.log.WithField("upstream", string(id)).WithField("suspects", len(suspects)).Warn("upstream process ended")
-}
-
-// instances returns the number of live instances that share the engines of the failure domain.
-func (i *Instance) instances() int { return 1 }
-
 func (i *Instance) self() membership.Member {
 	return membership.Member{
 		ID: i.settings.Instance.ID, FailureDomain: i.settings.Instance.FailureDomain,
--- a/instance/listeners.go
+++ b/instance/listeners.go
@@ -23,18 +23,27 @@
 	keepAliveCount    = 3
 )
 
-// listeners holds the sockets and HTTP servers of an instance.
+// listeners holds the sockets of an instance and the HTTP server for callers.
 type listeners struct {
-	caller  net.Listener
-	servers []*http.Server
-	callers *http.Server
+	caller   net.Listener
+	peer     net.Listener
+	operator net.Listener
+	callers  *http.Server
 }
 
 // open binds the sockets, so that a wrong address fails before anything starts.
 func (l *listeners) open(s *settings.Settings) error {
 	var err error
-	l.caller, err = listen(s.Listen.Caller, s.TLS.CallerCertFile, s.TLS.CallerKeyFile)
-	return err
+	if l.caller, err = listen(s.Listen.Caller, s.TLS.CallerCertFile, s.TLS.CallerKeyFile); err != nil {
+		return err
+	}
+	if l.peer, err = listen(s.Listen.Peer, "", ""); err != nil {
+		return errors.Join(err, l.caller.Close())
+	}
+	if l.operator, err = listen(s.Listen.Operator, "", ""); err != nil {
+		return errors.Join(err, l.caller.Close(), l.peer.Close())
+	}
+	return nil
 }
 
 func listen(address netip.AddrPort, certFile, keyFile string) (net.Listener, error) {
@@ -57,24 +66,19 @@
 	}), nil
 }
 
-// serve starts the HTTP servers. A server that fails reports it on the channel.
+// serve starts the server for callers. If it fails, it reports that on the channel.
 func (l *listeners) serve(i *Instance) <-chan error {
-	failed := make(chan error, 3)
+	failed := make(chan error, 1)
 	l.callers = &http.Server{
 		Handler: i.entry.Handler(), ReadHeaderTimeout: i.settings.Caller.HeaderTimeout.Duration(),
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	l.run(i, l.callers, l.caller, failed)
-	return failed
-}
-
-func (l *listeners) run(i *Instance, server *http.Server, listener net.Listener, failed chan<- error) {
-	l.servers = append(l.servers, server)
 	i.loops.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("serve on %s: %w", listener.Addr(), err)
+		if err := l.callers.Serve(l.caller); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve on %s: %w", l.caller.Addr(), err)
 		}
 	})
+	return failed
 }
 
 // leaveConnections asks callers to open new connections, which the load balancer sends elsewhere.
@@ -84,11 +88,9 @@
 	}
 }
 
-// close closes the sockets once their connections are idle.
+// close closes the callers' connections once they are idle.
 func (l *listeners) close(ctx context.Context) {
-	for _, s := range l.servers {
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close()
-		}
+	if l.callers.Shutdown(ctx) != nil {
+		_ = l.callers.Close()
 	}
 }
--- a/instance/listing.go
+++ b/instance/listing.go
@@ -31,6 +31,9 @@
 	registry *upstream.Registry
 	offer    func(candidates []membership.Candidate)
 	failed   bool
+	// first is closed after the first list.
+	first chan struct{}
+	read  bool
 }
 
 // run reads the list until ctx ends. While the list is unavailable, the last one stays in use.
@@ -58,6 +61,10 @@
 	l.failed = false
 	l.registry.Apply(l.upstreams(endpoints))
 	l.offer(l.candidates(endpoints))
+	if !l.read {
+		l.read = true
+		close(l.first)
+	}
 }
 
 // upstreams returns all upstreams of the own failure domain and a bounded number of others.
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -43,7 +43,7 @@
 	objects  *emulatedobjects.Server
 	roster   *emulatedroster.Server
 	engines  []*emulatedengine.Engine
-	services []*emulatedservice.Server
+	services []*emulatedservice.Service
 	urls     map[string]string
 	list     []emulatedroster.Endpoint
 	nodes    []*node
@@ -171,9 +171,9 @@
 	n := &node{
 		id: id, caller: freeAddress(w.t), peer: freeAddress(w.t), operator: freeAddress(w.t), done: make(chan error, 1),
 	}
-	var addresses []string
-	for _, s := range seeds {
-		addresses = append(addresses, s.peer)
+	seedLine := ""
+	for i, s := range seeds {
+		seedLine += map[bool]string{true: "seeds = ", false: ", "}[i == 0] + s.peer
 	}
 	directory := w.t.TempDir()
 	write := func(name, text string) string {
@@ -202,21 +202,24 @@
 region = test
 access-key-id = test
 secret-access-key-file = secret
-instance-list = %s/apis/discovery.k8s.io/v1/endpointslices
+instance-list = %s
 timeout-ms = 500
 [peers]
 secret-file = secret
-seeds = %s
+%s
 [stop]
 unready-ms = 100
-`, id, domain, n.caller, n.peer, n.operator, w.urls["table"], w.urls["objects"], w.urls["roster"], strings.Join(addresses, ", ")))
+`, id, domain, n.caller, n.peer, n.operator, w.urls["table"], w.urls["objects"], w.urls["roster"], seedLine))
 	s, err := settings.Load(path)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	i := instance.New(s, instance.WithLog(&log.Logger{Handler: logjson.New(w.log), Level: log.InfoLevel}))
+	i, err := instance.New(s, instance.WithLog(&log.Logger{Handler: logjson.New(w.log), Level: log.InfoLevel}))
+	if err != nil {
+		w.t.Fatal(err)
+	}
 	go func() { n.done <- i.Run(ctx) }()
 	w.nodes = append(w.nodes, n)
 	return n
--- /dev/null
+++ b/manifest/encode.go
@@ -0,0 +1,15 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Encode returns the manifest in the form that Parse reads.
+func (m *Manifest) Encode() ([]byte, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode the manifest: %w", err)
+	}
+	return body, nil
+}
--- a/peer/manifest.go
+++ b/peer/manifest.go
@@ -8,14 +8,16 @@
 
 // ManifestPart is a manifest's version and sections, with the data of those that were asked for.
 type ManifestPart struct {
-	Version  uint64
-	Digest   string
+	Version uint64
+	Digest  string
+	// Record is the encoded configuration record, which names all sections.
+	Record []byte
+	// Sections are those that were asked for and that the peer has.
 	Sections []Section
 }
 
-// Section is one section of a manifest. Data is nil unless it was asked for.
+// Section is one section of a manifest.
 type Section struct {
-	Name   string
 	Digest string
 	Data   []byte
 }
--- a/peer/manifestcall.go
+++ b/peer/manifestcall.go
@@ -18,10 +18,10 @@
 	Version  uint64        `cbor:"1,keyasint"`
 	Digest   string        `cbor:"2,keyasint"`
 	Sections []wireSection `cbor:"3,keyasint"`
+	Record   []byte        `cbor:"4,keyasint,omitempty"`
 }
 
 type wireSection struct {
-	Name   string `cbor:"1,keyasint,omitempty"`
 	Digest string `cbor:"2,keyasint"`
 	Data   []byte `cbor:"3,keyasint,omitempty"`
 }
@@ -33,7 +33,7 @@
 	if err != nil {
 		return ManifestPart{}, err
 	}
-	part := ManifestPart{Version: reply.Version, Digest: reply.Digest}
+	part := ManifestPart{Version: reply.Version, Digest: reply.Digest, Record: reply.Record}
 	for _, s := range reply.Sections {
 		part.Sections = append(part.Sections, Section(s))
 	}
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, handlerError(err)
 	}
-	reply := &manifestReply{Version: part.Version, Digest: part.Digest}
+	reply := &manifestReply{Version: part.Version, Digest: part.Digest, Record: part.Record}
 	for _, s := range part.Sections {
 		reply.Sections = append(reply.Sections, wireSection(s))
 	}
