--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -34,31 +34,22 @@
 
 // New starts an engine; Close stops it.
 func New(opts ...Option) *Engine {
-	c := config{
-		clock:                  clock.System(),
-		prefillTokensPerSecond: 40_000,
-		step:                   20,
-		capacity:               400_000,
-		bytesPerToken:          4,
-		maxRunning:             256,
-		maxWaiting:             1024,
-		waitingInterval:        clock.Second,
-		retention:              clock.Minute,
-		role:                   "mixed",
-		seed:                   1,
-	}
-	for _, o := range opts {
-		o(&c)
-	}
+	c := newConfig(opts)
 	ctx, cancel := context.WithCancel(context.Background())
+	e := newEngine(c, cancel, ctx.Done())
+	go e.loop(ctx)
+	return e
+}
+
+// newEngine returns an engine whose scheduler does not run yet.
+func newEngine(c config, cancel context.CancelFunc, ended <-chan struct{}) *Engine {
 	e := &Engine{
-		config: c, wake: make(chan struct{}, 1), cancel: cancel, ended: ctx.Done(),
+		config: c, wake: make(chan struct{}, 1), cancel: cancel, ended: ended,
 		peers:  &http.Transport{DisableKeepAlives: true},
 		random: rand.New(rand.NewPCG(c.seed, 0)),
 	}
 	e.mux = e.routes()
 	e.Restart()
-	go e.loop(ctx)
 	return e
 }
 
@@ -109,7 +100,7 @@
 	case <-down:
 		panic(http.ErrAbortHandler)
 	case <-stalled:
-		e.hang(r, down)
+		e.stall(r, down)
 	default:
 	}
 	if r.URL.Path != "/faults" && r.URL.Path != "/record" {
@@ -135,6 +126,20 @@
 	panic(http.ErrAbortHandler)
 }
 
+// stall leaves the rest of the request unread and aborts it after a while, since net/http does not notice that
+// the client closed a connection whose request body is unread.
+func (e *Engine) stall(r *http.Request, down <-chan struct{}) {
+	late, stop := e.config.clock.After(clock.Minute)
+	defer stop()
+	select {
+	case <-r.Context().Done():
+	case <-late:
+	case <-down:
+	case <-e.ended:
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Engine) routes() *http.ServeMux {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/completions", e.postCompletions)
--- a/emulator/engine/events.go
+++ b/emulator/engine/events.go
@@ -125,7 +125,7 @@
 		case <-changed:
 		case <-later:
 		case <-stalled:
-			e.hang(r, b.down)
+			e.stall(r, b.down)
 		case <-b.down:
 			panic(http.ErrAbortHandler)
 		case <-e.ended:
--- a/emulator/engine/option.go
+++ b/emulator/engine/option.go
@@ -23,6 +23,26 @@
 	seed                   uint64
 }
 
+func newConfig(opts []Option) config {
+	c := config{
+		clock:                  clock.System(),
+		prefillTokensPerSecond: 40_000,
+		step:                   20,
+		capacity:               400_000,
+		bytesPerToken:          4,
+		maxRunning:             256,
+		maxWaiting:             1024,
+		waitingInterval:        clock.Second,
+		retention:              clock.Minute,
+		role:                   "mixed",
+		seed:                   1,
+	}
+	for _, o := range opts {
+		o(&c)
+	}
+	return c
+}
+
 // Option changes a setting of an Engine.
 type Option func(*config)
 
--- a/emulator/engine/sequence.go
+++ b/emulator/engine/sequence.go
@@ -34,6 +34,7 @@
 	hashes   []uint64
 	reserved *reservation
 	run      *Run
+	down     <-chan struct{} // closed at the end of the boot that runs it
 
 	phase       phase
 	failure     string
--- a/emulator/engine/stream.go
+++ b/emulator/engine/stream.go
@@ -13,9 +13,6 @@
 	w.WriteHeader(http.StatusOK)
 	o := newStreamWriter(w, s.id, e.takeFrameFaults())
 	o.flush()
-	e.mutex.Lock()
-	down := e.boot.down
-	e.mutex.Unlock()
 	stalled := e.connections.Stalled(r)
 	tick, stop := e.config.clock.After(e.config.waitingInterval)
 	defer func() { stop() }()
@@ -25,8 +22,8 @@
 		e.mutex.Unlock()
 		select {
 		case <-stalled:
-			e.hang(r, down)
-		case <-down:
+			e.stall(r, s.down)
+		case <-s.down:
 			panic(http.ErrAbortHandler)
 		default:
 		}
@@ -54,7 +51,7 @@
 			}
 			tick, stop = e.config.clock.After(e.config.waitingInterval)
 		case <-stalled:
-		case <-down:
+		case <-s.down:
 		case <-e.ended:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
@@ -65,9 +62,6 @@
 
 // sendWhole waits for the end of s and writes the answer as one JSON object.
 func (e *Engine) sendWhole(w http.ResponseWriter, r *http.Request, s *sequence) {
-	e.mutex.Lock()
-	down := e.boot.down
-	e.mutex.Unlock()
 	stalled := e.connections.Stalled(r)
 	for {
 		e.mutex.Lock()
@@ -88,8 +82,8 @@
 		select {
 		case <-changed:
 		case <-stalled:
-			e.hang(r, down)
-		case <-down:
+			e.stall(r, s.down)
+		case <-s.down:
 			panic(http.ErrAbortHandler)
 		case <-e.ended:
 			panic(http.ErrAbortHandler)
--- a/emulator/engine/submit.go
+++ b/emulator/engine/submit.go
@@ -95,6 +95,7 @@
 		e.record.Refused++
 		return false, status, text
 	}
+	s.down = b.down
 	b.used[s.id] = struct{}{}
 	b.sequences[s.id] = s
 	b.waiting = append(b.waiting, s)
--- a/engine/client.go
+++ b/engine/client.go
@@ -20,6 +20,7 @@
 func New(opts ...Option) *Client {
 	c := config{
 		dialTimeout:   1 * clock.Second,
+		writeTimeout:  3 * clock.Second,
 		headerTimeout: 3 * clock.Second,
 		callTimeout:   5 * clock.Second,
 		idleTimeout:   5 * clock.Second,
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +168,35 @@
 	}
 }
 
+// Without reuse, each prompt would cost a connection; a drained stream must give its connection back.
+func TestEndedStreamsReuseTheirConnection(t *testing.T) {
+	e, c := emulated.New(emulated.WithStep(1), emulated.WithModels(emulated.Model{Name: "drafting"})), engine.New()
+	defer e.Close()
+	var opened atomic.Int32
+	s := httptest.NewUnstartedServer(e)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	defer c.Close()
+	ctx := deadline(t)
+	for i := range 5 {
+		s, err := c.Open(ctx, s.Listener.Addr().String(), completion(strconv.Itoa(i), "p", 3))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := collect(ctx, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := opened.Load(); n != 1 {
+		t.Fatalf("%d connections for 5 streams in sequence", n)
+	}
+}
+
 // A lost reply must leave the prompt findable, and must not make the transport send it again.
 func TestDroppedReplyIsResumable(t *testing.T) {
 	e, address := start(t)
@@ -222,6 +254,115 @@
 	}
 }
 
+// Chat requests, content parts and the two limits must lead to the same text in streams and whole answers.
+func TestChat(t *testing.T) {
+	_, address := start(t)
+	ctx, c := deadline(t), engine.New()
+	want := expect(answer.Prompt([]answer.Message{{Role: "user", Content: "ab"}}), 3)
+	for i, body := range []string{
+		`{"model":"drafting","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"ab"}]}`,
+		`{"model":"drafting","stream":true,"max_completion_tokens":3,"messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`,
+	} {
+		s, err := c.Open(ctx, address, engine.Call{ID: engine.StreamID(strconv.Itoa(i)), Path: engine.PathChatCompletions, Body: []byte(body)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, chunks, err := collect(ctx, s)
+		if err != nil || text != want || chunks[0].Choices[0].Delta.Role != "assistant" || chunks[len(chunks)-1].Choices[0].FinishReason != "length" {
+			t.Fatalf("got %q, %+v, %v", text, chunks, err)
+		}
+	}
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.PathChatCompletions, strings.NewReader(`{"model":"drafting","max_tokens":3,"messages":[{"role":"user","content":"ab"}]}`))
+	r.Header.Set("Request-Id", "whole")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var whole struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	if err := json.NewDecoder(response.Body).Decode(&whole); err != nil || whole.Choices[0].Message.Content != want {
+		t.Fatalf("got %+v, %v", whole, err)
+	}
+}
+
+// Waiting comments must keep a long prefill from looking like a stall.
+func TestWaitingCommentsPreventStall(t *testing.T) {
+	_, address := start(t, emulated.WithPrefillRate(2_000), emulated.WithWaitingInterval(20))
+	ctx, c := deadline(t), engine.New(engine.WithIdleTimeout(400))
+	s, err := c.Open(ctx, address, completion("a", strings.Repeat("x", 8_000), 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	waiting := 0
+	for {
+		f, err := s.Next(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !f.Waiting {
+			break
+		}
+		waiting++
+	}
+	if waiting < 2 {
+		t.Fatalf("%d waiting comments", waiting)
+	}
+}
+
+// The end of a call's context must end its wait; the engine keeps the stream for a resume.
+func TestNextEndsWithContext(t *testing.T) {
+	_, address := start(t, emulated.WithPrefillRate(1_000))
+	ctx, c := deadline(t), engine.New()
+	s, err := c.Open(ctx, address, completion("a", strings.Repeat("x", 40_000), 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	_, err = s.Next(short)
+	checkReason(t, err, engine.ReasonCanceled)
+	if s, err = c.Resume(ctx, address, "a", 0); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+}
+
+// A stalled event connection sends nothing, as a quiet cache does; events must continue on a new connection.
+func TestCacheEventsSurviveStall(t *testing.T) {
+	e, address := start(t)
+	ctx, cancel := context.WithCancel(deadline(t))
+	c := engine.New(engine.WithQuietPeriod(100))
+	run := func(id string) {
+		s, err := c.Open(ctx, address, completion(id, strings.Repeat(id, engine.BlockBytes), 1))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if _, _, err := collect(ctx, s); err != nil {
+			t.Error(err)
+		}
+	}
+	run("1")
+	var got []uint64
+	err := c.CacheEvents(ctx, address, 0, func(ev engine.CacheEvent) {
+		got = append(got, ev.Sequence)
+		switch ev.Sequence {
+		case 1:
+			e.SetFaults(emulated.Faults{StallConnections: true})
+			c.Close()
+			run("2")
+		case 2:
+			cancel()
+		}
+	})
+	if !errors.Is(err, context.Canceled) || !slices.Equal(got, []uint64{1, 2}) {
+		t.Fatalf("events %v, %v", got, err)
+	}
+}
+
 // A stalled connection must end as a stall within the idle timeout while a new connection continues the stream.
 func TestStalledConnectionResumes(t *testing.T) {
 	e, address := start(t, emulated.WithStep(2))
@@ -246,6 +387,28 @@
 	}
 }
 
+// A prompt larger than the socket buffers must not block on a stalled connection until the request's deadline.
+func TestStalledWrite(t *testing.T) {
+	e, address := start(t, emulated.WithMemory(100_000_000))
+	ctx, c := deadline(t), engine.New(engine.WithWriteTimeout(100), engine.WithHeaderTimeout(15_000))
+	s, err := c.Open(ctx, address, completion("a", "p", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := collect(ctx, s); err != nil {
+		t.Fatal(err)
+	}
+	e.SetFaults(emulated.Faults{StallConnections: true})
+	large := strings.Repeat("x", 12<<20)
+	_, err = c.Open(ctx, address, completion("b", large, 1))
+	checkReason(t, err, engine.ReasonUnreachable)
+	s, err = c.Open(ctx, address, completion("b", large, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+}
+
 // A crash must end the stream, keep the id unknown afterwards and change the boot id.
 func TestCrashAndRestart(t *testing.T) {
 	e, address := start(t)
--- a/engine/option.go
+++ b/engine/option.go
@@ -3,9 +3,9 @@
 import "github.com/poplarwinch/poplarwinch/clock"
 
 type config struct {
-	dialTimeout, headerTimeout, callTimeout, idleTimeout, idleAge, quietPeriod clock.Millis
-	maxLine                                                                    int
-	maxBody                                                                    int64
+	dialTimeout, writeTimeout, headerTimeout, callTimeout, idleTimeout, idleAge, quietPeriod clock.Millis
+	maxLine                                                                                  int
+	maxBody                                                                                  int64
 }
 
 // Option changes a setting of a Client.
@@ -14,6 +14,9 @@
 // WithDialTimeout sets the limit for establishing a connection (default 1 s).
 func WithDialTimeout(m clock.Millis) Option { return func(c *config) { c.dialTimeout = m } }
 
+// WithWriteTimeout sets the limit for each write of part of a request to a connection (default 3 s).
+func WithWriteTimeout(m clock.Millis) Option { return func(c *config) { c.writeTimeout = m } }
+
 // WithHeaderTimeout sets the limit from the end of the request to the response headers (default 3 s).
 // Engines send the headers of a stream when they accept it, before prefill.
 func WithHeaderTimeout(m clock.Millis) Option { return func(c *config) { c.headerTimeout = m } }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -16,14 +16,18 @@
 	errorPrefix = []byte(`{"error"`)
 )
 
+// drainTimeout bounds the wait for the end of a response after its last frame.
+const drainTimeout = 50 * time.Millisecond
+
 // Stream is an open answer of an engine. One goroutine reads it.
 type Stream struct {
 	id      StreamID
 	address string
 	reader  *eventReader
-	body    io.Closer
+	body    io.ReadCloser
 	last    int
 	done    bool
+	closed  bool
 	failure error
 	idle    time.Duration
 	timer   *time.Timer
@@ -79,8 +83,15 @@
 	return f, err
 }
 
-// Close closes the connection; the engine keeps the stream until it ends or is cancelled.
+// Close ends the reading; the engine keeps the stream until it ends or is cancelled. After the last frame the
+// connection is kept for further calls, otherwise it is closed.
 func (s *Stream) Close() {
+	if s.done && !s.closed {
+		// The end of the response follows the last frame at once; reading it returns the connection to the pool.
+		s.timer.Reset(drainTimeout)
+		_, _ = io.CopyN(io.Discard, s.body, 1024)
+	}
+	s.closed = true
 	s.timer.Stop()
 	s.cancel()
 	s.body.Close()
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
@@ -9,7 +10,13 @@
 	dialer := &net.Dialer{Timeout: c.dialTimeout.Duration()}
 	return &http.Transport{
 		// Proxy stays nil: settings from the environment must not redirect calls to engines.
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			n, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &connection{Conn: n, timeout: c.writeTimeout.Duration()}, nil
+		},
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    32,
