Reserve groups of engines for prompts beyond one engine's memory

Cause: a prompt of a million tokens does not fit into one engine. Change: all-or-nothing reservations in id order with background release, a sweeper for memory past its deadline, group routing in the caller edge, conditional cancel so that a resumed stream is not ended by the instance that lost its caller. Prefix blocks have one definition and two implementations.

--- a/cmd/load/answer.go
+++ b/cmd/load/answer.go
@@ -1,20 +1,10 @@
 package main
 
-import "strings"
+import (
+	"strings"
 
-// answer returns the tokens that the emulated engine generates for a prompt. It is a placeholder
-// until the package emulator/answer exists.
-var answer = func(prompt string, tokens int) []string {
-	words := strings.Fields(prompt[:min(len(prompt), 256)])
-	texts := make([]string, tokens)
-	for i := range texts {
-		texts[i] = "word "
-		if len(words) > 0 {
-			texts[i] = words[i%len(words)] + " "
-		}
-	}
-	return texts
-}
+	"github.com/poplarwinch/poplarwinch/emulator/answer"
+)
 
 // verdict is the result of comparing an answer with the expected one.
 type verdict string
@@ -27,7 +17,7 @@
 
 // verify compares an answer that the caller was told is complete with the expected one.
 func verify(p prompt, maxTokens int, text string) verdict {
-	expected := strings.Join(answer(p.String(), maxTokens), "")
+	expected := strings.Join(answer.Answer(p.String(), maxTokens), "")
 	switch {
 	case text == expected:
 		return verdictComplete
--- a/cmd/load/run_test.go
+++ b/cmd/load/run_test.go
@@ -10,6 +10,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/poplarwinch/poplarwinch/emulator/answer"
 )
 
 // writeStream streams texts as completion chunks; ids gives the event ids, end the last event.
@@ -70,7 +72,7 @@
 			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(texts[:5], ""))
 		}, func(c countReport) uint64 { return c.Partial }, exitBadAnswers},
 		"answer to another prompt": {"0", func(w http.ResponseWriter, prompt string, texts []string) {
-			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(answer("x"+prompt, len(texts)), ""))
+			fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, strings.Join(answer.Answer("x"+prompt, len(texts)), ""))
 		}, func(c countReport) uint64 { return c.Foreign }, exitBadAnswers},
 		"rejection": {
 			"0", func(w http.ResponseWriter, _ string, _ []string) { writeError(w, 503, "overloaded", "not-run") },
@@ -95,7 +97,7 @@
 					<-r.Context().Done()
 					return
 				}
-				c.handle(w, body.Prompt, answer(body.Prompt, body.MaxTokens))
+				c.handle(w, body.Prompt, answer.Answer(body.Prompt, body.MaxTokens))
 			}))
 			server.Start()
 			defer server.Close()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,10 @@
 type arguments struct {
 	Engine  *engineCommand  `arg:"subcommand:engine" help:"emulate a model engine"`
 	Service *serviceCommand `arg:"subcommand:service" help:"emulate a plain service"`
+
+	Table     *tableCommand     `arg:"subcommand:table" help:"emulate the table service"`
+	Objects   *objectsCommand   `arg:"subcommand:objects" help:"emulate the object store"`
+	Instances *instancesCommand `arg:"subcommand:instances" help:"emulate the instance list"`
 }
 
 // command is a subcommand; it runs until ctx ends.
--- a/completion/blocks.go
+++ b/completion/blocks.go
@@ -10,7 +10,8 @@
 // BlockBytes is the size of a prefix block.
 const BlockBytes = 4096
 
-// Blocks returns the hashes of the full prefix blocks of prompt. Each hash covers all blocks before it,
+// Blocks returns the chained hashes of the whole prefix blocks of a prompt's JSON text. Each is xxhash64 over the
+// previous hash (8 bytes, big-endian, 0 for the first), model, a zero byte, adapter, a zero byte and the block's bytes,
 // so equal hashes mean equal prefixes.
 func Blocks(model poplarwinch.ModelName, adapter poplarwinch.AdapterName, prompt []byte) []uint64 {
 	blocks := make([]uint64, 0, len(prompt)/BlockBytes)
@@ -19,7 +20,7 @@
 	var buffer [8]byte
 	for len(prompt) >= BlockBytes {
 		digest.Reset()
-		binary.LittleEndian.PutUint64(buffer[:], previous)
+		binary.BigEndian.PutUint64(buffer[:], previous)
 		_, _ = digest.Write(buffer[:])
 		_, _ = digest.WriteString(string(model))
 		_, _ = digest.Write([]byte{0})
--- a/emulator/engine/blocks.go
+++ b/emulator/engine/blocks.go
@@ -8,8 +8,8 @@
 
 const blockBytes = 4096
 
-// hashBlocks returns the chained hashes of the whole blocks of a prompt. It is written independently of the
-// engine client's Blocks, so that tests compare two implementations of the same definition.
+// hashBlocks returns the chained hashes of the whole blocks of a prompt's JSON text. It is written independently of
+// completion.Blocks, so that tests compare two implementations of the same definition.
 func hashBlocks(model, adapter, prompt string) []uint64 {
 	var hashes []uint64
 	var previous uint64
--- a/emulator/engine/prompt.go
+++ b/emulator/engine/prompt.go
@@ -16,6 +16,7 @@
 	model     string
 	adapter   string
 	text      string
+	raw       string // the prompt's JSON text, whose blocks the prefix cache holds
 	maxTokens int
 	stream    bool
 	usage     bool
@@ -31,7 +32,7 @@
 type promptRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	N                   *int            `json:"n"`
@@ -72,8 +73,10 @@
 	}
 	var err error
 	if chat {
+		p.raw = string(r.Messages)
 		p.text, err = chatText(r.Messages)
 	} else {
+		p.raw = strings.Trim(string(r.Prompt), `"`)
 		err = json.Unmarshal(r.Prompt, &p.text)
 	}
 	if err != nil {
@@ -83,7 +86,11 @@
 	return p, nil
 }
 
-func chatText(messages []chatMessage) (string, error) {
+func chatText(raw json.RawMessage) (string, error) {
+	var messages []chatMessage
+	if err := json.Unmarshal(raw, &messages); err != nil {
+		return "", err
+	}
 	if len(messages) == 0 {
 		return "", errors.New("messages are missing")
 	}
--- a/emulator/engine/sequence.go
+++ b/emulator/engine/sequence.go
@@ -24,6 +24,8 @@
 // sequence is one prompt and its answer. The fields of the prompt never change; the engine's mutex guards
 // the others.
 type sequence struct {
+	// readers counts the responses that carry the stream.
+	readers  int
 	id       string
 	prompt   *prompt
 	priority int
--- a/emulator/engine/stream.go
+++ b/emulator/engine/stream.go
@@ -118,14 +118,25 @@
 	id := r.PathValue("id")
 	e.mutex.Lock()
 	b, now := e.boot, e.config.clock.Now()
-	// A prompt that arrives after its cancellation is a duplicate and must not run.
-	b.used[id] = struct{}{}
 	if s := b.sequences[id]; s != nil {
+		if r.Header.Get("If-Unread") == "true" && s.readers > 0 {
+			e.mutex.Unlock()
+			http.Error(w, "the stream is being read", http.StatusConflict)
+			return
+		}
 		b.end(s, phaseCancelled, now)
 		b.sweep()
 		b.sample(now, e.faults.LoadLag)
 	}
+	// A prompt that arrives after its cancellation is a duplicate and must not run.
+	b.used[id] = struct{}{}
 	e.signal()
 	e.mutex.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
+
+func (e *Engine) leaveStream(s *sequence) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s.readers--
+}
--- a/emulator/engine/submit.go
+++ b/emulator/engine/submit.go
@@ -74,7 +74,7 @@
 		s.deadline = now + clock.Millis(ms)
 	}
 	s.tokens = poplarwinch.Tokens((len(p.text) + e.config.bytesPerToken - 1) / e.config.bytesPerToken)
-	s.hashes = hashBlocks(p.model, p.adapter, p.text)
+	s.hashes = hashBlocks(p.model, p.adapter, p.raw)
 	p.id, p.size, p.created = s.id, int(s.tokens), int64(now/clock.Second)
 	return s, nil
 }
--- a/engine/call_error.go
+++ b/engine/call_error.go
@@ -11,6 +11,9 @@
 // ErrUnknown says that the engine knows no stream or export of that id.
 var ErrUnknown = errors.New("unknown id")
 
+// ErrBeingRead says that a stream was not cancelled because somebody reads it.
+var ErrBeingRead = errors.New("the stream is being read")
+
 // CallError is a failure of a call other than a stream.
 type CallError struct {
 	Operation string
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/poplarwinch/poplarwinch/clock"
+	blocks "github.com/poplarwinch/poplarwinch/completion"
 	"github.com/poplarwinch/poplarwinch/emulator/answer"
 	emulated "github.com/poplarwinch/poplarwinch/emulator/engine"
 	"github.com/poplarwinch/poplarwinch/engine"
@@ -336,7 +337,7 @@
 	ctx, cancel := context.WithCancel(deadline(t))
 	c := engine.New(engine.WithQuietPeriod(100))
 	run := func(id string) {
-		s, err := c.Open(ctx, address, completion(id, strings.Repeat(id, engine.BlockBytes), 1))
+		s, err := c.Open(ctx, address, completion(id, strings.Repeat(id, blocks.BlockBytes), 1))
 		if err != nil {
 			t.Error(err)
 			return
@@ -533,7 +534,7 @@
 	_, first := start(t)
 	_, second := start(t)
 	ctx, c := deadline(t), engine.New()
-	prompt := strings.Repeat("y", 3*engine.BlockBytes+10)
+	prompt := strings.Repeat("y", 3*blocks.BlockBytes+10)
 	run := func(address, id string) []chunk {
 		s, err := c.Open(ctx, address, completion(id, prompt, 1))
 		if err != nil {
@@ -578,7 +579,7 @@
 func TestCacheEvents(t *testing.T) {
 	_, address := start(t, emulated.WithMemory(4_000))
 	ctx, c := deadline(t), engine.New()
-	first, second := strings.Repeat("1", 2*engine.BlockBytes), strings.Repeat("2", 3*engine.BlockBytes)
+	first, second := strings.Repeat("1", 2*blocks.BlockBytes), strings.Repeat("2", 3*blocks.BlockBytes)
 	for i, prompt := range []string{first, second} {
 		s, err := c.Open(ctx, address, completion(strconv.Itoa(i), prompt, 1))
 		if err != nil {
@@ -590,7 +591,7 @@
 	}
 	cached := map[engine.Block]bool{}
 	ctx, cancel := context.WithCancel(ctx)
-	want := engine.Blocks("drafting", "", second)
+	want := blocks.Blocks("drafting", "", []byte(second))
 	err := c.CacheEvents(ctx, address, 0, func(ev engine.CacheEvent) {
 		for _, b := range ev.Blocks {
 			cached[b] = ev.Kind == engine.CacheStored
@@ -602,7 +603,7 @@
 	if !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
-	for _, h := range engine.Blocks("drafting", "", first)[1:] {
+	for _, h := range blocks.Blocks("drafting", "", []byte(first))[1:] {
 		if cached[engine.Block(h)] {
 			t.Fatal("a block that had to be evicted is still announced")
 		}
--- a/engine/open.go
+++ b/engine/open.go
@@ -38,6 +38,11 @@
 	return c.call(ctx, operation{name: "cancel", method: http.MethodDelete, path: streamPath(id), fresh: true}, address)
 }
 
+// CancelUnread ends a stream unless somebody reads it, in which case it returns ErrBeingRead.
+func (c *Client) CancelUnread(ctx context.Context, address string, id StreamID) error {
+	return c.call(ctx, operation{name: "cancel", method: http.MethodDelete, path: streamPath(id), fresh: true, unread: true}, address)
+}
+
 func streamPath(id StreamID) string { return "/v1/streams/" + url.PathEscape(string(id)) }
 
 func (c *Client) stream(ctx context.Context, t *http.Transport, method, address, path string, header http.Header, data []byte, id StreamID, after int) (*Stream, error) {
--- a/engine/operation.go
+++ b/engine/operation.go
@@ -16,7 +16,9 @@
 	send any
 	// receive is decoded from JSON unless it is a *[]byte; nil discards the body.
 	receive any
-	fresh   bool
+	// unread makes the call conditional on the stream having no reader.
+	unread bool
+	fresh  bool
 }
 
 // call performs o within the call timeout; its errors are *RefusedError and *CallError.
@@ -27,6 +29,9 @@
 	if err != nil {
 		return &CallError{Operation: o.name, Address: address, Cause: err}
 	}
+	if o.unread {
+		header.Set("If-Unread", "true")
+	}
 	t := c.pooled
 	if o.fresh {
 		t = c.fresh
@@ -56,6 +61,8 @@
 		return fmt.Errorf("%w: %s", ErrStaleOrder, text)
 	case http.StatusNotFound:
 		return fmt.Errorf("%w: %s", ErrUnknown, text)
+	case http.StatusConflict:
+		return fmt.Errorf("%w: %s", ErrBeingRead, text)
 	}
 	return errors.New(text)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/routing"
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
@@ -55,59 +56,83 @@
 	return nil
 }
 
-// attempt runs the prompt on one engine.
+// attempt runs the prompt on one engine, or on a group of engines if one can't hold it.
 func (p *promptRun) attempt(ctx context.Context) error {
-	u, end, err := p.choose(ctx)
+	spot, err := p.choose(ctx)
 	if err != nil {
 		return err
 	}
-	defer end()
+	u := spot.upstream
 	p.attempts++
 	p.upstream = u.ID
 	id := engine.StreamID(fmt.Sprintf("%s-%s-%d", p.id, randomHex(6), p.attempts))
 	work := upstream.Work{Prefill: p.prompt.Tokens, Long: p.prompt.Class == routing.ClassLong}
-	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work)}
+	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work), group: spot.group}
+	defer spot.end()
 	defer a.ticket.End()
 	err = a.run(ctx)
 	if err == nil {
 		p.server.quarantine.Completed(u.ID, p.fingerprint)
+		a.freeGroup()
 		return nil
 	}
 	p.prompt.Avoid = append(p.prompt.Avoid, u.ID)
-	a.abandon(ctx, err)
+	if outOfMemory(err) {
+		p.grouped = true
+	}
+	a.abandon(err)
 	return err
 }
 
+// spot is the engine that runs an attempt, with the memory that is reserved for it.
+type spot struct {
+	upstream *upstream.Upstream
+	group    *reservation.Group
+	end      func()
+}
+
 // choose selects an engine and registers the prompt as running there.
-func (p *promptRun) choose(ctx context.Context) (*upstream.Upstream, func(), error) {
+func (p *promptRun) choose(ctx context.Context) (*spot, error) {
 	s := p.server
 	avoid := len(p.prompt.Avoid)
 	for {
-		decision, err := s.router.Engine(s.upstreams.Snapshot(), &p.prompt)
+		decision, group, err := p.decide(ctx)
 		if err == nil {
 			end, ok := s.quarantine.Start(decision.Upstream.ID, p.fingerprint)
 			if ok {
 				s.router.Sent(decision.Upstream, &p.prompt)
 				p.logDecision(&decision)
-				return decision.Upstream, end, nil
+				return &spot{upstream: decision.Upstream, group: group, end: end}, nil
+			}
+			if group != nil {
+				s.groups.Free(group)
 			}
 			if s.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
-				return nil, nil, quarantined()
+				return nil, quarantined()
 			}
 			p.prompt.Avoid = append(p.prompt.Avoid, decision.Upstream.ID)
 			continue
 		}
 		if len(p.prompt.Avoid) == avoid {
-			return nil, nil, err
+			return nil, err
 		}
 		// Every engine runs a suspect; the avoided ones become available again when those end.
 		p.prompt.Avoid = p.prompt.Avoid[:avoid]
 		if err := s.clock.Sleep(ctx, isolationWait); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
 }
 
+// decide selects an engine, or reserves a group of engines.
+func (p *promptRun) decide(ctx context.Context) (routing.Decision, *reservation.Group, error) {
+	if p.needsGroup() {
+		return p.decideGroup(ctx)
+	}
+	decision, err := p.server.router.Engine(p.server.upstreams.Snapshot(), &p.prompt)
+	return decision, nil, err
+}
+
 // interrupted returns the error of a request whose time limit ended or whose caller went away.
 func (p *promptRun) interrupted(ctx context.Context, cause error) error {
 	outcome := poplarwinch.OutcomeNotRun
--- a/entry/option.go
+++ b/entry/option.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/routing"
 	"github.com/poplarwinch/poplarwinch/service"
 	"github.com/poplarwinch/poplarwinch/token"
@@ -43,8 +44,10 @@
 // WithQuarantine sets the register of requests that are suspected of crashing engines.
 func WithQuarantine(q *quarantine.Register) Option { return func(s *Server) { s.quarantine = q } }
 
-// WithEngines sets the client for model engines.
-func WithEngines(c *engine.Client) Option { return func(s *Server) { s.engines = c } }
+// WithEngines sets the client for model engines and the builder of groups for prompts that one engine can't hold.
+func WithEngines(c *engine.Client, b *reservation.Builder) Option {
+	return func(s *Server) { s.engines, s.groups = c, b }
+}
 
 // WithServices sets the client for plain services and the ledger for calls that must run at most once.
 func WithServices(c *service.Client, l *claim.Ledger) Option {
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -24,6 +24,8 @@
 	sink        sink
 	// mayHaveRun says that an engine may have run a part of the prompt, so the outcome can't be not-run.
 	mayHaveRun bool
+	// grouped says that an engine rejected the prompt for lack of memory, so it needs a group of engines.
+	grouped bool
 	// resumed says that the caller continues an earlier request, so no other engine can take over.
 	resumed bool
 }
--- a/entry/record.go
+++ b/entry/record.go
@@ -14,6 +14,7 @@
 	Waiting   int64                  `json:"waiting-tokens"`
 	Cached    int64                  `json:"cached-tokens"`
 	Running   int64                  `json:"running-requests"`
+	Reserved  int64                  `json:"reserved-tokens,omitempty"`
 }
 
 // logDecision writes the log line of a routing decision for a prompt.
@@ -34,7 +35,7 @@
 	for i, c := range d.Candidates {
 		candidates[i] = candidateFields{
 			Upstream: c.Upstream.ID, Predicted: int64(c.Predicted), Waiting: int64(c.Waiting),
-			Cached: int64(c.Cached), Running: c.Running,
+			Cached: int64(c.Cached), Running: c.Running, Reserved: int64(c.Reserved),
 		}
 	}
 	fields["upstream"] = string(d.Upstream.ID)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
@@ -22,7 +23,9 @@
 	upstream *upstream.Upstream
 	id       engine.StreamID
 	ticket   *upstream.Ticket
-	last     int
+	// group is the memory on several engines that the prompt uses, if one engine can't hold it.
+	group *reservation.Group
+	last  int
 }
 
 // run opens the stream and passes its frames on until the answer is complete.
@@ -30,6 +33,9 @@
 	call := engine.Call{
 		ID: a.id, Path: a.completion.Format.Path(), Body: a.completion.Body, Priority: a.prompt.Class.Priority(),
 	}
+	if a.group != nil {
+		call.Reservation, call.Group = a.group.Shares[0].ID, a.group.Members()
+	}
 	stream, err := a.server.engines.Open(ctx, a.upstream.Address, call)
 	if a.sent(err) {
 		a.mayHaveRun = true
@@ -110,18 +116,19 @@
 	return nil, cause
 }
 
-// abandon cancels the engine's stream after a failed attempt. A disconnected caller of a stream gets time to resume it.
-func (a *attempt) abandon(ctx context.Context, err error) {
+// abandon cancels the engine's stream after a failed attempt and then frees its group. A disconnected caller of a
+// stream gets time to resume it.
+func (a *attempt) abandon(err error) {
 	if !a.mayHaveRun || reason(err) == engine.ReasonUnknownStream {
+		a.freeGroup()
 		return
 	}
 	delay := clock.Millis(0)
-	if ctx.Err() == nil && errors.Is(err, errCaller) || a.request.Context().Err() != nil {
-		if a.sink.committed() {
-			delay = a.server.limits.ResumeGrace
-		}
+	gone := errors.Is(err, errCaller) || a.request.Context().Err() != nil
+	if gone && a.sink.committed() && a.events != nil {
+		delay = a.server.limits.ResumeGrace
 	}
-	a.server.abandoned.cancel(a.upstream.Address, a.id, delay)
+	a.server.abandoned.cancel(a.upstream.Address, a.id, delay, a.freeGroup)
 }
 
 // sent reports whether the engine may have run a part of the prompt after Open returned err.
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -62,7 +62,7 @@
 	if err = a.follow(ctx, stream); err == nil {
 		return nil
 	}
-	a.abandon(ctx, err)
+	a.abandon(err)
 	if ctx.Err() != nil || !s.stopping.Load() && p.sink.committed() && x.request.Context().Err() != nil {
 		return p.interrupted(ctx, err)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/routing"
 	"github.com/poplarwinch/poplarwinch/service"
 	"github.com/poplarwinch/poplarwinch/token"
@@ -35,6 +36,7 @@
 	retries    *admission.RetryBudget
 	quarantine *quarantine.Register
 	engines    *engine.Client
+	groups     *reservation.Builder
 	services   *service.Client
 	claims     *claim.Ledger
 	signer     *token.Signer
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/poplarwinch/poplarwinch/operator"
 	"github.com/poplarwinch/poplarwinch/peer"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/roster"
 	"github.com/poplarwinch/poplarwinch/routing"
 	"github.com/poplarwinch/poplarwinch/service"
@@ -35,6 +36,7 @@
 	listPatience  = 5 * clock.Second
 	probePatience = 3 * clock.Second
 	readyPoll     = 20 * clock.Millis(1)
+	settlePoll    = 50 * clock.Millis(1)
 )
 
 // leaveTimeout bounds telling the peers that this instance leaves; they notice its silence otherwise.
@@ -59,6 +61,8 @@
 	retries    *admission.RetryBudget
 	quarantine *quarantine.Register
 	claims     *claim.Ledger
+	groups     *reservation.Builder
+	sweeper    *reservation.Sweeper
 	store      *configuration.Store
 	members    *membership.Members
 	peers      *peer.Endpoint
@@ -121,6 +125,7 @@
 		}),
 	)
 	i.retries = admission.NewRetryBudget(i.clock)
+	i.reserve()
 	i.claims = claim.New(
 		claim.WithClock(i.clock), claim.WithLog(i.log), claim.WithTable(i.table.Get, i.table.Put),
 		claim.WithObjects(i.objects.Get, i.objects.PutNew), claim.WithTimeLimit(i.longestTimeout),
@@ -144,7 +149,7 @@
 	i.entry = entry.New(
 		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActive(i.store.Active),
 		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
-		entry.WithQuarantine(i.quarantine), entry.WithEngines(i.engines),
+		entry.WithQuarantine(i.quarantine), entry.WithEngines(i.engines, i.groups),
 		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
 	)
 }
@@ -180,6 +185,8 @@
 func (i *Instance) start(ctx context.Context) <-chan struct{} {
 	i.loop(ctx, i.store.Run)
 	i.loop(ctx, i.claims.Run)
+	i.loop(ctx, i.groups.Run)
+	i.loop(ctx, i.sweeper.Run)
 	i.loop(ctx, i.watcher().Run)
 	i.loop(ctx, i.members.Run)
 	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
@@ -273,17 +280,18 @@
 	if err := i.entry.Stop(ctx); err != nil {
 		i.log.WithField("in-flight", i.entry.InFlight()).Error("requests still in progress at the end of the drain time")
 	}
-	i.settleClaims(ctx)
+	i.settle(ctx)
 	i.listeners.close(ctx)
 	i.log.WithField("took-ms", int64(i.clock.Now()-started)).Info("requests in progress have ended")
 }
 
-// settleClaims waits until uncertain writes about non-repeatable calls are confirmed, because repeats of those calls
-// would otherwise be told that their outcome is unknown.
-func (i *Instance) settleClaims(ctx context.Context) {
-	for i.claims.Pending() > 0 {
-		if i.clock.Sleep(ctx, 50) != nil {
-			i.log.WithField("pending", i.claims.Pending()).Error("claims not settled; repeats of these calls get the outcome unknown")
+// settle waits until uncertain writes about non-repeatable calls are confirmed, because repeats of those calls would
+// otherwise be told that their outcome is unknown, and until the memory of groups is freed.
+func (i *Instance) settle(ctx context.Context) {
+	for i.claims.Pending()+i.groups.Pending() > 0 {
+		if i.clock.Sleep(ctx, settlePoll) != nil {
+			i.log.WithField("claims", i.claims.Pending()).WithField("reservations", i.groups.Pending()).
+				Error("not settled: repeats of these calls get the outcome unknown, the reservations are reclaimed after their deadline")
 			return
 		}
 	}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -85,11 +85,6 @@
 // instances returns the number of live instances that share the engines of the failure domain.
 func (i *Instance) instances() int { return max(1, len(i.members.Snapshot().Live)) }
 
-// watches reports whether this instance is one of the watchers of an upstream.
-func (i *Instance) watches(id poplarwinch.UpstreamID) bool {
-	return i.members.Snapshot().Owns("upstream/"+string(id), watchers)
-}
-
 // readsManifest reports whether this instance is one of those that read the manifest's row often.
 func (i *Instance) readsManifest() bool { return i.members.Snapshot().Owns(manifestDuty, watchers) }
 
--- /dev/null
+++ b/reservation/divide.go
@@ -0,0 +1,41 @@
+package reservation
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+const (
+	// usablePercent leaves part of the reported free memory to requests that arrive meanwhile, since reports lag.
+	usablePercent = 85
+	// minimumShare keeps groups from spreading over engines that are nearly full.
+	minimumShare poplarwinch.Tokens = 4096
+)
+
+// divide spreads need over as few engines as possible, those with the most free memory first. It returns nil if the
+// candidates can't hold it.
+func divide(need poplarwinch.Tokens, candidates []Candidate) []Share {
+	list := slices.Clone(candidates)
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		if c := cmp.Compare(b.Free, a.Free); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Upstream, b.Upstream)
+	})
+	var shares []Share
+	for _, c := range list {
+		usable := c.Free * usablePercent / 100
+		if need <= 0 || usable < minimumShare {
+			break
+		}
+		tokens := min(usable, need)
+		shares = append(shares, Share{Upstream: c.Upstream, Address: c.Address, Tokens: tokens})
+		need -= tokens
+	}
+	if need > 0 {
+		return nil
+	}
+	return shares
+}
--- /dev/null
+++ b/reservation/share.go
@@ -0,0 +1,38 @@
+// Package reservation reserves KV memory on groups of engines and reclaims reservations that nobody frees.
+package reservation
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/engine"
+)
+
+// Candidate is an engine that may take a share of a group.
+type Candidate struct {
+	Upstream poplarwinch.UpstreamID
+	Address  string
+	// Free is the memory that the engine last reported as not held by requests, reservations and exports.
+	Free poplarwinch.Tokens
+}
+
+// Share is the memory that a group holds on one engine.
+type Share struct {
+	Upstream poplarwinch.UpstreamID
+	Address  string
+	ID       engine.ReservationID
+	Tokens   poplarwinch.Tokens
+}
+
+// Group is memory on several engines that is reserved for one prompt. The first share is the largest; its engine runs
+// the prompt.
+type Group struct {
+	Shares []Share
+}
+
+// Members returns the shares beside the first one in the form that the engine needs.
+func (g *Group) Members() []engine.Member {
+	members := make([]engine.Member, 0, len(g.Shares)-1)
+	for _, s := range g.Shares[1:] {
+		members = append(members, engine.Member{Address: s.Address, Reservation: s.ID})
+	}
+	return members
+}
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -18,4 +18,6 @@
 	// Running counts requests in flight: the reported ones, or this instance's if they are more.
 	Running      int64
 	LongPrefills int64
+	// Reserved is the memory that is reserved on the engine for the prompt.
+	Reserved poplarwinch.Tokens
 }
--- a/routing/reason.go
+++ b/routing/reason.go
@@ -17,6 +17,8 @@
 	ReasonOtherDomain Reason = "other-domain"
 	// ReasonFewestRequests means that the server had the fewest requests of this instance among two random ones.
 	ReasonFewestRequests Reason = "fewest-requests"
+	// ReasonGroup means that the prompt exceeds one engine's memory and that the upstream holds the largest share of a group.
+	ReasonGroup Reason = "group"
 	// ReasonBaseline means that a baseline policy selected the upstream.
 	ReasonBaseline Reason = "baseline"
 )
