--- a/cmd/load/ledger.go
+++ b/cmd/load/ledger.go
@@ -61,15 +61,17 @@
 			return nil, err
 		}
 		var record struct {
-			Executions map[string]uint64 `json:"executions"`
+			Executions []struct {
+				Key string `json:"key"`
+			} `json:"executions"`
 		}
 		err = json.NewDecoder(response.Body).Decode(&record)
 		response.Body.Close()
 		if err != nil || response.StatusCode != http.StatusOK {
 			return nil, fmt.Errorf("record %s: status %d: %w", url, response.StatusCode, err)
 		}
-		for key, n := range record.Executions {
-			executions[key] += n
+		for _, e := range record.Executions {
+			executions[e.Key]++
 		}
 	}
 	return executions, nil
--- a/cmd/load/record_test.go
+++ b/cmd/load/record_test.go
@@ -10,7 +10,11 @@
 // record is a service that runs every call it receives, and reports how often.
 type record struct {
 	mutex      sync.Mutex
-	Executions map[string]uint64 `json:"executions"`
+	Executions []execution `json:"executions"`
+}
+
+type execution struct {
+	Key string `json:"key"`
 }
 
 func (r *record) ServeHTTP(w http.ResponseWriter, request *http.Request) {
@@ -20,7 +24,7 @@
 		json.NewEncoder(w).Encode(r)
 		return
 	}
-	r.Executions[request.Header.Get("Idempotency-Key")]++
+	r.Executions = append(r.Executions, execution{request.Header.Get("Idempotency-Key")})
 }
 
 func newTestRandom() *rand.Rand { return rand.New(rand.NewPCG(7, 7)) }
--- a/cmd/load/run_test.go
+++ b/cmd/load/run_test.go
@@ -131,7 +131,7 @@
 // A booking that runs twice must fail the run even when the caller saw nothing unusual.
 func TestDoubledCallsAreFound(t *testing.T) {
 	for repeat, want := range map[string]int{"0": exitOK, "1": exitBadAnswers} {
-		executions := &record{Executions: map[string]uint64{}}
+		executions := &record{}
 		server := httptest.NewServer(executions)
 		r, code := execute(t, "--entry", server.URL, "--seconds", "0.2", "--rate", "0", "--service", "bookings",
 			"--call-rate", "50", "--repeat", repeat, "--record", server.URL+"/record")
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,7 +49,7 @@
 			known.Outcome = poplarwinch.OutcomeFailed
 		}
 		return known
-	case p.sink.committed(), p.attempts >= maxAttempts, !p.server.retries.Take():
+	case p.sink.committed(), p.attempts >= maxAttempts, !refusedBeforeRunning(err) && !p.server.retries.Take():
 		return p.upstreamFailed(err)
 	}
 	p.log.WithField("upstream", string(p.upstream)).WithField("attempt", p.attempts).WithError(err).Warn("attempt failed; trying another engine")
@@ -162,3 +162,10 @@
 		Message: fmt.Sprintf("no engine completed the prompt in %d attempts", p.attempts), Remedy: "retry; the prompt is safe to repeat",
 	}
 }
+
+// refusedBeforeRunning reports whether the engine rejected the prompt. Such an attempt cost the engine next to nothing,
+// so another one does not draw on the retry budget.
+func refusedBeforeRunning(err error) bool {
+	var refused *engine.RefusedError
+	return errors.As(err, &refused)
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
@@ -105,7 +106,8 @@
 			return stream, nil
 		}
 		cause = err
-		if reason(err) != engine.ReasonUnreachable {
+		// A refused connection means that the engine's process has ended, and its streams with it.
+		if reason(err) != engine.ReasonUnreachable || errors.Is(err, syscall.ECONNREFUSED) {
 			break
 		}
 		if err := a.server.clock.Sleep(ctx, pause); err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -95,7 +95,9 @@
 // connect creates the clients of upstreams and platform.
 func (i *Instance) connect() {
 	p := i.settings.Platform
-	i.engines = engine.New()
+	if i.engines == nil {
+		i.engines = engine.New()
+	}
 	i.services = service.New()
 	i.table = table.New(
 		table.WithEndpoint(p.TableEndpoint), table.WithName(p.TableName), table.WithRegion(p.Region),
--- a/instance/option.go
+++ b/instance/option.go
@@ -4,6 +4,7 @@
 	"github.com/apex/log"
 
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
 )
 
 // Option configures an Instance.
@@ -17,3 +18,6 @@
 
 // WithVersion sets the program version that the status reports.
 func WithVersion(version string) Option { return func(i *Instance) { i.version = version } }
+
+// WithEngines sets the client for model engines; the default is one with default time limits.
+func WithEngines(c *engine.Client) Option { return func(i *Instance) { i.engines = c } }
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -47,6 +47,7 @@
 	urls     map[string]string
 	list     []emulatedroster.Endpoint
 	nodes    []*node
+	options  []instance.Option
 	log      *syncBuffer
 }
 
@@ -82,12 +83,12 @@
 	engines, services int
 	engine            []emulatedengine.Option
 	domains           []string
-	manifest          func(text string) string
+	instance          []instance.Option
 }
 
 func newWorld(t *testing.T, o worldOptions) *world {
 	t.Helper()
-	w := &world{t: t, urls: map[string]string{}, log: &syncBuffer{}}
+	w := &world{t: t, urls: map[string]string{}, log: &syncBuffer{}, options: o.instance}
 	if len(o.domains) == 0 {
 		o.domains = []string{"domain-a"}
 	}
@@ -216,7 +217,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	i, err := instance.New(s, instance.WithLog(&log.Logger{Handler: logjson.New(w.log), Level: log.InfoLevel}))
+	i, err := instance.New(s, append([]instance.Option{
+		instance.WithLog(&log.Logger{Handler: logjson.New(w.log), Level: log.InfoLevel}),
+	}, w.options...)...)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -309,3 +312,24 @@
 	t.Cleanup(func() { response.Body.Close() })
 	return response
 }
+
+// usable waits until n regards the given number of upstreams as up.
+func (w *world) usable(n *node, count int) {
+	w.t.Helper()
+	last := ""
+	defer func() {
+		if w.t.Failed() {
+			w.t.Log(last)
+		}
+	}()
+	w.eventually(fmt.Sprintf("%d upstreams are up", count), func() bool {
+		response, err := http.Get("http://" + n.operator + "/status")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		data, _ := io.ReadAll(response.Body)
+		last = string(data)
+		return strings.Count(last, `"state": "up"`) == count
+	})
+}
