--- a/emulator/engine/boot.go
+++ b/emulator/engine/boot.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
 )
 
 // boot is the state of an engine from its start to its end; the engine's mutex guards it.
@@ -19,6 +20,8 @@
 	waiting []*sequence
 	running []*sequence
 	arrived int
+	// forgotten is the time up to which ended streams were dropped.
+	forgotten clock.Millis
 
 	memory       *memory
 	reservations map[string]*reservation
--- a/emulator/engine/group.go
+++ b/emulator/engine/group.go
@@ -15,23 +15,23 @@
 // groupTimeout bounds the question to another engine of a group; they are in the same failure domain.
 const groupTimeout = 2 * time.Second
 
-// groupTokens asks the engines of a Group header for the named reservations and returns their sum.
-func (e *Engine) groupTokens(ctx context.Context, header string) (poplarwinch.Tokens, error) {
-	var sum poplarwinch.Tokens
+// joinGroup asks the engines of a Group header for the named reservations and credits them to s.
+func (e *Engine) joinGroup(ctx context.Context, s *sequence, header string) error {
 	seen := map[string]bool{}
 	for member := range strings.SplitSeq(header, ",") {
 		address, id, ok := strings.Cut(strings.TrimSpace(member), "/")
 		if !ok || seen[member] {
-			return 0, fmt.Errorf("group member %q is malformed or repeated", member)
+			return fmt.Errorf("group member %q is malformed or repeated", member)
 		}
 		seen[member] = true
 		tokens, err := e.memberTokens(ctx, address, id)
 		if err != nil {
-			return 0, fmt.Errorf("group member %s: %w", member, err)
+			return fmt.Errorf("group member %s: %w", member, err)
 		}
-		sum += tokens
+		s.remote += tokens
+		s.engines++
 	}
-	return sum, nil
+	return nil
 }
 
 func (e *Engine) memberTokens(ctx context.Context, address, id string) (poplarwinch.Tokens, error) {
--- a/emulator/engine/prompt.go
+++ b/emulator/engine/prompt.go
@@ -16,6 +16,7 @@
 	model     string
 	adapter   string
 	text      string
+	digest    string // xxhash64 of text as 16 hexadecimal digits
 	maxTokens int
 	stream    bool
 	usage     bool
--- a/emulator/engine/scheduler.go
+++ b/emulator/engine/scheduler.go
@@ -143,8 +143,9 @@
 		if s.phase != phasePrefill || budget <= 0 {
 			continue
 		}
-		chunk := min(budget, s.prefillLeft)
-		budget -= chunk
+		// The engines of a group share the work; only this one's part counts here.
+		chunk := min(budget*s.engines, s.prefillLeft)
+		budget -= (chunk + s.engines - 1) / s.engines
 		s.prefillLeft -= chunk
 		if s.prefillLeft == 0 {
 			s.phase = phaseDecode
@@ -205,6 +206,7 @@
 	}
 	s.pins, s.held, s.borrowed = nil, 0, 0
 	s.phase, s.ended = p, now
+	s.prompt.text = "" // several megabytes for long prompts, which are of no use for resumes
 	isEnded := func(x *sequence) bool { return x == s }
 	b.waiting = slices.DeleteFunc(b.waiting, isEnded)
 	switch p {
@@ -223,8 +225,12 @@
 	b.running = slices.DeleteFunc(b.running, func(s *sequence) bool { return s.phase.ended() })
 }
 
-// forget drops streams that ended before the given time; their ids stay used.
+// forget drops streams that ended before the given time; their ids stay used. It does so once a second.
 func (b *boot) forget(before clock.Millis) {
+	if before < b.forgotten+clock.Second {
+		return
+	}
+	b.forgotten = before
 	for id, s := range b.sequences {
 		if s.phase.ended() && s.ended < before {
 			delete(b.sequences, id)
--- a/emulator/engine/sequence.go
+++ b/emulator/engine/sequence.go
@@ -21,8 +21,8 @@
 
 func (p phase) ended() bool { return p == phaseDone || p == phaseFailed || p == phaseCancelled }
 
-// sequence is one prompt and its answer. The fields of the prompt never change; the engine's mutex guards
-// the others.
+// sequence is one prompt and its answer. The prompt and the first block of fields do not change once it is
+// accepted, but for the prompt's text, which is dropped at the end; the engine's mutex guards the others.
 type sequence struct {
 	id       string
 	prompt   *prompt
@@ -31,6 +31,7 @@
 	deadline clock.Millis // 0 for none
 	tokens   poplarwinch.Tokens
 	remote   poplarwinch.Tokens // KV memory that the group's other engines hold
+	engines  poplarwinch.Tokens // number of engines that run it
 	hashes   []uint64
 	reserved *reservation
 	run      *Run
--- a/emulator/engine/submit.go
+++ b/emulator/engine/submit.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if members := r.Header.Get("Group"); members != "" {
-		if s.remote, err = e.groupTokens(r.Context(), members); err != nil {
+		if err = e.joinGroup(r.Context(), s, members); err != nil {
 			refuse(w, http.StatusInsufficientStorage, err.Error())
 			return
 		}
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	now := e.config.clock.Now()
-	s := &sequence{id: header.Get("Request-Id"), prompt: p, phase: phaseWaiting, changed: make(chan struct{})}
+	s := &sequence{id: header.Get("Request-Id"), prompt: p, engines: 1, phase: phaseWaiting, changed: make(chan struct{})}
 	if s.id == "" {
 		return nil, fmt.Errorf("header Request-Id is missing")
 	}
@@ -75,6 +75,7 @@
 	}
 	s.tokens = poplarwinch.Tokens((len(p.text) + e.config.bytesPerToken - 1) / e.config.bytesPerToken)
 	s.hashes = hashBlocks(p.model, p.adapter, p.text)
+	p.digest = hex(xxhash.Sum64String(p.text))
 	p.id, p.size, p.created = s.id, int(s.tokens), int64(now/clock.Second)
 	return s, nil
 }
@@ -103,7 +104,7 @@
 	s.order = b.arrived
 	s.run = e.record.add(Run{
 		Stream: s.id, Boot: b.id, Model: s.prompt.model, Adapter: s.prompt.adapter, Priority: s.priority,
-		Prompt: fmt.Sprintf("%016x", xxhash.Sum64String(s.prompt.text)), Tokens: s.tokens,
+		Prompt: s.prompt.digest, Tokens: s.tokens,
 		Leaving: e.faults.Leaving, Accepted: now,
 	})
 	b.sample(now, e.faults.LoadLag)
--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 
@@ -131,7 +132,7 @@
 	if p.crash || p.dropReply {
 		panic(http.ErrAbortHandler)
 	}
-	p.reply(w, x)
+	p.reply(w, r.URL.Query(), x)
 }
 
 func (s *Service) run(r *http.Request, size int) Execution {
@@ -185,22 +186,33 @@
 	return p
 }
 
-// reply answers with the execution's number, key and path as JSON.
-func (p plan) reply(w http.ResponseWriter, x Execution) {
+// reply answers with the execution's number, key and path as JSON. The query parameters "status" and
+// "answer-bytes" set the status and the least size of the answer.
+func (p plan) reply(w http.ResponseWriter, query url.Values, x Execution) {
 	data := fmt.Appendf(nil, `{"execution":%d,"key":%q,"path":%q}`, x.Number, x.Key, x.Path)
+	if n, err := strconv.Atoi(query.Get("answer-bytes")); err == nil && n > len(data) {
+		data = append(data, bytes.Repeat([]byte{' '}, min(n, maxBody)-len(data))...)
+	}
+	status := http.StatusOK
+	if n, err := strconv.Atoi(query.Get("status")); err == nil && n >= 200 && n <= 599 {
+		status = n
+	}
 	w.Header().Set("Content-Type", "application/json")
 	switch {
 	case p.truncate:
 		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		w.WriteHeader(status)
 		_, _ = w.Write(data[:len(data)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case p.unframed:
 		// Transfer-Encoding: identity makes net/http delimit the body by the end of the connection.
 		w.Header().Set("Transfer-Encoding", "identity")
+		w.WriteHeader(status)
 		_, _ = w.Write(data)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		w.WriteHeader(status)
 		_, _ = w.Write(data)
 	}
 }
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -363,6 +363,21 @@
 	}
 }
 
+// An engine that refuses connections got nothing, which callers may be told.
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	_, err = engine.New().Open(deadline(t), address, completion("a", "p", 1))
+	checkReason(t, err, engine.ReasonUnreachable)
+	if e := new(engine.StreamError); !errors.As(err, &e) || e.Sent {
+		t.Fatalf("%v is reported as sent", err)
+	}
+}
+
 // A stalled connection must end as a stall within the idle timeout while a new connection continues the stream.
 func TestStalledConnectionResumes(t *testing.T) {
 	e, address := start(t, emulated.WithStep(2))
--- a/service/contract_test.go
+++ b/service/contract_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// Answers of any status and size must arrive whole, since claims record them for repeats.
+func TestStatusAndSize(t *testing.T) {
+	_, address := start(t)
+	for _, c := range []struct{ status, size int }{{200, 100_000}, {409, 70_000}, {503, 40}, {204, 0}} {
+		call := booking("k")
+		call.Path += fmt.Sprintf("?status=%d&answer-bytes=%d", c.status, c.size)
+		a, err := service.New().Do(deadline(t, 20*time.Second), address, call)
+		if err != nil || a.Status != c.status || len(a.Body) < c.size {
+			t.Fatalf("%+v: %+v, %v", c, a, err)
+		}
+	}
+}
+
 // A stalled pooled connection must not block calls on new ones.
 func TestStalledConnections(t *testing.T) {
 	e, address := start(t)
