--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -111,9 +112,22 @@
 			_ = e.config.clock.Sleep(r.Context(), f.Delay)
 		}
 	}
+	if e.dropsControlReply(r) {
+		e.mux.ServeHTTP(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
+func (e *Engine) dropsControlReply(r *http.Request) bool {
+	if r.Method == http.MethodGet || !strings.HasPrefix(r.URL.Path, "/kv/") && r.URL.Path != "/orders" {
+		return false
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.faults.DropControlReply.Take()
+}
+
 // hang leaves a request unanswered until its connection or the engine ends, and aborts it.
 func (e *Engine) hang(r *http.Request, down <-chan struct{}) {
 	// net/http notices a closed connection only after the request body has been read.
--- a/emulator/engine/faults.go
+++ b/emulator/engine/faults.go
@@ -12,6 +12,8 @@
 type Faults struct {
 	// DropReply closes the connection after a prompt was accepted, before the headers; the prompt runs.
 	DropReply fault.Count `json:"drop-reply"`
+	// DropControlReply closes the connection after a change of KV memory or an order took effect.
+	DropControlReply fault.Count `json:"drop-control-reply"`
 	// Refuse rejects prompts with status 503 and Refused: true.
 	Refuse fault.Count `json:"refuse"`
 	// Delay is the time before each request is handled.
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -519,6 +519,24 @@
 	}
 }
 
+// After a lost reply the reservation may exist; the client must say so and a repeat must not count twice.
+func TestLostReservationReply(t *testing.T) {
+	e, address := start(t, emulated.WithMemory(10_000))
+	ctx, c := deadline(t), engine.New()
+	e.SetFaults(emulated.Faults{DropControlReply: 1})
+	r := engine.Reservation{ID: "r", Owner: "i", Tokens: 6_000}
+	var failure *engine.CallError
+	if err := c.Reserve(ctx, address, r); !errors.As(err, &failure) || !failure.Sent {
+		t.Fatalf("error %v", err)
+	}
+	if err := c.Reserve(ctx, address, r); err != nil {
+		t.Fatal(err)
+	}
+	if l, err := c.Load(ctx, address); err != nil || l.UsedTokens != 6_000 {
+		t.Fatalf("load %+v, %v", l, err)
+	}
+}
+
 // A prompt above one engine's memory must run only with the reserved memory of others.
 func TestGroup(t *testing.T) {
 	_, first := start(t, emulated.WithMemory(10_000))
--- a/engine/open.go
+++ b/engine/open.go
@@ -70,10 +70,10 @@
 		return &RefusedError{Address: address, Status: r.StatusCode, Message: message(r)}
 	}
 	reason := ReasonRejected
-	switch r.StatusCode {
-	case http.StatusNotFound:
+	switch {
+	case r.StatusCode == http.StatusNotFound && r.Request.Method == http.MethodGet:
 		reason = ReasonUnknownStream
-	case http.StatusConflict:
+	case r.StatusCode == http.StatusConflict && r.Request.Method == http.MethodPost:
 		reason = ReasonDuplicateStream
 	}
 	return &StreamError{Reason: reason, Address: address, Stream: id, Sent: true, Status: r.StatusCode, Detail: message(r)}
--- a/engine/reason.go
+++ b/engine/reason.go
@@ -21,7 +21,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonMalformed means that the response does not follow the protocol.
 	ReasonMalformed Reason = "malformed"
-	// ReasonRejected means that the engine answered with another error status.
+	// ReasonRejected means that the engine answered with another error status; the protocol does not say
+	// whether the prompt ran.
 	ReasonRejected Reason = "rejected"
 	// ReasonFailed means that the engine ended the stream with an error event.
 	ReasonFailed Reason = "failed"
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -17,14 +17,13 @@
 			}
 			return &connection{Conn: n, timeout: c.writeTimeout.Duration()}, nil
 		},
-		DisableKeepAlives:      fresh,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    32,
-		MaxIdleConns:           2048,
+		DisableKeepAlives:  fresh,
+		DisableCompression: true,
+		// An idle connection keeps two buffers of 4 KiB and two goroutines.
+		MaxIdleConnsPerHost:    4,
+		MaxIdleConns:           512,
 		IdleConnTimeout:        c.idleAge.Duration(),
 		ResponseHeaderTimeout:  c.headerTimeout.Duration(),
 		MaxResponseHeaderBytes: 64 << 10,
-		WriteBufferSize:        32 << 10,
-		ReadBufferSize:         8 << 10,
 	}
 }
--- a/service/transport.go
+++ b/service/transport.go
@@ -12,7 +12,7 @@
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    32,
+		MaxIdleConnsPerHost:    8,
 		MaxIdleConns:           512,
 		IdleConnTimeout:        c.idleAge.Duration(),
 		MaxResponseHeaderBytes: 64 << 10,
