--- a/emulator/engine/prompt.go
+++ b/emulator/engine/prompt.go
@@ -17,6 +17,7 @@
 	adapter   string
 	text      string
 	raw       string // the prompt's JSON text, whose blocks the prefix cache holds
+	digest    string // xxhash64 of text as 16 hexadecimal digits
 	maxTokens int
 	stream    bool
 	usage     bool
