Predict by priority and queue by class

Cause: a fake-engine comparison showed short prompts crowding on the engines outside the long set, and long prompts holding up short ones in the queue. Change: work in prefill is counted by engine priority, predictions use it and learn how much lower priorities delay a prompt; one admission lane for each priority; event-driven policy comparison.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -9,25 +9,21 @@
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/internal/invariant"
-	"github.com/poplarwinch/poplarwinch/internal/window"
 	"github.com/poplarwinch/poplarwinch/routing"
+	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
 const (
-	// The first waiter repeats its prediction at this interval.
+	// The first waiter of each lane repeats its prediction at this interval.
 	pollInterval clock.Millis = 20
-	// Under saturation an instance sends at most this share of its part of the engines' rate, so that several
-	// instances that decide on the same late load reports don't overfill the engines together.
-	paceFactorPercent = 125
-	// Unused pace is kept for this long.
-	paceBurst clock.Millis = 100
-	// The span over which the rate of admissions from the queue is measured.
-	drainSpan = 2 * clock.Second
 	// Bounds of the Retry-After estimate.
 	minRetryAfter = clock.Second
 	maxRetryAfter = clock.Minute
 )
 
+// Medium and long prompts queue at a multiple of the threshold, since their own prefill takes longer.
+var thresholdFactors = [upstream.Priorities]clock.Millis{1, 2, 8}
+
 // Controller admits prompts. While the predicted wait is short it takes no lock.
 type Controller struct {
 	clock     *clock.Clock
@@ -39,20 +35,17 @@
 
 	total     account
 	customers sync.Map // poplarwinch.CustomerID to *account
-	waiting   atomic.Int64
-	admitted  *window.Counter
+	waiting   [upstream.Priorities]atomic.Int64
 
-	mutex   sync.Mutex
-	queue   queue
-	pace    float64
-	pacedAt clock.Millis
+	mutex sync.Mutex
+	lanes [upstream.Priorities]lane
 }
 
 // New returns a controller; WithForecast is required.
 func New(opts ...Option) *Controller {
 	c := &Controller{
 		clock: clock.System(), threshold: 500, limit: 1024, violated: invariant.Log,
-		instances: func() int { return 1 }, admitted: window.New(100, 32),
+		instances: func() int { return 1 },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -64,7 +57,13 @@
 func (c *Controller) InFlight() (requests, tokens int64) { return c.total.inFlight() }
 
 // Waiting returns the number of queued requests.
-func (c *Controller) Waiting() int { return int(c.waiting.Load()) }
+func (c *Controller) Waiting() int {
+	sum := int64(0)
+	for i := range c.waiting {
+		sum += c.waiting[i].Load()
+	}
+	return int(sum)
+}
 
 // Admit returns once the request may be sent, or with an *poplarwinch.Error whose outcome is not-run. The wait ends
 // with ctx. The caller calls release when the request has ended, and sends the request right after Admit returned.
@@ -108,66 +107,98 @@
 
 // wait returns nil once the request may be sent.
 func (c *Controller) wait(ctx context.Context, r *Request) error {
+	w, err := c.offer(r)
+	if w == nil {
+		return err
+	}
+	return c.await(ctx, w)
+}
+
+// offer admits or rejects the request at once, or returns its waiter.
+func (c *Controller) offer(r *Request) (*waiter, error) {
 	f, ok := c.forecast(r.Prompt)
 	if !ok {
-		return nil
+		return nil, nil
 	}
 	now := c.clock.Now()
 	if late := now + f.TimeToFirstToken - r.Deadline; late > 0 {
-		return overloaded(f.TimeToFirstToken, late)
+		return nil, overloaded(f.TimeToFirstToken, late)
 	}
-	if c.waiting.Load() == 0 && f.Wait <= c.threshold {
-		c.admitted.Add(now, r.cost())
-		return nil
+	priority := r.Prompt.Class.Priority()
+	if c.waiting[priority].Load() == 0 && f.Wait <= c.limitOf(priority) {
+		return nil, nil
 	}
 	w := &waiter{request: r, wake: make(chan struct{}, 1)}
 	if err := c.enqueue(w, f); err != nil {
-		return err
+		return nil, err
 	}
-	return c.await(ctx, w)
+	return w, nil
 }
 
-// enqueue puts w into the queue or returns the error of its rejection.
+// limitOf returns the predicted wait above which requests of the priority queue.
+func (c *Controller) limitOf(priority int) clock.Millis {
+	return c.threshold * thresholdFactors[priority]
+}
+
+// enqueue puts w into its lane or returns the error of its rejection.
 func (c *Controller) enqueue(w *waiter, f routing.Forecast) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	now := c.clock.Now()
-	if len(c.queue.waiters) >= c.limit {
-		v := c.queue.victim(w.request.Prompt.Class.Priority())
-		if v == nil {
-			wait := c.drain(c.queue.cost, f)
-			return overloaded(wait, wait)
-		}
-		c.leave(v, overloaded(c.drain(c.queue.cost, f), c.drain(c.queue.cost, f)))
-	}
-	c.queue.add(w)
-	c.waiting.Store(int64(len(c.queue.waiters)))
-	predicted := f.TimeToFirstToken + c.drain(c.queue.ahead(w), f)
-	if late := now + predicted - w.request.Deadline; late > 0 {
-		c.leave(w, nil)
+	priority := w.request.Prompt.Class.Priority()
+	if c.Waiting() >= c.limit && !c.evict(priority, f) {
+		wait := span(c.ahead(priority), c.part(f))
+		return overloaded(wait, wait)
+	}
+	ahead := c.ahead(priority - 1)
+	c.lanes[priority].add(w)
+	predicted := f.TimeToFirstToken + span(ahead+c.lanes[priority].ahead(w), c.part(f))
+	if late := c.clock.Now() + predicted - w.request.Deadline; late > 0 {
+		c.lanes[priority].remove(w)
 		return overloaded(predicted, late)
 	}
+	c.count(priority)
 	return nil
 }
 
-// drain estimates how long the queue takes to admit cost.
-func (c *Controller) drain(cost int64, f routing.Forecast) clock.Millis {
-	rate := max(c.admitted.Sum(c.clock.Now(), drainSpan)*1000/int64(drainSpan), f.TokensPerSecond/int64(max(1, c.instances())), 1)
-	return clock.Millis(cost * 1000 / rate)
+// evict rejects the latest waiter of the lowest priority below the given one and reports whether there was one.
+func (c *Controller) evict(priority int, f routing.Forecast) bool {
+	for i := upstream.Priorities - 1; i > priority; i-- {
+		if last := c.lanes[i].last(); last != nil {
+			wait := span(c.ahead(i), c.part(f))
+			c.leave(last, overloaded(wait, wait))
+			return true
+		}
+	}
+	return false
+}
+
+// ahead returns the prompt tokens that wait with the given or a higher priority.
+func (c *Controller) ahead(priority int) int64 {
+	var tokens int64
+	for i := range priority + 1 {
+		tokens += c.lanes[i].tokens
+	}
+	return tokens
 }
 
-// leave removes w from the queue with the error that its caller gets. The caller holds the lock.
+// leave removes w from its lane with the error that its caller gets. The caller holds the lock.
 func (c *Controller) leave(w *waiter, err error) {
-	c.queue.remove(w)
+	priority := w.request.Prompt.Class.Priority()
+	c.lanes[priority].remove(w)
 	w.done, w.err = true, err
-	c.waiting.Store(int64(len(c.queue.waiters)))
 	w.signal()
-	if head := c.queue.head(); head != nil {
+	c.count(priority)
+}
+
+// count publishes the length of a lane and wakes its head, which may have changed.
+func (c *Controller) count(priority int) {
+	c.waiting[priority].Store(int64(len(c.lanes[priority].waiters)))
+	if head := c.lanes[priority].head(); head != nil {
 		head.signal()
 	}
 }
 
-// await waits until w left the queue or ctx ends.
+// await waits until w left its lane or ctx ends.
 func (c *Controller) await(ctx context.Context, w *waiter) error {
 	for {
 		head, err := c.dispatch(w)
@@ -195,42 +226,25 @@
 	}
 }
 
-// dispatch admits waiters while the predicted wait allows it. It returns the head of the queue, or nil and w's result
-// when w has left the queue.
+// dispatch admits waiters of w's lane while the predicted wait allows it. It returns the head of the lane, or nil and
+// w's result when w has left the lane.
 func (c *Controller) dispatch(w *waiter) (*waiter, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for head := c.queue.head(); head != nil && !w.done; head = c.queue.head() {
+	priority := w.request.Prompt.Class.Priority()
+	lane := &c.lanes[priority]
+	for head := lane.head(); head != nil && !w.done; head = lane.head() {
 		now := c.clock.Now()
 		f, ok := c.forecast(head.request.Prompt)
 		if late := now + f.TimeToFirstToken - head.request.Deadline; ok && late > 0 {
 			c.leave(head, overloaded(f.TimeToFirstToken, late))
 			continue
 		}
-		if ok && (f.Wait > c.threshold || !c.paced(now, head.request.cost(), f)) {
+		if ok && (f.Wait > c.limitOf(priority) || !lane.paced(now, int64(head.request.Prompt.Tokens), c.part(f))) {
 			return head, nil
 		}
-		c.admitted.Add(now, head.request.cost())
-		c.queue.finishHead()
-		head.done = true
-		c.waiting.Store(int64(len(c.queue.waiters)))
-		head.signal()
-		if next := c.queue.head(); next != nil {
-			next.signal()
-		}
+		lane.advance(head)
+		c.leave(head, nil)
 	}
 	return nil, w.err
 }
-
-// paced takes cost from the instance's part of the engines' rate and reports whether there was any left. One request
-// may overdraw, and the next ones then wait for it.
-func (c *Controller) paced(now clock.Millis, cost int64, f routing.Forecast) bool {
-	rate := float64(f.TokensPerSecond) * paceFactorPercent / 100 / float64(max(1, c.instances())) / 1000
-	c.pace = min(c.pace+rate*float64(now-c.pacedAt), rate*float64(paceBurst))
-	c.pacedAt = now
-	if c.pace < 0 {
-		return false
-	}
-	c.pace -= float64(cost)
-	return true
-}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -13,7 +13,7 @@
 	virtual float64
 	finish  map[poplarwinch.CustomerID]float64
 	order   uint64
-	cost    int64
+	tokens  int64
 }
 
 func (q *queue) add(w *waiter) {
@@ -25,7 +25,7 @@
 	q.finish[customer] = w.start + float64(w.request.cost())/float64(max(1, w.request.Weight))
 	q.order++
 	w.order = q.order
-	q.cost += w.request.cost()
+	q.tokens += int64(w.request.Prompt.Tokens)
 	heap.Push((*waiterHeap)(q), w)
 }
 
@@ -37,42 +37,32 @@
 	return q.waiters[0]
 }
 
-// finishHead removes the head because it is admitted and advances the virtual time.
-func (q *queue) finishHead() {
-	w := q.waiters[0]
-	q.virtual = max(q.virtual, w.start)
-	q.remove(w)
-}
+// advance moves the virtual time on because w is admitted.
+func (q *queue) advance(w *waiter) { q.virtual = max(q.virtual, w.start) }
 
 func (q *queue) remove(w *waiter) {
-	q.cost -= w.request.cost()
+	q.tokens -= int64(w.request.Prompt.Tokens)
 	heap.Remove((*waiterHeap)(q), w.index)
 }
 
-// ahead returns the cost of the waiters that start before w.
+// ahead returns the prompt tokens of the waiters that start before w.
 func (q *queue) ahead(w *waiter) int64 {
-	var cost int64
+	var tokens int64
 	for _, v := range q.waiters {
-		if v != w && (*waiterHeap)(q).before(v, w) {
-			cost += v.request.cost()
+		if v != w && v.before(w) {
+			tokens += int64(v.request.Prompt.Tokens)
 		}
 	}
-	return cost
+	return tokens
 }
 
-// victim returns the waiter to reject in favour of one of the given priority: the latest one of the longest class
-// that is longer, or nil.
-func (q *queue) victim(priority int) *waiter {
-	var found *waiter
+// last returns the waiter that starts last, or nil.
+func (q *queue) last() *waiter {
+	var last *waiter
 	for _, w := range q.waiters {
-		p := w.request.Prompt.Class.Priority()
-		if p <= priority {
-			continue
-		}
-		if found == nil || p > found.request.Prompt.Class.Priority() ||
-			p == found.request.Prompt.Class.Priority() && (*waiterHeap)(q).before(found, w) {
-			found = w
+		if last == nil || last.before(w) {
+			last = w
 		}
 	}
-	return found
+	return last
 }
--- /dev/null
+++ b/admission/simulation_test.go
@@ -0,0 +1,257 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/routing"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+const (
+	simEngines   = 15
+	simInstances = 6
+	simStart     = clock.Millis(1_000_000)
+	simLag       = clock.Second
+	simReport    = 500 * clock.Millis(1)
+)
+
+var simDomains = []poplarwinch.FailureDomain{"a", "b", "c"}
+
+// arrival is a request of the simulated callers.
+type arrival struct {
+	at       int64 // microseconds
+	tokens   int
+	class    routing.Class
+	blocks   []uint64
+	decode   int
+	instance int
+	customer poplarwinch.CustomerID
+	limit    clock.Millis
+}
+
+// answer is what happened to one arrival.
+type answer struct {
+	arrival
+	first    float64 // milliseconds, zero without a first token
+	inTime   bool
+	rejected bool
+}
+
+type event struct {
+	at    int64
+	order int
+	run   func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// simulation runs arrivals through instances and fake engines in virtual time.
+type simulation struct {
+	now       int64
+	events    events
+	order     int
+	manual    *clock.Manual
+	engines   map[poplarwinch.UpstreamID]*fakeEngine
+	instances []*simInstance
+	answers   []*answer
+	violated  func(name, detail string)
+}
+
+// simInstance is one entry instance.
+type simInstance struct {
+	s          *simulation
+	id         poplarwinch.InstanceID
+	registry   *upstream.Registry
+	policy     routing.Policy
+	router     *routing.Router
+	controller *Controller
+	queued     map[*waiter]func(error)
+}
+
+// setup selects what is simulated.
+type setup struct {
+	policy    string
+	admission bool
+	fifo      bool
+	seed      uint64
+	arrivals  []arrival
+	violated  func(name, detail string)
+}
+
+func simulate(c setup) []*answer {
+	s := &simulation{manual: clock.NewManual(simStart), engines: map[poplarwinch.UpstreamID]*fakeEngine{}, violated: c.violated}
+	var list []upstream.Listed
+	for i := range simEngines {
+		id := poplarwinch.UpstreamID(fmt.Sprintf("engine-%02d", i))
+		s.engines[id] = &fakeEngine{s: s, id: id, priority: !c.fifo, cache: map[uint64]int{}}
+		list = append(list, upstream.Listed{ID: id, Kind: upstream.KindEngine, Pool: "drafting", FailureDomain: simDomains[i%3], Ready: true})
+	}
+	for i := range simInstances {
+		s.instances = append(s.instances, newSimInstance(s, c, i, list))
+	}
+	for i, l := range list {
+		s.report(s.engines[l.ID], int64(i)*30_000)
+	}
+	for _, a := range c.arrivals {
+		s.after(a.at, func() { s.instances[a.instance].arrive(a) })
+	}
+	for len(s.events) > 0 && s.now < c.arrivals[len(c.arrivals)-1].at+60e6 {
+		e := heap.Pop(&s.events).(event)
+		s.manual.Advance(clock.Millis(e.at/1000) - clock.Millis(s.now/1000))
+		s.now = e.at
+		e.run()
+	}
+	return s.answers
+}
+
+func newSimInstance(s *simulation, c setup, i int, list []upstream.Listed) *simInstance {
+	domain, random := simDomains[i%3], rand.New(rand.NewPCG(c.seed, uint64(i))).Uint64
+	n := &simInstance{s: s, id: poplarwinch.InstanceID(fmt.Sprint(i)), queued: map[*waiter]func(error){}}
+	n.registry = upstream.New(upstream.WithClock(s.manual.Clock()), upstream.WithViolated(s.violated))
+	n.registry.Apply(list)
+	n.router = routing.New(routing.WithClock(s.manual.Clock()), routing.WithFailureDomain(domain),
+		routing.WithRandom(random), routing.WithViolated(s.violated))
+	baselines := map[string]func() *routing.Baseline{
+		"round robin": routing.RoundRobin, "fewest requests": routing.FewestRequests,
+		"fewest tokens": routing.FewestTokens, "power of two choices": routing.PowerOfTwoChoices,
+	}
+	n.policy = n.router
+	if b := baselines[c.policy]; b != nil {
+		baseline := b()
+		baseline.Random, baseline.Domain = random, domain
+		n.policy = baseline
+	}
+	if c.admission {
+		n.controller = New(WithClock(s.manual.Clock()), WithViolated(s.violated), WithInstances(func() int { return simInstances / len(simDomains) }),
+			WithForecast(func(p *routing.Prompt) (routing.Forecast, bool) {
+				return n.router.Forecast(n.registry.Snapshot(), p)
+			}))
+		s.every(int64(pollInterval)*1000, int64(i)*100, n.poll)
+	}
+	s.every(1e6, int64(i)*150_000, func() {
+		for _, peer := range s.instances {
+			if peer != n {
+				peer.registry.Announce(n.id, n.registry.Announcements())
+			}
+		}
+	})
+	return n
+}
+
+// report sends the engine's load to all instances, late.
+func (s *simulation) report(e *fakeEngine, offset int64) {
+	s.every(int64(simReport)*1000, offset, func() {
+		l := e.load(s.manual.Now())
+		s.after(int64(simLag)*1000, func() {
+			o := upstream.Observation{ID: e.id, At: s.manual.Now(), State: upstream.StateUp, Load: l, Models: []upstream.Loaded{{Name: "drafting"}}}
+			for _, n := range s.instances {
+				n.registry.Merge([]upstream.Observation{o})
+			}
+		})
+	})
+}
+
+func (s *simulation) after(micros int64, run func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now + micros, s.order, run})
+}
+
+func (s *simulation) every(micros, offset int64, run func()) {
+	s.after(offset, func() {
+		run()
+		s.every(micros, micros, run)
+	})
+}
+
+func (n *simInstance) arrive(a arrival) {
+	result := &answer{arrival: a}
+	n.s.answers = append(n.s.answers, result)
+	p := &routing.Prompt{
+		Customer: a.customer, Model: "drafting", Tokens: poplarwinch.Tokens(a.tokens), MaxNew: poplarwinch.Tokens(a.decode),
+		Blocks: a.blocks, Class: a.class,
+	}
+	if n.controller == nil {
+		n.send(p, result)
+		return
+	}
+	r := &Request{Prompt: p, Deadline: n.s.manual.Now() + a.limit}
+	w, err := n.controller.offer(r)
+	decided := func(err error) {
+		if result.rejected = err != nil; !result.rejected {
+			n.send(p, result)
+		}
+	}
+	if w == nil {
+		decided(err)
+		return
+	}
+	n.queued[w] = decided
+	n.poll()
+}
+
+// poll does what the waiting callers of Admit do.
+func (n *simInstance) poll() {
+	for done := true; done; {
+		done = false
+		for i := range n.controller.lanes {
+			if head := n.controller.lanes[i].head(); head != nil {
+				n.controller.dispatch(head)
+			}
+		}
+		for w, decided := range n.queued {
+			if w.done {
+				delete(n.queued, w)
+				decided(w.err)
+				done = true
+			}
+		}
+	}
+}
+
+func (n *simInstance) send(p *routing.Prompt, result *answer) {
+	d, err := n.policy.Engine(n.registry.Snapshot(), p)
+	if err != nil {
+		n.s.violated("simulated-decision", err.Error())
+		return
+	}
+	sent := n.s.now
+	cached := poplarwinch.Tokens(0)
+	if len(d.Candidates) > 0 {
+		cached = d.Candidates[0].Cached
+	}
+	n.router.Sent(d.Upstream, p)
+	ticket := d.Upstream.Begin(upstream.Work{Prefill: p.Tokens - cached, Priority: p.Class.Priority()})
+	j := &job{arrival: result.arrival, left: result.decode}
+	j.first = func() {
+		ticket.FirstToken()
+		if len(d.Candidates) > 0 {
+			n.router.Observe(&d.Candidates[0], p, clock.Millis((n.s.now-sent)/1000))
+		}
+		result.first = float64(n.s.now-result.at) / 1000
+	}
+	j.end = func() {
+		ticket.End()
+		result.inTime = n.s.now-result.at <= int64(result.limit)*1000
+	}
+	n.s.after(int64(result.limit)*1000-(n.s.now-result.at), func() {
+		j.canceled = true
+		ticket.End()
+	})
+	n.s.engines[d.Upstream.ID].submit(j)
+}
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -20,3 +20,8 @@
 	default:
 	}
 }
+
+// before reports whether w is due before other.
+func (w *waiter) before(other *waiter) bool {
+	return w.start < other.start || w.start == other.start && w.order < other.order
+}
--- a/admission/waiterheap.go
+++ b/admission/waiterheap.go
@@ -3,15 +3,11 @@
 // waiterHeap implements heap.Interface on a queue.
 type waiterHeap queue
 
-func (h *waiterHeap) before(a, b *waiter) bool {
-	return a.start < b.start || a.start == b.start && a.order < b.order
-}
-
 // Len returns the number of waiters.
 func (h *waiterHeap) Len() int { return len(h.waiters) }
 
 // Less reports whether waiter i goes before waiter j.
-func (h *waiterHeap) Less(i, j int) bool { return h.before(h.waiters[i], h.waiters[j]) }
+func (h *waiterHeap) Less(i, j int) bool { return h.waiters[i].before(h.waiters[j]) }
 
 // Swap exchanges two waiters.
 func (h *waiterHeap) Swap(i, j int) {
--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync/atomic"
 
+	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
@@ -11,6 +12,8 @@
 type Baseline struct {
 	// Random is the source of random numbers.
 	Random func() uint64
+	// Domain is the own failure domain, whose engines are preferred as Router does.
+	Domain poplarwinch.FailureDomain
 
 	choose func(b *Baseline, engines []*upstream.Upstream) *upstream.Upstream
 	turn   atomic.Uint64
@@ -29,7 +32,11 @@
 // FewestTokens returns a policy that takes the engine with the fewest reported and own prefill tokens.
 func FewestTokens() *Baseline {
 	return least(func(u *upstream.Upstream) int64 {
-		return int64(u.Load().WaitingPrefillTokens + u.PendingPrefill())
+		sum := u.Load().WaitingPrefillTokens
+		for _, pending := range u.Prefill().Pending {
+			sum += pending
+		}
+		return int64(sum)
 	})
 }
 
@@ -47,7 +54,7 @@
 // Engine selects an engine for the prompt.
 func (b *Baseline) Engine(s *upstream.Snapshot, p *Prompt) (Decision, error) {
 	var engines []*upstream.Upstream
-	all := s.Engines(p.Model, p.Adapter).All
+	all := s.Engines(p.Model, p.Adapter).In(b.Domain)
 	for _, u := range all {
 		if eligible(u, p.Avoid) {
 			engines = append(engines, u)
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -11,11 +11,14 @@
 	Upstream *upstream.Upstream
 	// Predicted is the predicted time to first token.
 	Predicted clock.Millis
-	// Waiting is the prefill work ahead of the prompt: reported, own and announced by peers.
+	// Waiting is the prefill work of equal or higher priority on the engine: reported, own and announced by peers.
 	Waiting poplarwinch.Tokens
+	// LowerWaiting is the prefill work of lower priority.
+	LowerWaiting poplarwinch.Tokens
 	// Cached is the part of the prompt that is believed to be in the engine's prefix cache.
 	Cached poplarwinch.Tokens
 	// Running counts requests in flight: the reported ones, or this instance's if they are more.
-	Running      int64
+	Running int64
+	// LongPrefills counts the long prompts in prefill that this instance and its peers know of.
 	LongPrefills int64
 }
--- a/routing/server.go
+++ b/routing/server.go
@@ -9,11 +9,12 @@
 // ones, in the own failure domain if it has any. The error is an *poplarwinch.Error of kind unavailable.
 func (r *Router) Server(s *upstream.Snapshot, service poplarwinch.ServiceName, avoid []poplarwinch.UpstreamID) (Decision, error) {
 	group := s.Servers(service)
+	now := r.clock.Now()
 	p := &Prompt{Avoid: avoid}
-	list := r.sample(make([]Candidate, 0, maxCandidates), group.In(r.domain), 2, p)
+	list := r.sample(now, make([]Candidate, 0, maxCandidates), group.In(r.domain), 2, p)
 	reason := ReasonFewestRequests
 	if len(list) == 0 {
-		list, reason = r.sample(list, group.All, 2, p), ReasonOtherDomain
+		list, reason = r.sample(now, list, group.All, 2, p), ReasonOtherDomain
 	}
 	switch {
 	case len(list) == 0:
@@ -23,7 +24,7 @@
 	case len(list) == 2 && list[1].Upstream.Running() < list[0].Upstream.Running():
 		list[0], list[1] = list[1], list[0]
 	}
-	list = r.sample(list, group.All, maxCandidates-len(list), p)
+	list = r.sample(now, list, group.All, maxCandidates-len(list), p)
 	r.check(list[0].Upstream, avoid)
 	return Decision{Upstream: list[0].Upstream, Reason: reason, Candidates: list}, nil
 }
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -5,17 +5,9 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
-// Announcement tells peers about work that one instance sent to an upstream and that load reports may not include yet.
+// Announcement tells peers about one instance's prompts in prefill on an upstream.
 type Announcement struct {
-	ID           poplarwinch.UpstreamID
-	From         poplarwinch.InstanceID
-	At           clock.Millis
-	Prefill      poplarwinch.Tokens
-	LongPrefills int64
-}
-
-// peerWork is the sum of the valid announcements of all peers for one upstream.
-type peerWork struct {
-	prefill poplarwinch.Tokens
-	longs   int64
+	ID      poplarwinch.UpstreamID
+	At      clock.Millis
+	Prefill Prefill
 }
--- a/upstream/record.go
+++ b/upstream/record.go
@@ -97,18 +97,16 @@
 	return []Observation{leaving, o}
 }
 
-// peerWork sums the announcements that the last load report can't include yet.
-func (e *record) peerWork(now clock.Millis) *peerWork {
-	sum := &peerWork{}
+// peerWork sums the announcements of live peers. What was pending before the last load report held is part of that
+// report, and only the tokens and prompts still tell the priorities of the reported work.
+func (e *record) peerWork(now clock.Millis) *Prefill {
+	sum := &Prefill{}
 	for from, a := range e.announced {
 		if now-a.At > announcementTimeout {
 			delete(e.announced, from)
 			continue
 		}
-		sum.longs += a.LongPrefills
-		if a.At > e.seen.Load.At {
-			sum.prefill += a.Prefill
-		}
+		sum.add(&a.Prefill, a.At > e.seen.Load.At)
 	}
 	return sum
 }
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -148,20 +148,21 @@
 	return observations, r.sequence
 }
 
-// Announcements returns this instance's unfinished prefill work for its peers.
-func (r *Registry) Announcements(from poplarwinch.InstanceID) []Announcement {
+// Announcements returns this instance's prompts in prefill for its peers.
+func (r *Registry) Announcements() []Announcement {
 	var list []Announcement
 	now := r.clock.Now()
 	for _, u := range r.Snapshot().All() {
-		if prefill, longs := u.PendingPrefill(), u.longPrefills.Load(); prefill > 0 || longs > 0 {
-			list = append(list, Announcement{ID: u.ID, From: from, At: now, Prefill: prefill, LongPrefills: longs})
+		own := u.ownPrefill()
+		if own != (Prefill{}) {
+			list = append(list, Announcement{ID: u.ID, At: now, Prefill: own})
 		}
 	}
 	return list
 }
 
-// Announce adds announcements of peers. Each call carries all announcements of its senders, so an upstream that a
-// sender no longer names has no work of that sender.
+// Announce replaces the announcements of the peer from. The list is complete, so the peer has no work on upstreams that
+// it does not name.
 func (r *Registry) Announce(from poplarwinch.InstanceID, announcements []Announcement) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -172,7 +172,7 @@
 		var tickets []*Ticket
 		t.Repeat(map[string]func(*rapid.T){
 			"begin": func(t *rapid.T) {
-				tickets = append(tickets, u.Begin(Work{Prefill: poplarwinch.Tokens(rapid.IntRange(0, 1<<20).Draw(t, "prefill")), Long: rapid.Bool().Draw(t, "long")}))
+				tickets = append(tickets, u.Begin(Work{Prefill: poplarwinch.Tokens(rapid.IntRange(0, 1<<20).Draw(t, "prefill")), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}))
 			},
 			"first token": func(t *rapid.T) { pick(t, tickets).FirstToken() },
 			"end":         func(t *rapid.T) { pick(t, tickets).End() },
@@ -182,16 +182,19 @@
 				r.Merge([]Observation{{ID: "e", At: m.Now(), State: StateUp, Load: Load{At: at}}})
 			},
 			"": func(t *rapid.T) {
-				if u.PendingPrefill() < 0 || u.Running() < 0 || u.LongPrefills() < 0 {
-					t.Fatalf("negative counter")
+				p := u.Prefill()
+				for i := range p.Pending {
+					if p.Pending[i] < 0 || p.Tokens[i] < p.Pending[i] || p.Prompts[i] < 0 || u.Running() < 0 {
+						t.Fatalf("counters don't add up: %+v, %d requests", p, u.Running())
+					}
 				}
 			},
 		})
 		for _, ticket := range tickets {
 			ticket.End()
 		}
-		if u.PendingPrefill() != 0 || u.Running() != 0 || u.LongPrefills() != 0 {
-			t.Fatalf("left over: %d tokens, %d requests, %d long", u.PendingPrefill(), u.Running(), u.LongPrefills())
+		if u.Prefill() != (Prefill{}) || u.Running() != 0 {
+			t.Fatalf("left over: %+v, %d requests", u.Prefill(), u.Running())
 		}
 	})
 }
@@ -211,20 +214,21 @@
 		r.Apply([]Listed{engineEntry("e")})
 	}
 	sender, _ := a.Snapshot().Lookup("e")
-	sender.Begin(Work{Prefill: 5000, Long: true})
-	b.Announce("a", a.Announcements("a"))
+	sender.Begin(Work{Prefill: 5000, Priority: 2})
+	sender.Begin(Work{Prefill: 100})
+	b.Announce("a", a.Announcements())
 	u, _ := b.Snapshot().Lookup("e")
-	if u.PeerPrefill() != 5000 || u.LongPrefills() != 1 {
-		t.Fatalf("peer work is %d tokens, %d long, want 5000 and 1", u.PeerPrefill(), u.LongPrefills())
+	if want := (Prefill{Pending: [3]poplarwinch.Tokens{100, 0, 5000}, Tokens: [3]poplarwinch.Tokens{100, 0, 5000}, Prompts: [3]int64{1, 0, 1}}); u.Prefill() != want {
+		t.Fatalf("peer work is %+v, want %+v", u.Prefill(), want)
 	}
 	m.Advance(10)
 	b.Merge([]Observation{{ID: "e", At: m.Now(), State: StateUp, Load: Load{At: m.Now()}}})
-	if u.PeerPrefill() != 0 || u.LongPrefills() != 1 {
-		t.Fatalf("after the report peer work is %d tokens, %d long, want 0 and 1", u.PeerPrefill(), u.LongPrefills())
+	if want := (Prefill{Tokens: [3]poplarwinch.Tokens{100, 0, 5000}, Prompts: [3]int64{1, 0, 1}}); u.Prefill() != want {
+		t.Fatalf("after the report peer work is %+v, want %+v", u.Prefill(), want)
 	}
 	b.Announce("a", nil)
-	if u.LongPrefills() != 0 {
-		t.Fatalf("%d long prefills remain after the peer announced none", u.LongPrefills())
+	if u.Prefill() != (Prefill{}) {
+		t.Fatalf("%+v remains after the peer announced nothing", u.Prefill())
 	}
 }
 
--- a/upstream/ticket.go
+++ b/upstream/ticket.go
@@ -11,7 +11,8 @@
 // Ticket accounts for one request in flight on an upstream. Its methods may be called repeatedly and concurrently.
 type Ticket struct {
 	upstream *Upstream
-	work     Work
+	tokens   int64
+	prefill  *prefillWork
 	epoch    int64
 	phase    atomic.Int32
 }
@@ -35,11 +36,10 @@
 }
 
 func (t *Ticket) endPrefill() {
-	u := t.upstream
-	if t.work.Long {
-		u.subtract("long-prefills", &u.longPrefills, 1)
-	}
-	if u.sent.Remove(t.epoch, int64(t.work.Prefill)) {
-		u.subtract("pending-prefill", &u.pending, int64(t.work.Prefill))
+	u, tokens := t.upstream, t.tokens
+	u.subtract("prompts-in-prefill", &t.prefill.prompts, 1)
+	u.subtract("tokens-in-prefill", &t.prefill.tokens, tokens)
+	if t.prefill.sent.Remove(t.epoch, tokens) {
+		u.subtract("pending-prefill", &t.prefill.pending, tokens)
 	}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -32,25 +32,26 @@
 	// Hash is the id's hash for rendezvous hashing; it is the same in every instance.
 	Hash uint64
 
-	clock        *clock.Clock
-	violated     invariant.Report
-	state        atomic.Uint32
-	load         atomic.Pointer[Load]
-	sent         *window.Counter
-	pending      atomic.Int64
-	running      atomic.Int64
-	longPrefills atomic.Int64
-	peers        atomic.Pointer[peerWork]
+	clock    *clock.Clock
+	violated invariant.Report
+	state    atomic.Uint32
+	load     atomic.Pointer[Load]
+	peers    atomic.Pointer[Prefill]
+	running  atomic.Int64
+	prefill  [Priorities]prefillWork
 }
 
 func newUpstream(l Listed, number uint16, c *clock.Clock, violated invariant.Report) *Upstream {
 	u := &Upstream{
 		ID: l.ID, Kind: l.Kind, Pool: l.Pool, Address: l.Address, FailureDomain: l.FailureDomain,
 		Number: number, Hash: xxhash.Sum64String(string(l.ID)),
-		clock: c, violated: violated, sent: window.New(pendingWidth, pendingBuckets),
+		clock: c, violated: violated,
+	}
+	for i := range u.prefill {
+		u.prefill[i].sent = window.New(pendingWidth, pendingBuckets)
 	}
 	u.load.Store(&Load{})
-	u.peers.Store(&peerWork{})
+	u.peers.Store(&Prefill{})
 	return u
 }
 
@@ -63,30 +64,32 @@
 // Load returns the last load report; its At is zero when there is none. The result must not be changed.
 func (u *Upstream) Load() *Load { return u.load.Load() }
 
-// PendingPrefill returns the prefill tokens that this instance sent after the last report held and that have not
-// produced a first token.
-func (u *Upstream) PendingPrefill() poplarwinch.Tokens { return poplarwinch.Tokens(u.pending.Load()) }
-
 // Running returns the number of this instance's requests in flight.
 func (u *Upstream) Running() int64 { return u.running.Load() }
 
-// LongPrefills returns the number of long prompts in prefill that this instance and its peers know of.
-func (u *Upstream) LongPrefills() int64 { return u.longPrefills.Load() + u.peers.Load().longs }
+// Prefill returns the prompts in prefill that this instance sent or that its peers announced.
+func (u *Upstream) Prefill() Prefill {
+	p := u.ownPrefill()
+	p.add(u.peers.Load(), true)
+	return p
+}
 
-// PeerPrefill returns the prefill tokens that peers announced and that the last report does not include.
-func (u *Upstream) PeerPrefill() poplarwinch.Tokens { return u.peers.Load().prefill }
+func (u *Upstream) ownPrefill() Prefill {
+	var p Prefill
+	for i := range u.prefill {
+		w := &u.prefill[i]
+		p.Pending[i] = poplarwinch.Tokens(w.pending.Load())
+		p.Tokens[i] = poplarwinch.Tokens(w.tokens.Load())
+		p.Prompts[i] = w.prompts.Load()
+	}
+	return p
+}
 
 // Begin counts a request that is sent to the upstream; the ticket must be ended.
 func (u *Upstream) Begin(w Work) *Ticket {
-	t := &Ticket{upstream: u, work: w}
+	t := &Ticket{upstream: u, tokens: int64(w.Prefill), prefill: &u.prefill[min(max(w.Priority, 0), Priorities-1)]}
 	u.running.Add(1)
-	if w.Long {
-		u.longPrefills.Add(1)
-	}
-	var expired int64
-	u.pending.Add(int64(w.Prefill))
-	t.epoch, expired = u.sent.Add(u.clock.Now(), int64(w.Prefill))
-	u.pending.Add(-expired)
+	t.epoch = t.prefill.begin(u.clock.Now(), t.tokens)
 	return t
 }
 
@@ -96,7 +99,10 @@
 		return
 	}
 	u.load.Store(&l)
-	u.subtract("pending-prefill", &u.pending, u.sent.Clear(u.clock.Now(), l.At))
+	now := u.clock.Now()
+	for i := range u.prefill {
+		u.subtract("pending-prefill", &u.prefill[i].pending, u.prefill[i].sent.Clear(now, l.At))
+	}
 }
 
 func (u *Upstream) subtract(name string, counter *atomic.Int64, amount int64) {
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -6,6 +6,6 @@
 type Work struct {
 	// Prefill counts the prompt tokens that are not known to be cached.
 	Prefill poplarwinch.Tokens
-	// Long marks a prompt of the long class.
-	Long bool
+	// Priority is the engine priority, from 0 to Priorities-1; lower runs first.
+	Priority int
 }
