--- a/membership/merge.go
+++ b/membership/merge.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/poplarwinch/poplarwinch"
+import (
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch"
+)
 
 // Merge takes over the records that are newer than the known ones.
 func (m *Members) Merge(records []Member) {
@@ -46,6 +50,10 @@
 	} else if !n.supersedes(r.Member) {
 		return false
 	}
+	if n.State.live() && !r.State.live() {
+		// A member that is not in the current probe cycle would be left out for its whole length.
+		m.order = slices.Insert(m.order, m.random.IntN(len(m.order)+1), n.ID)
+	}
 	m.change(r, n, source)
 	return true
 }
