--- a/configuration/commit.go
+++ b/configuration/commit.go
@@ -161,8 +161,9 @@
 	if latest := max(record.Version, active.Version); latest != c.replaces {
 		err := conflict("another commit was first: the current version is "+latest.String(),
 			"look at the current manifest, apply the change to it and commit it with that version as the replaced one")
-		if latest > c.replaces && !record.remembers(c.ref.Version) && !active.remembers(c.ref.Version) {
-			// The version after the replaced one may have been made by an earlier attempt of this very commit.
+		if c.uncertain || latest > c.replaces && !record.remembers(c.ref.Version) && !active.remembers(c.ref.Version) {
+			// The version after the replaced one may have been made by an earlier attempt of this very commit: nothing
+			// remembers who made it, or a put without an answer took effect and a restore of the table removed it.
 			err.Outcome = poplarwinch.OutcomeUnknown
 		}
 		return Record{}, err
