--- /dev/null
+++ b/cmd/poplarwinch/arguments.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"io"
+	"runtime/debug"
+)
+
+// arguments are the command line.
+type arguments struct {
+	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry instance"`
+	Manifest *manifestCommand `arg:"subcommand:manifest" help:"check, commit or show a manifest"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show the status of an instance"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file"`
+}
+
+// command is a subcommand.
+type command interface {
+	run(ctx context.Context, stdout, stderr io.Writer) error
+}
+
+// manifestCommand groups the commands about manifests.
+type manifestCommand struct {
+	Check  *manifestCheckCommand  `arg:"subcommand:check" help:"check a manifest file"`
+	Commit *manifestCommitCommand `arg:"subcommand:commit" help:"make a manifest the current one"`
+	Show   *manifestShowCommand   `arg:"subcommand:show" help:"show the active manifest with its version and digest"`
+}
+
+// settingsCommand groups the commands about settings.
+type settingsCommand struct {
+	Check *settingsCheckCommand `arg:"subcommand:check" help:"check a settings file and the files it refers to"`
+}
+
+// Description returns the first line of the help text.
+func (arguments) Description() string {
+	return "poplarwinch serves language-model prompts in front of model engines and plain services."
+}
+
+// Epilogue returns the end of the help text.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 ok, 1 failed, 2 wrong usage, 3 conflict with another commit."
+}
+
+// Version returns the version of the program.
+func (arguments) Version() string {
+	version, revision := "unknown", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	return "poplarwinch " + version + " revision " + revision
+}
+
+// selected returns the subcommand of the command line, or nil.
+func (a *arguments) selected() command {
+	switch {
+	case a.Serve != nil:
+		return a.Serve
+	case a.Status != nil:
+		return a.Status
+	case a.Manifest != nil && a.Manifest.Check != nil:
+		return a.Manifest.Check
+	case a.Manifest != nil && a.Manifest.Commit != nil:
+		return a.Manifest.Commit
+	case a.Manifest != nil && a.Manifest.Show != nil:
+		return a.Manifest.Show
+	case a.Settings != nil && a.Settings.Check != nil:
+		return a.Settings.Check
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/poplarwinch/serve.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/poplarwinch/poplarwinch/settings"
+)
+
+// serveCommand runs an entry instance.
+type serveCommand struct {
+	File string `arg:"positional,required" placeholder:"SETTINGS" help:"settings file of the instance"`
+}
+
+func (c *serveCommand) run(ctx context.Context, _, stderr io.Writer) error {
+	s, err := settings.Load(c.File)
+	if err != nil {
+		return err
+	}
+	return run(ctx, s, stderr)
+}
+
+// run serves until ctx ends.
+func run(_ context.Context, _ *settings.Settings, _ io.Writer) error {
+	return errors.New("serving is not implemented yet; use the other commands")
+}
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -43,6 +43,7 @@
 	store  *configuration.Store
 	cancel context.CancelFunc
 	done   chan struct{}
+	first  manifest.Version
 	last   manifest.Version
 }
 
@@ -119,6 +120,9 @@
 	if x.Version <= n.last || w.invalid[x.Digest] || x.Manifest.Service != "simulated" {
 		w.violations = append(w.violations, fmt.Sprintf("instance %d went from version %d to %d, digest %s", i, n.last, x.Version, x.Digest))
 	}
+	if n.first == 0 {
+		n.first = x.Version
+	}
 	n.last = x.Version
 }
 
@@ -246,10 +250,9 @@
 		}
 	}
 	if len(peers) == 0 {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		return nil, errTest
 	}
-	return list, nil
+	return list, ctx.Err()
 }
 
 func (w *world) record(ctx context.Context, i int, v manifest.Version) (configuration.Record, error) {
