--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -66,7 +66,7 @@
 	p.attempts++
 	p.upstream = u.ID
 	id := engine.StreamID(fmt.Sprintf("%s-%s-%d", p.id, randomHex(6), p.attempts))
-	work := upstream.Work{Prefill: p.prompt.Tokens, Long: p.prompt.Class == routing.ClassLong}
+	work := upstream.Work{Prefill: p.prompt.Tokens - spot.cached, Priority: p.prompt.Class.Priority()}
 	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work), group: spot.group}
 	defer spot.end()
 	defer a.ticket.End()
@@ -88,7 +88,9 @@
 type spot struct {
 	upstream *upstream.Upstream
 	group    *reservation.Group
-	end      func()
+	// cached is the part of the prompt that is believed to be in the engine's prefix cache.
+	cached poplarwinch.Tokens
+	end    func()
 }
 
 // choose selects an engine and registers the prompt as running there.
@@ -102,7 +104,7 @@
 			if ok {
 				s.router.Sent(decision.Upstream, &p.prompt)
 				p.logDecision(&decision)
-				return &spot{upstream: decision.Upstream, group: group, end: end}, nil
+				return &spot{upstream: decision.Upstream, group: group, cached: decision.Candidates[0].Cached, end: end}, nil
 			}
 			if group != nil {
 				s.groups.Free(group)
--- a/entry/body.go
+++ b/entry/body.go
@@ -72,10 +72,10 @@
 	if err := control.SetReadDeadline(due); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	// The deadline is removed afterwards: net/http would take its expiry for the caller's disconnect.
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := readUpTo(r, limit)
 	if err == nil {
+		// The deadline must not expire later: net/http would take that for the caller's disconnect.
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	var maxBytes *http.MaxBytesError
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -34,6 +34,8 @@
 	started  time.Time
 	deadline time.Time
 	log      *log.Entry
+	// received says that the whole body of the request was read.
+	received bool
 	// begun says that response headers were written, so an error can no longer replace the answer.
 	begun bool
 	// events is the event stream of the answer, if it is one.
@@ -104,6 +106,13 @@
 	return ctx, cancel, nil
 }
 
+// readBody reads the whole body of the request. The release function returns its memory to the budget.
+func (x *exchange) readBody(ctx context.Context) (body []byte, release func(), err error) {
+	body, release, err = x.server.bodies.read(ctx, x.writer, x.request)
+	x.received = err == nil
+	return body, release, err
+}
+
 // end reports the failure of a request to its caller, logs the request's end and aborts the connection when the caller
 // could otherwise take a part of the answer for the whole.
 func (x *exchange) end(err error) {
@@ -115,7 +124,8 @@
 	if problem == nil {
 		return
 	}
-	if x.request.Context().Err() != nil {
+	// net/http ends the context also when reading the body failed; the caller may still be there then.
+	if x.received && x.request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if x.begun {
@@ -124,11 +134,21 @@
 		}
 		return
 	}
+	x.writeProblem(problem)
+}
+
+// writeProblem sends the error response. When the body of the request was not read, the connection closes afterwards:
+// net/http reads the rest of a body before it answers on a connection that stays open, and a slow upload would delay that.
+func (x *exchange) writeProblem(problem *poplarwinch.Error) {
 	control := http.NewResponseController(x.writer)
 	due := time.Now().Add(errorGrace)
 	if err := control.SetWriteDeadline(due); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
 	}
+	if !x.received && x.request.ContentLength != 0 {
+		x.writer.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(due)
+	}
 	writeProblem(x.writer, problem)
 }
 
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	defer cancel()
-	body, release, err := s.bodies.read(ctx, x.writer, x.request)
+	body, release, err := x.readBody(ctx)
 	if err != nil {
 		return err
 	}
--- a/entry/services.go
+++ b/entry/services.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	defer cancel()
-	body, release, err := s.bodies.read(ctx, x.writer, x.request)
+	body, release, err := x.readBody(ctx)
 	if err != nil {
 		return err
 	}
--- a/instance/fault_test.go
+++ b/instance/fault_test.go
@@ -104,8 +104,9 @@
 	kill := func() {
 		w.eventually("a prompt is running", func() bool {
 			for _, e := range w.engines {
-				for _, r := range e.Record().Runs {
-					if r.FirstToken != 0 && r.Completed == 0 {
+				record := e.Record()
+				for _, r := range record.Runs {
+					if r.Boot == record.Boot && r.FirstToken != 0 && r.Completed == 0 {
 						e.Crash()
 						return true
 					}
