Run the whole path in separate processes

Cause: the path stood only inside one test process. Change: serve command, stand-ins for the platform, demo script on free ports.

--- a/cmd/poplarwinch/serve.go
+++ b/cmd/poplarwinch/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 
 	"github.com/poplarwinch/poplarwinch/settings"
@@ -20,8 +19,3 @@
 	}
 	return run(ctx, s, stderr)
 }
-
-// run serves until ctx ends.
-func run(_ context.Context, _ *settings.Settings, _ io.Writer) error {
-	return errors.New("serving is not implemented yet; use the other commands")
-}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	Engine  *engineCommand  `arg:"subcommand:engine" help:"emulate a model engine"`
 	Service *serviceCommand `arg:"subcommand:service" help:"emulate a plain service"`
 
+	Ports     *portsCommand     `arg:"subcommand:ports" help:"print free loopback ports"`
 	Table     *tableCommand     `arg:"subcommand:table" help:"emulate the table service"`
 	Objects   *objectsCommand   `arg:"subcommand:objects" help:"emulate the object store"`
 	Instances *instancesCommand `arg:"subcommand:instances" help:"emulate the instance list"`
