--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -38,7 +38,7 @@
 
 // world is a small deployment in one process: emulated platform, engines and servers, and entry instances.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	table    *emulatedtable.Server
 	objects  *emulatedobjects.Server
 	roster   *emulatedroster.Server
@@ -86,7 +86,7 @@
 	instance          []instance.Option
 }
 
-func newWorld(t *testing.T, o worldOptions) *world {
+func newWorld(t testing.TB, o worldOptions) *world {
 	t.Helper()
 	w := &world{t: t, urls: map[string]string{}, log: &syncBuffer{}, options: o.instance}
 	if len(o.domains) == 0 {
@@ -156,7 +156,7 @@
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
