--- a/membership/merge.go
+++ b/membership/merge.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -17,7 +18,8 @@
 	changed := false
 	for _, n := range records {
 		switch {
-		case n.ID == "" || n.FailureDomain != m.self.FailureDomain:
+		case n.ID == "" || n.FailureDomain != m.self.FailureDomain || n.State.rank() < 0:
+		case n.Incarnation == math.MaxUint64: // cannot be refuted, and no instance reaches it
 		case n.ID == m.self.ID:
 			changed = m.refute(n) || changed
 		default:
--- a/membership/state.go
+++ b/membership/state.go
@@ -11,7 +11,7 @@
 	StateLeft    State = "left"
 )
 
-// rank orders states of the same incarnation: the higher one wins.
+// rank orders states of the same incarnation: the higher one wins. It is negative for unknown states.
 func (s State) rank() int {
 	switch s {
 	case StateAlive:
@@ -20,8 +20,10 @@
 		return 1
 	case StateDead:
 		return 2
-	default:
+	case StateLeft:
 		return 3
+	default:
+		return -1
 	}
 }
 
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -52,6 +53,21 @@
 	}
 }
 
+// A malformed record must not enter the view, and one that cannot be refuted must not end this instance's membership.
+func TestInvalidRecordsAreIgnored(t *testing.T) {
+	m := members(1)
+	m.Merge([]membership.Member{
+		{FailureDomain: "arima", State: membership.StateAlive},
+		{ID: "x", FailureDomain: "chaguanas", State: membership.StateAlive},
+		{ID: "x", FailureDomain: "arima", State: "unknown"},
+		{ID: "x", FailureDomain: "arima", State: membership.StateDead},
+		{ID: "entry-0", FailureDomain: "arima", State: membership.StateDead, Incarnation: math.MaxUint64},
+	})
+	if v := m.Snapshot(); len(v.Known) != 1 || len(v.Live) != 1 || v.Self.State != membership.StateAlive {
+		t.Errorf("view %+v, want only this instance, alive", v)
+	}
+}
+
 func BenchmarkOwners(b *testing.B) {
 	v := members(90).Snapshot()
 	for b.Loop() {
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -102,6 +102,16 @@
 // Handler returns the handler of the calls.
 func (e *Endpoint) Handler() http.Handler { return e.handler }
 
+// Close closes the idle connections to peers.
+func (e *Endpoint) Close() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for address, l := range e.links {
+		l.transport.Load().CloseIdleConnections()
+		delete(e.links, address)
+	}
+}
+
 func (e *Endpoint) handlerOptions() []connect.HandlerOption {
 	return []connect.HandlerOption{
 		connect.WithCodec(e.codec), connect.WithReadMaxBytes(messageLimit),
--- a/peer/endpoint_test.go
+++ b/peer/endpoint_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"reflect"
 	"testing"
@@ -116,6 +117,20 @@
 	}
 }
 
+// A silent target must not make the asker replace its healthy connection to the helper.
+func TestProbeViaKeepsTheConnectionToTheHelper(t *testing.T) {
+	t.Parallel()
+	x, via := newInstance(t, "x", "arima"), newInstance(t, "via", "arima")
+	silent, p := listen(t), newProxy(t, via.self.Address)
+	defer silent.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := x.ProbeVia(ctx, membership.Member{Address: p.address()}, membership.Member{ID: "z", Address: silent.Addr().String()})
+	if kind(err) != poplarwinch.KindUnavailable || p.accepted.Load() != 1 {
+		t.Errorf("ProbeVia() = %v after %d connections, want kind unavailable and one connection", err, p.accepted.Load())
+	}
+}
+
 // Raw requests that no endpoint sends must be rejected before they cost memory or change data.
 func TestRawRequestsAreRejected(t *testing.T) {
 	t.Parallel()
@@ -136,7 +151,7 @@
 		"truncated digest":     {"Exchange", secret, []byte{0xa1, 0x02, 0x43, 0x01, 0x02, 0x03}, http.StatusBadRequest},
 		"truncated loads":      {"Exchange", secret, []byte{0xa1, 0x06, 0x43, 0x01, 0x02, 0x03}, http.StatusBadRequest},
 		"larger than the limit": {
-			"Notice", secret, append([]byte{0xa1, 0x05, 0x7a, 0x00, 0x90, 0x00, 0x00}, make([]byte, 9<<20)...), http.StatusTooManyRequests,
+			"Notice", secret, append([]byte{0xa1, 0x05, 0x7a, 0x01, 0x10, 0x00, 0x00}, make([]byte, 17<<20)...), http.StatusTooManyRequests,
 		},
 		"unknown procedure": {"Shutdown", secret, []byte{0xa0}, http.StatusNotFound},
 	} {
@@ -167,12 +182,19 @@
 	gone := listen(t)
 	gone.Close()
 	x.members.Merge([]membership.Member{y.self, z.self, {ID: "gone", Address: gone.Addr().String(), FailureDomain: "arima", State: membership.StateAlive}})
+	for i := range 40 {
+		silent := listen(t)
+		t.Cleanup(func() { silent.Close() })
+		x.members.Merge([]membership.Member{{
+			ID: poplarwinch.InstanceID(fmt.Sprintf("silent-%d", i)), Address: silent.Addr().String(), FailureDomain: "arima", State: membership.StateAlive,
+		}})
+	}
 	suspect := peer.Suspect{Fingerprint: [16]byte{1}, Crashes: []peer.Crash{{Upstream: "engine-1", BootID: "b", At: 5, Isolated: true}}, RejectedUntil: 9}
 	err := x.Notify(context.Background(), peer.Notice{
 		Observations: []peer.Observation{{ID: "engine-1", At: 7, State: "leaving"}}, Suspects: []peer.Suspect{suspect}, ManifestVersion: 3,
 	})
 	if kind(err) != poplarwinch.KindUnavailable {
-		t.Errorf("Notify() = %v, want the failure of one peer", err)
+		t.Errorf("Notify() = %v, want the failures of the others", err)
 	}
 	for _, r := range []*instance{y, z} {
 		if r.observations["engine-1"].State != "leaving" || !reflect.DeepEqual(r.suspects[suspect.Fingerprint], suspect) || r.offered != 3 {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -56,9 +56,8 @@
 	e.mergeSuspects(decodeSuspects(reply.Suspects))
 	e.offerVersion(ctx, reply.Message.From.ManifestVersion, reply.Message.From.ManifestDigest)
 	if inside {
-		if err := e.finishExchange(ctx, l, own, reply); err != nil {
-			return membership.Message{}, err
-		}
+		// The members of the reply are valid even if this fails; the next exchange repeats the observations.
+		_ = e.finishExchange(ctx, l, own, reply)
 	}
 	return reply.Message.decode(), nil
 }
--- a/peer/instance_test.go
+++ b/peer/instance_test.go
@@ -52,6 +52,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- x.Serve(ctx, l) }()
 	t.Cleanup(func() {
+		x.Close()
 		x.stop()
 		if err := <-ended; err != nil {
 			t.Errorf("Serve() = %v", err)
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// messageLimit bounds a message; the largest one carries a whole manifest of about 1 MB.
-	messageLimit = 8 << 20
+	// messageLimit bounds a message; the largest one carries a whole manifest. Operators may commit
+	// manifests of up to 8 MiB.
+	messageLimit = 16 << 20
 	// handlerTimeout bounds calls whose sender set no deadline.
 	handlerTimeout = 10 * time.Second
 	// callTimeout is the deadline of calls whose context has none.
@@ -18,8 +19,9 @@
 	serverPingAfter = 30 * time.Second
 	// linkLimit bounds the connections to peers: twice the design's largest domain.
 	linkLimit = 256
-	// notifyConcurrency bounds the calls of one notice in flight.
-	notifyConcurrency = 16
+	// relayShare is the share of a relayed probe's time that the probe of the target may take. The
+	// rest lets the reply reach the asker, who would otherwise take this connection for stalled.
+	relayShare = 0.8
 )
 
 // Procedures.
--- a/peer/notify.go
+++ b/peer/notify.go
@@ -21,8 +21,9 @@
 
 type noticeReply struct{}
 
-// Notify sends a notice to all live members of the domain. It returns the errors of those that
-// did not answer; they learn the news from the next exchanges.
+// Notify sends a notice to all live members of the domain at once, so that silent ones do not
+// delay the others. It returns the errors of those that did not answer; they learn the news from
+// the next exchanges. With 90 members a notice takes about 30 KB, so only the observer sends it.
 func (e *Endpoint) Notify(ctx context.Context, notice Notice) error {
 	v := e.members.Snapshot()
 	request := &noticeRequest{
@@ -32,17 +33,12 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	var wait sync.WaitGroup
-	slots := make(chan struct{}, notifyConcurrency)
 	failures := make([]error, len(v.Live))
 	for i, m := range v.Live {
 		if m.ID == v.Self.ID {
 			continue
 		}
-		slots <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-slots }()
-			failures[i] = e.notify(ctx, m, request)
-		})
+		wait.Go(func() { failures[i] = e.notify(ctx, m, request) })
 	}
 	wait.Wait()
 	return errors.Join(failures...)
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -43,6 +44,11 @@
 		records := e.members.Probed(decodeMembers(request.Msg.Records))
 		return connect.NewResponse(&probeReply{Records: encodeMembers(records)}), nil
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(relayShare*float64(time.Until(deadline))))
+		defer cancel()
+	}
 	records, err := e.members.Relay(ctx, membership.Member(*request.Msg.Target))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
