--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -27,8 +27,8 @@
 	SuspectHash  uint64            `cbor:"3,keyasint,omitempty"`
 	Observations []wireObservation `cbor:"4,keyasint,omitempty"`
 	Loads        []byte            `cbor:"5,keyasint,omitempty"`
-	Want         []byte            `cbor:"6,keyasint,omitempty"` // keys of whole observations
-	Fresh        []byte            `cbor:"7,keyasint,omitempty"` // keys of loads
+	Want         []byte            `cbor:"6,keyasint,omitempty"` // packed positions in the digest: send the whole observation
+	Fresh        []byte            `cbor:"7,keyasint,omitempty"` // packed positions in the digest: send the load
 }
 
 // Exchange exchanges what changed with a member or candidate.
@@ -56,9 +56,8 @@
 	e.mergeSuspects(decodeSuspects(reply.Suspects))
 	e.offerVersion(ctx, reply.Message.From.ManifestVersion, reply.Message.From.ManifestDigest)
 	if inside {
-		if err := e.finishExchange(ctx, l, own, reply); err != nil {
-			return membership.Message{}, err
-		}
+		// The members of the reply are valid even if this fails; the next exchange repeats the observations.
+		_ = e.finishExchange(ctx, l, own, reply)
 	}
 	return reply.Message.decode(), nil
 }
