--- a/manifest/index.go
+++ b/manifest/index.go
@@ -29,21 +29,13 @@
 	if err != nil {
 		return nil, err
 	}
-	bodies := make(map[string][]byte, len(sections))
-	for _, s := range sections {
-		bodies[s.Digest] = s.Body
-	}
-	refs := Refs(sections)
-	own, err := Join(refs, func(digest string) ([]byte, error) { return bodies[digest], nil })
-	if err != nil {
-		return nil, fmt.Errorf("copy the manifest: %w", err)
-	}
+	own := m.clone()
 	end, err := own.FinalDate.End()
 	if err != nil {
 		return nil, err
 	}
 	x := &Index{
-		Version: version, Digest: Digest(refs), Manifest: own, end: end, keys: keyring{},
+		Version: version, Digest: Digest(Refs(sections)), Manifest: own, end: end, keys: keyring{},
 		customers: make(map[poplarwinch.CustomerID]*Customer, len(own.Customers)),
 		models:    make(map[poplarwinch.ModelName]*Model, len(own.Models)),
 		services:  make(map[poplarwinch.ServiceName]*Service, len(own.Services)),
