Split files by type, keep a commit in progress from raising a stale-table alarm

Cause: a read of the row that overlapped a commit of the same instance looked like a restored table; an invalid manifest in the table was fetched again at every read. Change: the active state is taken before the row is read; the last rejected digest is remembered; one type in each file.

--- a/cmd/poplarwinch/arguments.go
+++ b/cmd/poplarwinch/arguments.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"context"
-	"io"
-	"runtime/debug"
-)
+import "runtime/debug"
 
 // arguments are the command line.
 type arguments struct {
@@ -14,23 +10,6 @@
 	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file"`
 }
 
-// command is a subcommand.
-type command interface {
-	run(ctx context.Context, stdout, stderr io.Writer) error
-}
-
-// manifestCommand groups the commands about manifests.
-type manifestCommand struct {
-	Check  *manifestCheckCommand  `arg:"subcommand:check" help:"check a manifest file"`
-	Commit *manifestCommitCommand `arg:"subcommand:commit" help:"make a manifest the current one"`
-	Show   *manifestShowCommand   `arg:"subcommand:show" help:"show the active manifest with its version and digest"`
-}
-
-// settingsCommand groups the commands about settings.
-type settingsCommand struct {
-	Check *settingsCheckCommand `arg:"subcommand:check" help:"check a settings file and the files it refers to"`
-}
-
 // Description returns the first line of the help text.
 func (arguments) Description() string {
 	return "poplarwinch serves language-model prompts in front of model engines and plain services."
--- a/cmd/poplarwinch/operator.go
+++ b/cmd/poplarwinch/operator.go
@@ -3,14 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/poplarwinch/poplarwinch"
 )
 
 const (
@@ -25,17 +21,6 @@
 	TokenFile string `arg:"--token-file" placeholder:"FILE" help:"file with the token for the operator interface"`
 }
 
-// operatorError is the error body of the operator interface.
-type operatorError struct {
-	Type    poplarwinch.Kind    `json:"type"`
-	Message string              `json:"message"`
-	Remedy  string              `json:"remedy"`
-	Outcome poplarwinch.Outcome `json:"outcome"`
-}
-
-// unsettledError is a failure after which the instance may have done what it was asked for.
-type unsettledError struct{ failure }
-
 // request sends one request and returns the body of a successful answer.
 func (o *operator) request(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
 	token, err := readToken(o.TokenFile)
@@ -77,40 +62,3 @@
 	}
 	return data, nil
 }
-
-func unsettled(format string, values ...any) error {
-	return &unsettledError{failure{
-		code: exitFailed, message: fmt.Sprintf(format, values...), remedy: "check the address or use another instance",
-	}}
-}
-
-// Unwrap makes the failure visible to report.
-func (e *unsettledError) Unwrap() error { return &e.failure }
-
-// refusal returns the error for an answer other than 200.
-func refusal(status int, data []byte) error {
-	var body struct {
-		Error operatorError `json:"error"`
-	}
-	if json.Unmarshal(data, &body) != nil || body.Error.Type == "" {
-		f := failure{
-			code: exitFailed, message: fmt.Sprintf("the instance answered with status %d", status),
-			remedy: "check that the address is that of the operator interface",
-		}
-		if status >= http.StatusInternalServerError {
-			return &unsettledError{f}
-		}
-		return &f
-	}
-	e := body.Error
-	f := failure{code: exitFailed, message: string(e.Type) + ": " + e.Message, remedy: e.Remedy}
-	if e.Outcome != "" {
-		f.message += " (outcome: " + string(e.Outcome) + ")"
-	}
-	if e.Type == poplarwinch.KindConflict {
-		f.code = exitConflict
-	} else if e.Outcome != poplarwinch.OutcomeNotRun {
-		return &unsettledError{f}
-	}
-	return &f
-}
--- a/configuration/sources.go
+++ b/configuration/peers.go
@@ -6,21 +6,6 @@
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
-// Table reaches the table service.
-type Table struct {
-	// Get reads a row consistently.
-	Get func(ctx context.Context, key string) (Row, bool, error)
-	// Put writes a row if the condition holds.
-	Put func(ctx context.Context, row Row, condition Condition) error
-}
-
-// Objects reaches the object store.
-type Objects struct {
-	Get func(ctx context.Context, key string) ([]byte, error)
-	// PutNew stores an object under a new key; ErrExists if there is one already.
-	PutNew func(ctx context.Context, key string, data []byte) error
-}
-
 // Peers reaches the other instances. The functions return when ctx ends, with what they have by then.
 type Peers struct {
 	// Records returns the active records of the peers that answer, and an error if there are peers but none answers.
--- a/configuration/record.go
+++ b/configuration/record.go
@@ -21,13 +21,6 @@
 	Commits []CommitRef `json:"commits"`
 }
 
-// CommitRef identifies an accepted commit.
-type CommitRef struct {
-	ID      string           `json:"id"`
-	Version manifest.Version `json:"version"`
-	Digest  string           `json:"digest"`
-}
-
 // Encode returns the record as JSON.
 func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -34,7 +34,9 @@
 	active atomic.Pointer[state]
 	// partial holds sections of a record that could not be fetched completely, for the next attempt.
 	partial atomic.Pointer[map[string][]byte]
-	offers  offers
+	// rejected is the last manifest that failed validation; its sections are not fetched again at each read of the row.
+	rejected atomic.Pointer[rejection]
+	offers   offers
 	// announcements wakes the loop that announces the active version.
 	announcements chan struct{}
 	// wake makes the loop that reads the table do so at once.
@@ -43,13 +45,6 @@
 	polled atomic.Int64
 }
 
-// state is an active manifest with its record and the bodies of its sections by digest.
-type state struct {
-	record   Record
-	index    *manifest.Index
-	sections map[string][]byte
-}
-
 // New returns a store without an active manifest.
 func New(opts ...Option) *Store {
 	s := &Store{announcements: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
--- a/manifest/key.go
+++ b/manifest/keyring.go
@@ -7,23 +7,6 @@
 	"strings"
 )
 
-const keyHashPrefix = "sha256:"
-
-// HashKey returns the hash of a customer key as a manifest lists it.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return keyHashPrefix + hex.EncodeToString(sum[:])
-}
-
-// keyPrefix is the part of a key's digest that selects the candidates. Its lookup time depends only on these bytes
-// of a SHA-256 digest, from which nothing about the remaining bytes follows.
-type keyPrefix [8]byte
-
-type keyEntry struct {
-	digest   [sha256.Size]byte
-	customer *Customer
-}
-
 // keyring finds the customer of a key.
 type keyring map[keyPrefix][]keyEntry
 
