Test the outcomes of claims, check the confirmed row of a ticket

Cause: the kinds and outcomes that callers see were covered only in part, and a closed connection for each failed condition would have gone unnoticed. Change: table of outcomes, example, check of the row behind each ticket.

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -10,14 +10,6 @@
 	"github.com/poplarwinch/poplarwinch/table"
 )
 
-// proof says how an attempt learnt that its own write put the row into the state sending.
-type proof string
-
-const (
-	proofReply proof = "reply"
-	proofRead  proof = "read"
-)
-
 // attempt is one try to claim a call. Its id is unique, and it writes the state sending at most once.
 type attempt struct {
 	ledger  *Ledger
@@ -27,7 +19,8 @@
 	started clock.Millis
 	// condition is that of the write of the state sending.
 	condition table.Condition
-	proof     proof
+	// confirmed is the row that this attempt wrote, once the reply or a later read has shown that the write took effect.
+	confirmed *table.Row
 }
 
 func (l *Ledger) newAttempt(call Call, condition table.Condition) *attempt {
@@ -50,9 +43,12 @@
 // checkProof checks the invariant behind "at most once": only the own successful write of the state sending permits to
 // send.
 func (a *attempt) checkProof() error {
-	if a.proof != proofReply && a.proof != proofRead {
+	if a.confirmed == nil {
 		return fmt.Errorf("attempt %s has no proof that it holds the claim", a.id)
 	}
+	if r := a.confirmed; r.Key != a.key || r.Attempt != a.id || r.State != stateSending {
+		return fmt.Errorf("attempt %s has a row of attempt %s in the state %s as proof", a.id, r.Attempt, r.State)
+	}
 	return nil
 }
 
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -128,11 +128,12 @@
 // prevents the write from taking effect later. Settled means that the attempt never sends; neither held nor settled
 // means that another attempt has the row.
 func (l *Ledger) claim(ctx context.Context, a *attempt) (held, settled bool, err error) {
-	err = l.put(ctx, a.sending(), a.condition)
+	written := a.sending()
+	err = l.put(ctx, written, a.condition)
 	var without *table.UnavailableError
 	switch {
 	case err == nil:
-		a.proof = proofReply
+		a.confirmed = &written
 		return true, false, nil
 	case errors.Is(err, table.ErrConditionFailed):
 		return false, false, nil
@@ -150,7 +151,7 @@
 		l.queue.add(&job{step: a.close, bytes: a.size()})
 		return false, true, nil
 	case exists && row.Attempt == a.id && row.State == stateSending:
-		a.proof = proofRead
+		a.confirmed = &row
 		return true, false, nil
 	case !a.condition.Holds(row, exists):
 		return false, false, nil
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,7 +17,7 @@
 )
 
 // timeout is far above the time of a call on loopback, so that only calls without an answer reach it.
-const timeout = 500 * time.Millisecond
+const timeout = time.Second
 
 func start(t *testing.T) (*emulator.Server, *table.Table) {
 	t.Helper()
@@ -108,8 +111,8 @@
 	}{
 		"none":             {write: "done", read: "done", applied: true},
 		"lost reply":       {faults: fault.Faults{LoseReply: true}, write: "uncertain", read: "unavailable", applied: true},
-		"late reply":       {faults: fault.Faults{DelayAfter: 2 * clock.Second}, write: "uncertain", read: "unavailable", applied: true},
-		"late write":       {faults: fault.Faults{DelayBefore: 700}, write: "uncertain", read: "unavailable"},
+		"late reply":       {faults: fault.Faults{DelayAfter: 3 * clock.Second}, write: "uncertain", read: "unavailable", applied: true},
+		"late write":       {faults: fault.Faults{DelayBefore: 1300}, write: "uncertain", read: "unavailable"},
 		"503":              {faults: fault.Faults{Outage: fault.Unavailable}, write: "uncertain", read: "unavailable"},
 		"silent":           {faults: fault.Faults{Outage: fault.Silent}, write: "uncertain", read: "unavailable"},
 		"silent writes":    {faults: fault.Faults{Outage: fault.Silent, AppliesTo: fault.Writes}, write: "uncertain", read: "done"},
@@ -189,6 +192,28 @@
 	put(t, c, table.Row{Key: "k"})
 }
 
+// A contended claim must not cost a new connection for each failed condition.
+func TestFailedConditionKeepsConnection(t *testing.T) {
+	var opened atomic.Int64
+	h := httptest.NewUnstartedServer(emulator.New())
+	h.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	h.Start()
+	defer h.Close()
+	c := table.New(table.WithEndpoint(h.URL))
+	for range 5 {
+		if got := category(c.Put(context.Background(), table.Row{Key: "k"}, table.VersionIs(1))); got != "condition failed" {
+			t.Fatalf("Put(): %s", got)
+		}
+	}
+	if n := opened.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+}
+
 // A client that repeats calls on its own would apply a write twice and multiply the load during an outage.
 func TestSendsOnce(t *testing.T) {
 	for _, f := range []fault.Faults{{Outage: fault.Unavailable}, {LoseReply: true}, {WritesPerSecond: 0.001}} {
