Tell peers at once when an upstream changes its state

Cause: gossip needs several rounds to reach a large domain, and a leaving upstream must get no new work after 3 s. Change: a probe that finds another state sends a notice to all peers.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -247,7 +247,8 @@
 func (i *Instance) watcher() *upstream.Watcher {
 	p := &prober{clock: i.clock, engines: i.engines, services: i.services}
 	w := upstream.NewWatcher(i.registry)
-	w.Health, w.Load, w.Died, w.Owned = p.health, p.load, i.died, i.watches
+	w.Health, w.Load, w.Owned = p.health, p.load, i.watches
+	w.Died, w.Changed = i.died, i.changed
 	return w
 }
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -109,9 +109,10 @@
 	i.notify(peer.Notice{Suspects: suspectsToPeers(suspects)})
 }
 
-// changed tells the peers at once about an upstream that is leaving or down.
-func (i *Instance) changed(observations []upstream.Observation) {
-	i.notify(peer.Notice{Observations: toPeers(observations)})
+// changed tells the peers at once about an upstream that a probe found in another state.
+func (i *Instance) changed(o upstream.Observation) {
+	i.log.WithField("upstream", string(o.ID)).WithField("state", string(o.State)).Info("upstream changed its state")
+	i.notify(peer.Notice{Observations: toPeers([]upstream.Observation{o})})
 }
 
 // notify sends a notice in the background.
--- a/peer/endpoint_test.go
+++ b/peer/endpoint_test.go
@@ -215,17 +215,18 @@
 		if q.Version != 4 {
 			return peer.ManifestPart{}, &poplarwinch.Error{Kind: poplarwinch.KindNotFound}
 		}
-		part := peer.ManifestPart{Version: 4, Digest: "d", Sections: []peer.Section{{Name: "models", Digest: "a"}, {Name: "customers", Digest: "b"}}}
+		part := peer.ManifestPart{Version: 4, Digest: "d", Record: []byte("record")}
 		for _, want := range q.Want {
 			if want == "b" {
-				part.Sections[1].Data = large
+				part.Sections = append(part.Sections, peer.Section{Digest: want, Data: large})
 			}
 		}
 		return part, nil
 	}
-	part, err := x.Manifest(context.Background(), y.self, peer.ManifestQuery{Version: 4, Want: []string{"b"}})
-	if err != nil || part.Version != 4 || len(part.Sections) != 2 || part.Sections[0].Data != nil || !bytes.Equal(part.Sections[1].Data, large) {
-		t.Errorf("Manifest() = version %d, %d sections, %v", part.Version, len(part.Sections), err)
+	part, err := x.Manifest(context.Background(), y.self, peer.ManifestQuery{Version: 4, Want: []string{"a", "b"}})
+	if err != nil || part.Version != 4 || part.Digest != "d" || string(part.Record) != "record" || len(part.Sections) != 1 ||
+		part.Sections[0].Digest != "b" || !bytes.Equal(part.Sections[0].Data, large) {
+		t.Errorf("Manifest() = version %d, record %q, %d sections, %v", part.Version, part.Record, len(part.Sections), err)
 	}
 	if _, err := x.Manifest(context.Background(), y.self, peer.ManifestQuery{Version: 5}); kind(err) != poplarwinch.KindNotFound {
 		t.Errorf("Manifest() = %v for an unknown version, want kind not-found", err)
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -29,6 +29,9 @@
 	Load func(ctx context.Context, u *Upstream) (Load, error)
 	// Owned reports whether this instance is one of the upstream's watchers; nil means that it watches all.
 	Owned func(id poplarwinch.UpstreamID) bool
+	// Changed is called with a probe's observation when it changes the state of the upstream, so that peers need not wait
+	// for gossip; nil means that nobody is told.
+	Changed func(o Observation)
 	// Died is called when a probe reveals that the upstream's process ended.
 	Died func(id poplarwinch.UpstreamID)
 
@@ -87,12 +90,16 @@
 	if ctx.Err() != nil {
 		return
 	}
+	before := u.State()
 	// The state is merged before the load is read, so that a slow report doesn't delay leaving.
 	for _, id := range w.registry.merge([]Observation{o}) {
 		if w.Died != nil {
 			w.Died(id)
 		}
 	}
+	if w.Changed != nil && u.State() != before {
+		w.Changed(o)
+	}
 	if u.Kind != KindEngine || o.State == StateDown || w.Load == nil {
 		return
 	}
