--- a/operator/manifest.go
+++ b/operator/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,24 +16,25 @@
 const (
 	headerReplaces = "Replaces"
 	headerCommitID = "Commit-Id"
-	headerVersion  = "Manifest-Version"
-	headerDigest   = "Manifest-Digest"
 )
 
 // commitIDLimit bounds a commit id, which is stored in the table row.
 const commitIDLimit = 128
 
+// wireManifest is the answer of GET /manifest.
+type wireManifest struct {
+	Version  uint64          `json:"version"`
+	Digest   string          `json:"digest"`
+	Manifest json.RawMessage `json:"manifest"`
+}
+
 func (s *Server) getManifest(w http.ResponseWriter, r *http.Request) {
 	data, v, err := s.Manifest(r.Context())
 	if err != nil {
 		writeError(w, poplarwinch.AsError(err, poplarwinch.OutcomeNotRun))
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.Header().Set(headerVersion, strconv.FormatUint(v.Version, 10))
-	w.Header().Set(headerDigest, v.Digest)
-	_, _ = w.Write(data) // the operator's connection broke; nothing is left to tell
+	writeJSON(w, http.StatusOK, wireManifest{Version: v.Version, Digest: v.Digest, Manifest: data})
 }
 
 func (s *Server) putManifest(w http.ResponseWriter, r *http.Request) {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -145,8 +145,14 @@
 	if w := do(s, http.MethodGet, "/metrics", nil); w.Code != 200 || !strings.Contains(w.Body.String(), "process_") {
 		t.Errorf("GET /metrics: %d, no process metrics", w.Code)
 	}
-	if w := do(s, http.MethodGet, "/manifest", nil); w.Body.String() != `{"service":"doors"}` || w.Header().Get("Manifest-Version") != "3" {
-		t.Errorf("GET /manifest: %s %v", w.Body, w.Header())
+	var shown struct {
+		Version  uint64
+		Digest   string
+		Manifest struct{ Service string }
+	}
+	if w := do(s, http.MethodGet, "/manifest", nil); json.Unmarshal(w.Body.Bytes(), &shown) != nil ||
+		shown.Version != 3 || shown.Digest != "d3" || shown.Manifest.Service != "doors" {
+		t.Errorf("GET /manifest: %s", w.Body)
 	}
 	if w := do(s, http.MethodDelete, "/manifest", nil); w.Code != 405 || strings.Join(w.Header().Values("Allow"), ",") != "GET,PUT" {
 		t.Errorf("DELETE /manifest: %d, Allow %v", w.Code, w.Header().Values("Allow"))
