Test admission and the window counter

Cause: admission had no tests; a queued request behind the head kept waiting after its limit could no longer be met, and the total in flight could exceed the customers' accounts for an instant. Change: tests in virtual time; waiters are swept every 100 ms; the total is released before the account; Clear skips buckets that are already empty.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -16,6 +17,8 @@
 const (
 	// The first waiter of each lane repeats its prediction at this interval.
 	pollInterval clock.Millis = 20
+	// All waiters of a lane are checked against their deadlines at this interval.
+	sweepInterval clock.Millis = 100
 	// Bounds of the Retry-After estimate.
 	minRetryAfter = clock.Second
 	maxRetryAfter = clock.Minute
@@ -88,10 +91,11 @@
 	var once atomic.Bool
 	return func() {
 		if once.CompareAndSwap(false, true) {
-			c.remove(account, &r)
+			// The total goes first, so that it never exceeds the sum of the customers' accounts.
 			if !c.total.remove(r.cost()) {
 				c.violated("admitted-tokens-add-up", "total after release of "+string(r.Prompt.RequestID))
 			}
+			c.remove(account, &r)
 		}
 	}, nil
 }
@@ -231,6 +235,19 @@
 	}
 }
 
+// sweep rejects the waiters of the lane whose limit ends before the predicted wait, at most every 100 ms.
+func (c *Controller) sweep(l *lane, now clock.Millis, f routing.Forecast) {
+	if now-l.sweptAt < sweepInterval {
+		return
+	}
+	l.sweptAt = now
+	for _, w := range slices.Clone(l.waiters) {
+		if late := now + f.Wait - w.request.Deadline; late > 0 {
+			c.leave(w, overloaded(f.Wait, late))
+		}
+	}
+}
+
 // dispatch admits waiters of w's lane while the predicted wait allows it. It returns the head of the lane, or nil and
 // w's result when w has left the lane.
 func (c *Controller) dispatch(w *waiter) (*waiter, error) {
@@ -246,7 +263,11 @@
 			continue
 		}
 		if ok && (c.queued(priority-1) > 0 || f.Wait > c.limitOf(priority) || !lane.paced(now, int64(head.request.Prompt.Tokens), c.part(f))) {
-			return head, nil
+			c.sweep(lane, now, f)
+			if w.done {
+				return nil, w.err
+			}
+			return lane.head(), nil
 		}
 		lane.advance(head)
 		c.leave(head, nil)
--- a/admission/engine_test.go
+++ b/admission/engine_test.go
@@ -34,6 +34,12 @@
 	canceled bool
 }
 
+// use is one use of a block of the prefix cache.
+type use struct {
+	block  uint64
+	number int
+}
+
 // fakeEngine is a model engine with chunked prefill, priorities and a prefix cache, in virtual time.
 type fakeEngine struct {
 	s        *simulation
@@ -43,6 +49,7 @@
 	decoding []*job
 	cache    map[uint64]int
 	uses     int
+	stored   []use
 	busy     bool
 }
 
@@ -113,15 +120,14 @@
 	for _, block := range blocks {
 		e.uses++
 		e.cache[block] = e.uses
+		e.stored = append(e.stored, use{block, e.uses})
 	}
 	for len(e.cache) > fakeBlocks {
-		oldest, use := uint64(0), e.uses+1
-		for block, u := range e.cache {
-			if u < use {
-				oldest, use = block, u
-			}
+		oldest := e.stored[0]
+		e.stored = e.stored[1:]
+		if e.cache[oldest.block] == oldest.number {
+			delete(e.cache, oldest.block)
 		}
-		delete(e.cache, oldest)
 	}
 }
 
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -19,6 +19,7 @@
 	queue
 	pace    float64
 	pacedAt clock.Millis
+	sweptAt clock.Millis
 }
 
 // paced takes tokens from the instance's part of the engines' rate and reports whether there was any left. One
--- a/admission/policies_test.go
+++ b/admission/policies_test.go
@@ -17,9 +17,9 @@
 
 var simSeeds = []uint64{1, 2, 3, 4, 5}
 
-// steady returns five minutes of arrivals at 16 a second, about half of the fleet's prefill rate.
-func steady(seed uint64) []arrival {
-	return generate(seed, 300, func(float64) float64 { return 16 })
+// steady returns arrivals at 16 a second, about half of the fleet's prefill rate.
+func steady(seed uint64, seconds float64) []arrival {
+	return generate(seed, seconds, func(float64) float64 { return 16 })
 }
 
 // surge returns 60 s of arrivals that rise from 10 to 100 a second within 5 s, hold for 20 s and fall again.
@@ -114,7 +114,7 @@
 				add := func(name string, value float64) { figures[name] = append(figures[name], value) }
 				for _, seed := range simSeeds {
 					c := setup{policy: policy, admission: policy == "router", fifo: fifo, seed: seed, violated: violated}
-					c.arrivals = steady(seed)
+					c.arrivals = steady(seed, 300)
 					shared := simulate(c)
 					c.arrivals = withoutLong(c.arrivals)
 					unshared := simulate(c)
@@ -147,3 +147,25 @@
 		fmt.Println(text.String())
 	}
 }
+
+// Guards against a change that lets long prompts slow short ones down or that rejects short prompts at a surge. The
+// limit for the slowdown is the project's target.
+func TestShortPromptsAreProtected(t *testing.T) {
+	violated := func(name, detail string) { t.Errorf("invariant %s broken: %s", name, detail) }
+	var slowdowns []float64
+	for _, seed := range simSeeds[:3] {
+		c := setup{policy: "router", admission: true, seed: seed, violated: violated, arrivals: steady(seed, 100)}
+		shared := simulate(c)
+		c.arrivals = withoutLong(c.arrivals)
+		slowdowns = append(slowdowns, quantile(shared, routing.ClassShort, 0.95)/quantile(simulate(c), routing.ClassShort, 0.95))
+		c.arrivals = surge(seed)
+		short := func(a *answer) bool { return inSurge(a) && a.class == routing.ClassShort }
+		if got := share(simulate(c), func(a *answer) bool { return a.inTime }, short); got < 99 {
+			t.Errorf("seed %d: %.1f%% of the short prompts of the surge were answered in time, want 99%%", seed, got)
+		}
+	}
+	slices.Sort(slowdowns)
+	if slowdowns[1] > 1.10 {
+		t.Errorf("p95 of short prompts sharing the fleet is %.3f times the unshared one, want at most 1.10", slowdowns[1])
+	}
+}
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -81,7 +82,13 @@
 	policy     routing.Policy
 	router     *routing.Router
 	controller *Controller
-	queued     map[*waiter]func(error)
+	queued     []*queuedRequest
+}
+
+// queuedRequest is a request that waits for admission.
+type queuedRequest struct {
+	waiter  *waiter
+	decided func(error)
 }
 
 // setup selects what is simulated.
@@ -122,7 +129,7 @@
 
 func newSimInstance(s *simulation, c setup, i int, list []upstream.Listed) *simInstance {
 	domain, random := simDomains[i%3], rand.New(rand.NewPCG(c.seed, uint64(i))).Uint64
-	n := &simInstance{s: s, id: poplarwinch.InstanceID(fmt.Sprint(i)), queued: map[*waiter]func(error){}}
+	n := &simInstance{s: s, id: poplarwinch.InstanceID(fmt.Sprint(i))}
 	n.registry = upstream.New(upstream.WithClock(s.manual.Clock()), upstream.WithViolated(s.violated))
 	n.registry.Apply(list)
 	n.router = routing.New(routing.WithClock(s.manual.Clock()), routing.WithFailureDomain(domain),
@@ -201,27 +208,23 @@
 		decided(err)
 		return
 	}
-	n.queued[w] = decided
+	n.queued = append(n.queued, &queuedRequest{w, decided})
 	n.poll()
 }
 
 // poll does what the waiting callers of Admit do.
 func (n *simInstance) poll() {
-	for done := true; done; {
-		done = false
-		for i := range n.controller.lanes {
-			if head := n.controller.lanes[i].head(); head != nil {
-				n.controller.dispatch(head)
-			}
-		}
-		for w, decided := range n.queued {
-			if w.done {
-				delete(n.queued, w)
-				decided(w.err)
-				done = true
-			}
+	for i := range n.controller.lanes {
+		if head := n.controller.lanes[i].head(); head != nil {
+			n.controller.dispatch(head)
 		}
 	}
+	n.queued = slices.DeleteFunc(n.queued, func(q *queuedRequest) bool {
+		if q.waiter.done {
+			q.decided(q.waiter.err)
+		}
+		return q.waiter.done
+	})
 }
 
 func (n *simInstance) send(p *routing.Prompt, result *answer) {
--- a/internal/window/counter.go
+++ b/internal/window/counter.go
@@ -18,6 +18,8 @@
 type Counter struct {
 	width   clock.Millis
 	buckets []atomic.Uint64
+	// cleared is the epoch up to which Clear has emptied the buckets.
+	cleared atomic.Int64
 }
 
 // New returns a counter with n buckets of the given width.
@@ -61,7 +63,8 @@
 func (c *Counter) Clear(now, end clock.Millis) int64 {
 	var cleared int64
 	last := int64(end/c.width) - 1
-	for epoch := int64(now/c.width) - int64(len(c.buckets)) + 1; epoch <= last; epoch++ {
+	first := max(int64(now/c.width)-int64(len(c.buckets))+1, min(c.cleared.Swap(last), last))
+	for epoch := first; epoch <= last; epoch++ {
 		bucket := c.bucket(epoch)
 		for {
 			old := bucket.Load()
