Finish claimed calls without their caller; probe an engine that lost a stream

Cause: a caller that disconnected ended its booking call with an unknown outcome although the service would have answered; a lost engine was noticed by the next probe only, up to 2.5 s after its prompts had moved on. Change: claimed calls run to their deadline; a lost stream probes at once, so the death is known before the prompt runs elsewhere.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,6 +80,10 @@
 	if outOfMemory(err) {
 		p.grouped = true
 	}
+	if lost(err) {
+		// Whether the engine died decides how the prompt may run again.
+		p.server.check(ctx, u)
+	}
 	a.abandon(err)
 	return err
 }
--- a/entry/option.go
+++ b/entry/option.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/apex/log"
 
 	"github.com/poplarwinch/poplarwinch/admission"
@@ -56,3 +58,9 @@
 
 // WithSigner sets the signer of resume tokens.
 func WithSigner(t *token.Signer) Option { return func(s *Server) { s.signer = t } }
+
+// WithCheck sets the function that probes an upstream after a request to it failed, and that returns once the result is
+// known to the registry and the quarantine.
+func WithCheck(check func(ctx context.Context, u *upstream.Upstream)) Option {
+	return func(s *Server) { s.check = check }
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -171,3 +171,12 @@
 	}
 	return false
 }
+
+// lost reports whether the engine may have ended or restarted.
+func lost(err error) bool {
+	switch reason(err) {
+	case engine.ReasonUnreachable, engine.ReasonUnknownStream, engine.ReasonTruncated, engine.ReasonStalled:
+		return true
+	}
+	return false
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,6 +40,7 @@
 	services   *service.Client
 	claims     *claim.Ledger
 	signer     *token.Signer
+	check      func(ctx context.Context, u *upstream.Upstream)
 
 	bodies    *bodyBudget
 	ratios    ratios
@@ -55,7 +56,8 @@
 func New(opts ...Option) *Server {
 	s := &Server{
 		clock: clock.System(), log: log.Log, limits: DefaultLimits(),
-		idle: make(chan struct{}, 1), metrics: newMetrics(),
+		check: func(context.Context, *upstream.Upstream) {},
+		idle:  make(chan struct{}, 1), metrics: newMetrics(),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/entry/services.go
+++ b/entry/services.go
@@ -171,8 +171,11 @@
 	return r.claimed(ctx, ticket)
 }
 
-// claimed sends the call that the ticket permits and settles the claim.
+// claimed sends the call that the ticket permits and settles the claim. A caller that disconnects does not end the call:
+// its answer is recorded for the repeat, which would otherwise be told that the outcome is unknown.
 func (r *serviceRun) claimed(ctx context.Context, ticket *claim.Ticket) error {
+	ctx, cancelCall := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+	defer cancelCall()
 	answer, err := r.sendOnce(ctx)
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -56,6 +56,7 @@
 	roster   *roster.Roster
 
 	registry   *upstream.Registry
+	watcher    *upstream.Watcher
 	router     *routing.Router
 	admission  *admission.Controller
 	retries    *admission.RetryBudget
@@ -117,6 +118,7 @@
 	i.registry = upstream.New(
 		upstream.WithClock(i.clock), upstream.WithDied(i.died), upstream.WithViolated(i.alarms.violated),
 	)
+	i.watcher = i.newWatcher()
 	i.router = routing.New(
 		routing.WithClock(i.clock), routing.WithFailureDomain(domain), routing.WithViolated(i.alarms.violated),
 	)
@@ -151,7 +153,7 @@
 	i.entry = entry.New(
 		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActive(i.store.Active),
 		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
-		entry.WithQuarantine(i.quarantine), entry.WithEngines(i.engines, i.groups),
+		entry.WithQuarantine(i.quarantine), entry.WithCheck(i.watcher.Check), entry.WithEngines(i.engines, i.groups),
 		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
 	)
 }
@@ -189,7 +191,7 @@
 	i.loop(ctx, i.claims.Run)
 	i.loop(ctx, i.groups.Run)
 	i.loop(ctx, i.sweeper.Run)
-	i.loop(ctx, i.watcher().Run)
+	i.loop(ctx, i.watcher.Run)
 	i.loop(ctx, i.members.Run)
 	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
 	i.loop(ctx, func(ctx context.Context) error { return i.operator.Serve(ctx, i.listeners.operator) })
@@ -244,7 +246,7 @@
 	})
 }
 
-func (i *Instance) watcher() *upstream.Watcher {
+func (i *Instance) newWatcher() *upstream.Watcher {
 	p := &prober{clock: i.clock, engines: i.engines, services: i.services}
 	w := upstream.NewWatcher(i.registry)
 	w.Health, w.Load, w.Owned = p.health, p.load, i.watches
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// Check probes an upstream at once, because a request to it failed. It returns when the result is merged; a probe that is
+// under way already is not waited for.
+func (w *Watcher) Check(ctx context.Context, u *Upstream) {
+	w.mutex.Lock()
+	_, running := w.busy[u.ID]
+	w.busy[u.ID] = struct{}{}
+	w.mutex.Unlock()
+	if !running {
+		w.run(ctx, u)
+	}
+}
+
 // run probes one upstream once.
 func (w *Watcher) run(ctx context.Context, u *Upstream) {
 	defer func() {
