--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -70,10 +70,12 @@
 	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work), group: spot.group}
 	defer spot.end()
 	defer a.ticket.End()
+	before := p.server.quarantine.Deaths(p.fingerprint)
 	err = a.run(ctx)
 	if err == nil {
 		p.server.quarantine.Completed(u.ID, p.fingerprint)
 		a.freeGroup()
+		p.releasePermit(ctx, spot.permit, false)
 		return nil
 	}
 	p.prompt.Avoid = append(p.prompt.Avoid, u.ID)
@@ -84,21 +86,58 @@
 		// Whether the engine died decides how the prompt may run again.
 		p.server.check(ctx, u)
 	}
+	died := p.server.quarantine.Deaths(p.fingerprint) > before || lost(err) && u.State() == upstream.StateDown
+	p.releasePermit(ctx, spot.permit, died)
 	a.abandon(err)
 	return err
 }
 
+// releasePermit records the end of a suspect's run, also when the request's time limit has passed.
+func (p *promptRun) releasePermit(ctx context.Context, permit *quarantine.Permit, died bool) {
+	if permit == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	if err := permit.Release(ctx, died); err != nil {
+		p.log.WithError(err).Warn("end of a suspect's run not recorded; it counts as a crash after its time limit")
+	}
+}
+
 // spot is the engine that runs an attempt, with the memory that is reserved for it.
 type spot struct {
 	upstream *upstream.Upstream
 	group    *reservation.Group
 	// cached is the part of the prompt that is believed to be in the engine's prefix cache.
 	cached poplarwinch.Tokens
+	// permit allows a suspect to run.
+	permit *quarantine.Permit
 	end    func()
 }
 
-// choose selects an engine and registers the prompt as running there.
+// choose selects an engine and registers the prompt as running there. A suspect needs a permit first.
 func (p *promptRun) choose(ctx context.Context) (*spot, error) {
+	var permit *quarantine.Permit
+	switch p.server.quarantine.Check(p.fingerprint) {
+	case quarantine.VerdictReject:
+		return nil, quarantine.Rejected()
+	case quarantine.VerdictIsolate:
+		var err error
+		if permit, err = p.server.guard.Isolate(ctx, p.server.quarantine, p.fingerprint, clock.FromTime(p.deadline)); err != nil {
+			return nil, err
+		}
+	}
+	found, err := p.claimEngine(ctx)
+	if err != nil {
+		p.releasePermit(ctx, permit, false)
+		return nil, err
+	}
+	found.permit = permit
+	return found, nil
+}
+
+// claimEngine selects an engine on which the prompt may start now.
+func (p *promptRun) claimEngine(ctx context.Context) (*spot, error) {
 	s := p.server
 	avoid := len(p.prompt.Avoid)
 	for {
@@ -114,7 +153,7 @@
 				s.groups.Free(group)
 			}
 			if s.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
-				return nil, quarantined()
+				return nil, quarantine.Rejected()
 			}
 			p.prompt.Avoid = append(p.prompt.Avoid, decision.Upstream.ID)
 			continue
--- a/entry/option.go
+++ b/entry/option.go
@@ -43,8 +43,11 @@
 	return func(s *Server) { s.admission, s.retries = c, b }
 }
 
-// WithQuarantine sets the register of requests that are suspected of crashing engines.
-func WithQuarantine(q *quarantine.Register) Option { return func(s *Server) { s.quarantine = q } }
+// WithQuarantine sets the register of requests that are suspected of crashing engines, and the guard that lets one copy
+// of them run at a time.
+func WithQuarantine(q *quarantine.Register, g *quarantine.Guard) Option {
+	return func(s *Server) { s.quarantine, s.guard = q, g }
+}
 
 // WithEngines sets the client for model engines and the builder of groups for prompts that one engine can't hold.
 func WithEngines(c *engine.Client, b *reservation.Builder) Option {
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -120,7 +120,7 @@
 // admitted waits for admission and runs the prompt.
 func (p *promptRun) admitted(ctx context.Context) error {
 	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
-		return quarantined()
+		return quarantine.Rejected()
 	}
 	release, err := p.server.admission.Admit(ctx, admission.Request{
 		Prompt: &p.prompt, Deadline: clock.FromTime(p.deadline), Weight: p.customer.Weight,
@@ -144,10 +144,3 @@
 
 // sinceStart returns the time since the request arrived.
 func (x *exchange) sinceStart() clock.Millis { return clock.FromDuration(time.Since(x.started)) }
-
-func quarantined() *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: 10 * clock.Minute,
-		Message: "this request has crashed two engines", Remedy: "change the request, or ask the operators to look at the engines' logs",
-	}
-}
--- a/entry/server.go
+++ b/entry/server.go
@@ -35,6 +35,7 @@
 	admission  *admission.Controller
 	retries    *admission.RetryBudget
 	quarantine *quarantine.Register
+	guard      *quarantine.Guard
 	engines    *engine.Client
 	groups     *reservation.Builder
 	services   *service.Client
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -153,7 +153,7 @@
 	i.entry = entry.New(
 		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActive(i.store.Active),
 		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
-		entry.WithQuarantine(i.quarantine), entry.WithCheck(i.watcher.Check), entry.WithEngines(i.engines, i.groups),
+		entry.WithQuarantine(i.quarantine, quarantine.NewGuard(i.clock, i.table.Get, i.table.Put)), entry.WithCheck(i.watcher.Check), entry.WithEngines(i.engines, i.groups),
 		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
 	)
 }
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -101,9 +101,12 @@
 			emulatedengine.WithPrefillRate(2_000_000), emulatedengine.WithStep(2), emulatedengine.WithWaitingInterval(50),
 			emulatedengine.WithModels(emulatedengine.Model{Name: "drafting", Version: "1", Adapters: []emulatedengine.Adapter{{Name: "notes", Version: "1"}}}),
 		}, o.engine...)
+		var server *httptest.Server
+		// A crashed process refuses connections.
+		options = append(options, emulatedengine.WithCrash(func() { _ = server.Listener.Close() }))
 		e := emulatedengine.New(options...)
 		w.engines = append(w.engines, e)
-		w.listed(fmt.Sprintf("engine-%d", i), "engine", "drafting", o.domains[i%len(o.domains)], e)
+		server = w.listed(fmt.Sprintf("engine-%d", i), "engine", "drafting", o.domains[i%len(o.domains)], e)
 	}
 	for i := range o.services {
 		s := emulatedservice.New()
@@ -131,13 +134,14 @@
 	return server
 }
 
-func (w *world) listed(id, kind, pool, domain string, h http.Handler) {
+func (w *world) listed(id, kind, pool, domain string, h http.Handler) *httptest.Server {
 	server := w.listen(id, h)
 	host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
 	number, _ := strconv.Atoi(port)
 	w.list = append(w.list, emulatedroster.Endpoint{
 		ID: id, Kind: kind, Name: pool, IP: host, Ports: map[string]int{"http": number}, FailureDomain: domain,
 	})
+	return server
 }
 
 func (w *world) close() {
