--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -10,10 +11,13 @@
 // this long after its last crash.
 const suspicion = 10 * clock.Minute
 
+// Two deaths decide the verdict; more are kept because reports of the same death may still arrive.
+const maxDeaths = 8
+
 // Suspect is a request that ran on an engine that died.
 type Suspect struct {
 	Fingerprint Fingerprint
-	// Deaths are distinct deaths in order of time, at most two.
+	// Deaths are distinct deaths in order of time, at most eight.
 	Deaths []Death
 }
 
@@ -32,22 +36,20 @@
 	return len(s.Deaths) == 0 || now-s.Deaths[len(s.Deaths)-1].At >= suspicion
 }
 
-// with returns the suspect with one more death, and whether that one was new.
+// with returns the suspect with one more death, and whether that one was news.
 func (s Suspect) with(d Death) (Suspect, bool) {
-	for i, known := range s.Deaths {
-		if known.same(d) {
-			if d.At >= known.At {
-				return s, false
-			}
-			s.Deaths = slices.Clone(s.Deaths)
-			s.Deaths[i].At = d.At
-			return s, true
-		}
-	}
-	s.Deaths = append(slices.Clone(s.Deaths), d)
-	slices.SortFunc(s.Deaths, func(a, b Death) int { return int(a.At - b.At) })
-	if len(s.Deaths) > 2 {
-		s.Deaths = s.Deaths[len(s.Deaths)-2:]
+	s.Deaths = slices.Clone(s.Deaths)
+	if i := slices.IndexFunc(s.Deaths, d.same); i < 0 {
+		s.Deaths = append(s.Deaths, d)
+	} else if d.At < s.Deaths[i].At {
+		// All instances keep the earliest report of a death, so that they agree.
+		s.Deaths[i].At = d.At
+	} else {
+		return s, false
 	}
+	slices.SortFunc(s.Deaths, func(a, b Death) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	s.Deaths = s.Deaths[max(0, len(s.Deaths)-maxDeaths):]
 	return s, true
 }
