Assert that leaving upstreams are not selected, tell peers of leaving

Cause: the assertion compared states that may change during a decision, and the origin of a leaving observation has to broadcast it.

--- a/routing/router.go
+++ b/routing/router.go
@@ -84,7 +84,7 @@
 	if d.Upstream.FailureDomain != r.domain && r.domain != "" {
 		d.Reason = ReasonOtherDomain
 	}
-	r.check(d.Upstream, p.Avoid)
+	r.check(now, d.Upstream, p.Avoid)
 	return d, nil
 }
 
@@ -306,7 +306,10 @@
 	return u.Selectable() && !slices.Contains(avoid, u.ID)
 }
 
-func (r *Router) check(u *upstream.Upstream, avoid []poplarwinch.UpstreamID) {
+func (r *Router) check(began clock.Millis, u *upstream.Upstream, avoid []poplarwinch.UpstreamID) {
+	if !u.SelectableSince(began) {
+		r.violated("leaving-upstream-not-selected", fmt.Sprintf("%s is %s", u.ID, u.State()))
+	}
 	if slices.Contains(avoid, u.ID) {
 		r.violated("avoided-upstream-not-selected", fmt.Sprintf("%s was selected", u.ID))
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -25,6 +25,6 @@
 		list[0], list[1] = list[1], list[0]
 	}
 	list = r.sample(now, list, group.All, maxCandidates-len(list), p)
-	r.check(list[0].Upstream, avoid)
+	r.check(now, list[0].Upstream, avoid)
 	return Decision{Upstream: list[0].Upstream, Reason: reason, Candidates: list}, nil
 }
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -31,6 +31,7 @@
 	clock    *clock.Clock
 	violated invariant.Report
 	died     func(poplarwinch.UpstreamID)
+	leaving  func([]Observation)
 	refresh  clock.Millis
 
 	snapshot atomic.Pointer[Snapshot]
@@ -45,6 +46,7 @@
 	r := &Registry{
 		clock: clock.System(), violated: invariant.Log, refresh: clock.Second,
 		died:    func(poplarwinch.UpstreamID) {},
+		leaving: func([]Observation) {},
 		records: map[poplarwinch.UpstreamID]*record{},
 	}
 	for _, opt := range opts {
@@ -60,6 +62,12 @@
 // Apply installs the instance list. Upstreams that it no longer names are kept while they answer probes, and its
 // ready condition counts only for upstreams that nobody has observed yet.
 func (r *Registry) Apply(list []Listed) {
+	if left := r.apply(list); len(left) > 0 {
+		r.leaving(left)
+	}
+}
+
+func (r *Registry) apply(list []Listed) (left []Observation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.clock.Now()
@@ -75,26 +83,30 @@
 		if l.Terminating && !e.leaving {
 			e.leaving = true
 			r.tell(e)
+			left = append(left, e.observations()...)
 		}
-		if u := e.upstream; u == nil || u.Address != l.Address || u.Kind != l.Kind || u.Pool != l.Pool || u.FailureDomain != l.FailureDomain {
+		if !e.upstream.is(l) {
 			r.number++
 			e.upstream = newUpstream(l, r.number, r.clock, r.violated)
 			e.upstream.report(e.seen.Load)
 		}
 	}
 	r.publish()
+	return left
 }
 
 // Merge adds observations of this instance or of peers. The newest one of each upstream counts, except that leaving
 // is never undone.
 func (r *Registry) Merge(observations []Observation) {
-	for _, id := range r.merge(observations) {
+	died, _ := r.merge(observations)
+	for _, id := range died {
 		r.died(id)
 	}
 }
 
-// merge adds observations and returns the upstreams whose death they reveal.
-func (r *Registry) merge(observations []Observation) (died []poplarwinch.UpstreamID) {
+// merge adds observations and returns the upstreams whose death they reveal and what to tell of those that began to
+// leave.
+func (r *Registry) merge(observations []Observation) (died []poplarwinch.UpstreamID, left []Observation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.clock.Now()
@@ -106,7 +118,7 @@
 		}
 		o.At = min(o.At, now+maxSkew)
 		o.Load.At = min(o.Load.At, now)
-		state, models := e.state(), e.seen.Models
+		state, models, leaving := e.state(), e.seen.Models, e.leaving
 		news, dead := e.merge(o)
 		if dead {
 			died = append(died, o.ID)
@@ -119,6 +131,9 @@
 		if e.worthTelling(r.refresh) {
 			r.tell(e)
 		}
+		if e.leaving && !leaving {
+			left = append(left, e.observations()...)
+		}
 		if e.upstream != nil {
 			e.upstream.report(e.seen.Load)
 			e.upstream.peers.Store(e.peerWork(now))
@@ -127,7 +142,7 @@
 	if regroup {
 		r.publish()
 	}
-	return died
+	return died, left
 }
 
 // Changes returns the observations that changed after the position since, and the position to continue from. The
@@ -222,7 +237,7 @@
 		if e.upstream == nil {
 			continue
 		}
-		e.upstream.state.Store(e.state().severity())
+		e.upstream.setState(e.state())
 		s.add(e.upstream, e.seen.Models)
 	}
 	s.finish()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -35,10 +35,12 @@
 	clock    *clock.Clock
 	violated invariant.Report
 	state    atomic.Uint32
-	load     atomic.Pointer[Load]
-	peers    atomic.Pointer[Prefill]
-	running  atomic.Int64
-	prefill  [Priorities]prefillWork
+	// changedAt is the time at which the state was last set to another value.
+	changedAt atomic.Int64
+	load      atomic.Pointer[Load]
+	peers     atomic.Pointer[Prefill]
+	running   atomic.Int64
+	prefill   [Priorities]prefillWork
 }
 
 func newUpstream(l Listed, number uint16, c *clock.Clock, violated invariant.Report) *Upstream {
@@ -55,12 +57,29 @@
 	return u
 }
 
+// is reports whether u has the identity that the list names.
+func (u *Upstream) is(l Listed) bool {
+	return u != nil && u.Kind == l.Kind && u.Pool == l.Pool && u.Address == l.Address && u.FailureDomain == l.FailureDomain
+}
+
 // State returns the current state.
 func (u *Upstream) State() State { return stateOf(u.state.Load()) }
 
 // Selectable reports whether the upstream may receive new work.
 func (u *Upstream) Selectable() bool { return u.state.Load() == 0 }
 
+// SelectableSince reports whether the upstream was selectable at the time t or later.
+func (u *Upstream) SelectableSince(t clock.Millis) bool {
+	return u.Selectable() || clock.Millis(u.changedAt.Load()) >= t
+}
+
+func (u *Upstream) setState(s State) {
+	if next := s.severity(); next != u.state.Load() {
+		u.changedAt.Store(int64(u.clock.Now()))
+		u.state.Store(next)
+	}
+}
+
 // Load returns the last load report; its At is zero when there is none. The result must not be changed.
 func (u *Upstream) Load() *Load { return u.load.Load() }
 
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -88,7 +88,11 @@
 		return
 	}
 	// The state is merged before the load is read, so that a slow report doesn't delay leaving.
-	for _, id := range w.registry.merge([]Observation{o}) {
+	died, left := w.registry.merge([]Observation{o})
+	if len(left) > 0 {
+		w.registry.leaving(left)
+	}
+	for _, id := range died {
 		if w.Died != nil {
 			w.Died(id)
 		}
--- a/upstream/watcher_test.go
+++ b/upstream/watcher_test.go
@@ -43,7 +43,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := New()
+				var told atomic.Int32
+				r := New(WithLeaving(func([]Observation) { told.Add(1) }))
 				w := NewWatcher(r)
 				var deaths atomic.Int32
 				w.Died = func(poplarwinch.UpstreamID) { deaths.Add(1) }
@@ -73,6 +74,9 @@
 				if u.State() != c.want || int(deaths.Load()) != c.deaths {
 					t.Errorf("state %s and %d deaths, want %s and %d", u.State(), deaths.Load(), c.want, c.deaths)
 				}
+				if want := map[bool]int32{true: 1}[c.want == StateLeaving]; told.Load() != want {
+					t.Errorf("peers were told %d times, want %d", told.Load(), want)
+				}
 				cancel()
 				if err := <-ended; !errors.Is(err, context.Canceled) {
 					t.Errorf("Run() = %v", err)
