--- a/admission/policies_test.go
+++ b/admission/policies_test.go
@@ -97,54 +97,70 @@
 	return 100 * float64(n) / float64(max(1, all))
 }
 
-// spread formats the median of the seeds' figures with their range.
-func spread(figures []float64, format string) string {
-	slices.Sort(figures)
-	return fmt.Sprintf(format+" ("+format+"-"+format+")", figures[len(figures)/2], figures[0], figures[len(figures)-1])
+// table collects one figure for each seed under a column name and prints the medians with their ranges.
+type table struct {
+	columns []string
+	figures map[string][]float64
+}
+
+func (t *table) add(column string, figure float64) {
+	if t.figures[column] == nil {
+		t.columns = append(t.columns, column)
+	}
+	t.figures[column] = append(t.figures[column], figure)
+}
+
+func (t *table) print(policy string, header bool) {
+	if header {
+		fmt.Printf("\n| policy | %s |\n|%s\n", strings.Join(t.columns, " | "), strings.Repeat(" --- |", len(t.columns)+1))
+	}
+	fmt.Printf("| %s |", policy)
+	for _, column := range t.columns {
+		f := t.figures[column]
+		slices.Sort(f)
+		fmt.Printf(" %.4g (%.4g-%.4g) |", f[len(f)/2], f[0], f[len(f)-1])
+	}
+	fmt.Println()
 }
 
 // BenchmarkPolicies prints the tables of docs/policy.md.
 func BenchmarkPolicies(b *testing.B) {
 	violated := func(name, detail string) { b.Errorf("invariant %s broken: %s", name, detail) }
+	classes := []routing.Class{routing.ClassShort, routing.ClassMedium, routing.ClassLong}
 	for b.Loop() {
-		var text strings.Builder
 		for _, fifo := range []bool{false, true} {
+			var latency, peak []*table
 			for _, policy := range simPolicies {
-				figures := map[string][]float64{}
-				add := func(name string, value float64) { figures[name] = append(figures[name], value) }
+				steadyTable, surgeTable := &table{figures: map[string][]float64{}}, &table{figures: map[string][]float64{}}
 				for _, seed := range simSeeds {
-					c := setup{policy: policy, admission: policy == "router", fifo: fifo, seed: seed, violated: violated}
-					c.arrivals = steady(seed, 300)
+					c := setup{policy: policy, admission: policy == "router", fifo: fifo, seed: seed, violated: violated, arrivals: steady(seed, 300)}
 					shared := simulate(c)
 					c.arrivals = withoutLong(c.arrivals)
 					unshared := simulate(c)
-					for _, class := range []routing.Class{routing.ClassShort, routing.ClassMedium, routing.ClassLong} {
+					for _, class := range classes {
 						for _, q := range []float64{0.5, 0.95, 0.99} {
-							add(fmt.Sprint(class, q), quantile(shared, class, q))
+							steadyTable.add(fmt.Sprintf("%s p%.0f", class, 100*q), quantile(shared, class, q))
 						}
 					}
-					add("slowdown", quantile(shared, routing.ClassShort, 0.95)/quantile(unshared, routing.ClassShort, 0.95))
+					steadyTable.add("slowdown", quantile(shared, routing.ClassShort, 0.95)/quantile(unshared, routing.ClassShort, 0.95))
 					c.arrivals = surge(seed)
-					peak := simulate(c)
-					add("in time", share(peak, func(a *answer) bool { return a.inTime }, inSurge))
-					add("short in time", share(peak, func(a *answer) bool { return a.inTime }, func(a *answer) bool { return inSurge(a) && a.class == routing.ClassShort }))
-					for _, class := range []routing.Class{routing.ClassMedium, routing.ClassLong} {
-						add(string(class)+" in time", share(peak, func(a *answer) bool { return a.inTime }, func(a *answer) bool { return inSurge(a) && a.class == class }))
+					answers := simulate(c)
+					inTime := func(a *answer) bool { return a.inTime }
+					surgeTable.add("all", share(answers, inTime, inSurge))
+					for _, class := range classes {
+						surgeTable.add(string(class), share(answers, inTime, func(a *answer) bool { return inSurge(a) && a.class == class }))
 					}
-					add("rejected", share(peak, func(a *answer) bool { return a.rejected }, inSurge))
+					surgeTable.add("rejected", share(answers, func(a *answer) bool { return a.rejected }, inSurge))
 				}
-				fmt.Fprintf(&text, "\n%s (priorities %v)\n", policy, !fifo)
-				for _, class := range []routing.Class{routing.ClassShort, routing.ClassMedium, routing.ClassLong} {
-					for _, q := range []float64{0.5, 0.95, 0.99} {
-						fmt.Fprintf(&text, "| %s", spread(figures[fmt.Sprint(class, q)], "%.0f"))
-					}
-					text.WriteString("\n")
+				latency, peak = append(latency, steadyTable), append(peak, surgeTable)
+			}
+			fmt.Println("\nengines honour priorities:", !fifo)
+			for _, tables := range [][]*table{latency, peak} {
+				for i, t := range tables {
+					t.print(simPolicies[i], i == 0)
 				}
-				fmt.Fprintf(&text, "slowdown %s in time %s short in time %s medium %s long %s rejected %s\n", spread(figures["slowdown"], "%.3f"),
-					spread(figures["in time"], "%.1f"), spread(figures["short in time"], "%.1f"), spread(figures["medium in time"], "%.1f"), spread(figures["long in time"], "%.1f"), spread(figures["rejected"], "%.1f"))
 			}
 		}
-		fmt.Println(text.String())
 	}
 }
 
