Bound the engines that one request can crash

Cause: six copies of a crashing prompt, sent through three instances at once, crashed 3 to 6 engines; innocent prompts of a dead engine exhausted the retry budget; concurrent checks of one engine did not wait for its result.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,7 +49,7 @@
 			known.Outcome = poplarwinch.OutcomeFailed
 		}
 		return known
-	case p.sink.committed(), p.attempts >= maxAttempts, !refusedBeforeRunning(err) && !p.server.retries.Take():
+	case p.sink.committed(), p.attempts >= maxAttempts, !refusedBeforeRunning(err) && !p.engineDied && !p.server.retries.Take():
 		return p.upstreamFailed(err)
 	}
 	p.log.WithField("upstream", string(p.upstream)).WithField("attempt", p.attempts).WithError(err).Warn("attempt failed; trying another engine")
@@ -86,8 +86,8 @@
 		// Whether the engine died decides how the prompt may run again.
 		p.server.check(ctx, u)
 	}
-	died := p.server.quarantine.Deaths(p.fingerprint) > before || lost(err) && u.State() == upstream.StateDown
-	p.releasePermit(ctx, spot.permit, died)
+	p.engineDied = p.server.quarantine.Deaths(p.fingerprint) > before || lost(err) && u.State() == upstream.StateDown
+	p.releasePermit(ctx, spot.permit, p.engineDied)
 	a.abandon(err)
 	return err
 }
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -26,6 +27,9 @@
 	mayHaveRun bool
 	// grouped says that an engine rejected the prompt for lack of memory, so it needs a group of engines.
 	grouped bool
+	// engineDied says that the last attempt ended with its engine's process. All prompts of that engine move on then,
+	// which must not exhaust the retry budget.
+	engineDied bool
 	// resumed says that the caller continues an earlier request, so no other engine can take over.
 	resumed bool
 }
@@ -84,6 +88,7 @@
 			Tokens: tokens, MaxNew: request.MaxTokens, Blocks: request.Blocks, Class: routing.ClassOf(tokens),
 		},
 	}
+	p.prompt.Key = binary.BigEndian.Uint64(p.fingerprint[:])
 	x.class = string(p.prompt.Class)
 	return p, nil
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -116,7 +116,7 @@
 	domain := i.settings.Instance.FailureDomain
 	i.quarantine = quarantine.New(quarantine.WithClock(i.clock), quarantine.WithViolated(i.alarms.violated))
 	i.registry = upstream.New(
-		upstream.WithClock(i.clock), upstream.WithDied(i.died), upstream.WithViolated(i.alarms.violated),
+		upstream.WithClock(i.clock), upstream.WithDied(i.died), upstream.WithLeaving(i.leaving), upstream.WithViolated(i.alarms.violated),
 	)
 	i.watcher = i.newWatcher()
 	i.router = routing.New(
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"time"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/configuration"
@@ -25,6 +26,9 @@
 	// askedPeers bounds the peers that are asked for a manifest.
 	askedPeers = 3
 
+	// noticeTimeout bounds a notice; a peer that does not answer in time learns the news by gossip.
+	noticeTimeout = 500 * time.Millisecond
+
 	manifestDuty = "manifest-row"
 )
 
@@ -99,32 +103,39 @@
 // activated notes the version that this instance runs.
 func (i *Instance) activated(x *manifest.Index) { i.members.Announce(uint64(x.Version), x.Digest) }
 
-// died makes the requests that ran on an upstream suspects and tells the peers.
+// died makes the requests that ran on an upstream suspects, and returns once the peers know or time is up: the caller of
+// a crashing request may send it again through any of them.
 func (i *Instance) died(id poplarwinch.UpstreamID) {
 	suspects := i.quarantine.Died(id)
 	i.log.WithField("upstream", string(id)).WithField("suspects", len(suspects)).Warn("upstream process ended")
 	if u, ok := i.registry.Snapshot().Lookup(id); ok {
 		i.router.Prefixes().Forget(u)
 	}
-	i.notify(peer.Notice{Suspects: suspectsToPeers(suspects)})
+	if len(suspects) > 0 {
+		i.notify(peer.Notice{Suspects: suspectsToPeers(suspects)})
+	}
 }
 
-// changed tells the peers at once about an upstream that a probe found in another state.
+// changed tells the peers at once about an upstream that a probe found up or down.
 func (i *Instance) changed(o upstream.Observation) {
 	i.log.WithField("upstream", string(o.ID)).WithField("state", string(o.State)).Info("upstream changed its state")
-	i.notify(peer.Notice{Observations: toPeers([]upstream.Observation{o})})
+	if o.State != upstream.StateLeaving {
+		i.loops.Go(func() { i.notify(peer.Notice{Observations: toPeers([]upstream.Observation{o})}) })
+	}
 }
 
-// notify sends a notice in the background.
+// leaving tells the peers at once about upstreams that began to leave.
+func (i *Instance) leaving(observations []upstream.Observation) {
+	i.loops.Go(func() { i.notify(peer.Notice{Observations: toPeers(observations)}) })
+}
+
+// notify sends a notice to all live peers.
 func (i *Instance) notify(n peer.Notice) {
-	if len(n.Observations)+len(n.Suspects) == 0 {
-		return
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+	defer cancel()
+	if err := i.peers.Notify(ctx, n); err != nil {
+		i.log.WithError(err).Info("some peers missed a notice; they learn it from the next exchange")
 	}
-	i.loops.Go(func() {
-		if err := i.peers.Notify(context.Background(), n); err != nil {
-			i.log.WithError(err).Info("some peers missed a notice; they learn it from the next exchange")
-		}
-	})
 }
 
 // serveManifest answers a peer that asks for the active manifest.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -16,11 +16,12 @@
 	stateRunning = "running"
 	stateIdle    = "idle"
 
+	// rejectedFrom is the number of engine deaths from which a request is rejected.
+	rejectedFrom = 2
+
 	guardPoll = 200 * clock.Millis(1)
 	// guardMargin covers the difference between the clocks of two instances, assumed below 0.5 s.
 	guardMargin = 2 * clock.Second
-	// maxDeaths is the number of engines that a request may crash before it is rejected.
-	maxDeaths = 2
 )
 
 // ErrRejected says that the request has crashed two engines.
@@ -72,7 +73,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if deaths >= maxDeaths {
+		if deaths >= rejectedFrom {
 			return nil, ErrRejected
 		}
 		if !free {
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -10,6 +10,8 @@
 	Adapter   poplarwinch.AdapterName
 	Tokens    poplarwinch.Tokens
 	MaxNew    poplarwinch.Tokens
+	// Key selects the preferred engine of a prompt without whole blocks, so that copies of it meet on one engine.
+	Key uint64
 	// Blocks are the chained hashes of the prompt's whole prefix blocks.
 	Blocks []uint64
 	Class  Class
--- a/routing/router.go
+++ b/routing/router.go
@@ -21,6 +21,8 @@
 	// prefix spreads over several engines instead of overloading one.
 	prefixFactorPercent              = 125
 	prefixSlack         clock.Millis = 50
+	// A prompt without whole blocks has no cache to gain; its preferred engine only keeps copies of it together.
+	keySlack clock.Millis = 5
 	// A report says nothing about what the engine does later; if it is older than this, the engine may be stuck.
 	maxDrain = 2 * clock.Second
 	// The smallest delay by work of lower priority, in milliseconds: about half a step of a long prefill. It makes
@@ -174,18 +176,26 @@
 	if p.Class != ClassLong && prefix.LongPrefills > best.LongPrefills {
 		return prefix.Predicted <= best.Predicted
 	}
-	return prefix.Predicted <= best.Predicted*prefixFactorPercent/100+prefixSlack
+	slack := prefixSlack
+	if len(p.Blocks) == 0 {
+		slack = keySlack
+	}
+	return prefix.Predicted <= best.Predicted*prefixFactorPercent/100+slack
 }
 
-// rendezvous returns the eligible engine that the prompt's first block hashes to.
+// rendezvous returns the eligible engine that the prompt's first block, or its key, hashes to.
 func (r *Router) rendezvous(engines []*upstream.Upstream, p *Prompt) *upstream.Upstream {
-	if len(p.Blocks) == 0 {
+	key := p.Key
+	if len(p.Blocks) > 0 {
+		key = p.Blocks[0]
+	}
+	if key == 0 {
 		return nil
 	}
 	var best *upstream.Upstream
 	var weight uint64
 	for _, u := range engines {
-		if w := upstream.Mix(p.Blocks[0], u.Hash); (best == nil || w > weight) && eligible(u, p.Avoid) {
+		if w := upstream.Mix(key, u.Hash); (best == nil || w > weight) && eligible(u, p.Avoid) {
 			best, weight = u, w
 		}
 	}
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -38,13 +38,13 @@
 	registry *Registry
 	clock    *clock.Clock
 	mutex    sync.Mutex
-	busy     map[poplarwinch.UpstreamID]struct{}
+	busy     map[poplarwinch.UpstreamID]*probeRun
 	probes   sync.WaitGroup
 }
 
 // NewWatcher returns a watcher for the registry that uses the registry's clock.
 func NewWatcher(r *Registry) *Watcher {
-	return &Watcher{registry: r, clock: r.clock, busy: map[poplarwinch.UpstreamID]struct{}{}}
+	return &Watcher{registry: r, clock: r.clock, busy: map[poplarwinch.UpstreamID]*probeRun{}}
 }
 
 // Run probes until ctx ends and returns ctx's error after the last probe.
@@ -69,34 +69,58 @@
 			}
 			stale++
 		}
-		w.mutex.Lock()
-		_, running := w.busy[u.ID]
-		w.busy[u.ID] = struct{}{}
-		w.mutex.Unlock()
-		if !running {
-			w.probes.Go(func() { w.run(ctx, u) })
+		if run, started := w.begin(u.ID); started {
+			w.probes.Go(func() { w.run(ctx, u, run) })
 		}
 	}
 }
 
-// Check probes an upstream at once, because a request to it failed. It returns when the result is merged; a probe that is
-// under way already is not waited for.
-func (w *Watcher) Check(ctx context.Context, u *Upstream) {
+// probeRun is one probe of an upstream that is under way.
+type probeRun struct {
+	started clock.Millis
+	done    chan struct{}
+}
+
+// begin registers a new probe, or returns the one that is under way.
+func (w *Watcher) begin(id poplarwinch.UpstreamID) (run *probeRun, started bool) {
 	w.mutex.Lock()
-	_, running := w.busy[u.ID]
-	w.busy[u.ID] = struct{}{}
-	w.mutex.Unlock()
-	if !running {
-		w.run(ctx, u)
+	defer w.mutex.Unlock()
+	if run, ok := w.busy[id]; ok {
+		return run, false
+	}
+	run = &probeRun{started: w.clock.Now(), done: make(chan struct{})}
+	w.busy[id] = run
+	return run, true
+}
+
+// Check probes an upstream because a request to it failed. It returns when the result of a probe that started after the
+// call is merged and its death, if it died, has been reported.
+func (w *Watcher) Check(ctx context.Context, u *Upstream) {
+	called := w.clock.Now()
+	for {
+		run, started := w.begin(u.ID)
+		if started {
+			w.run(ctx, u, run)
+			return
+		}
+		select {
+		case <-run.done:
+		case <-ctx.Done():
+			return
+		}
+		if run.started > called {
+			return
+		}
 	}
 }
 
 // run probes one upstream once.
-func (w *Watcher) run(ctx context.Context, u *Upstream) {
+func (w *Watcher) run(ctx context.Context, u *Upstream, run *probeRun) {
 	defer func() {
 		w.mutex.Lock()
 		delete(w.busy, u.ID)
 		w.mutex.Unlock()
+		close(run.done)
 	}()
 	o := w.probe(ctx, u)
 	if ctx.Err() != nil {
