Simulate silent peers, single announcements and overtaking replies

Cause: the simulation repeated every announcement each second and had equal latencies, so it could not see a missing retry or a stale-table alarm raised by a delayed read. Change: a version is told once to each peer, peers may stop answering, latencies differ by instance; a stale-table alarm without a restore is a violation.

--- a/configuration/simulation_test.go
+++ b/configuration/simulation_test.go
@@ -133,6 +133,8 @@
 		during(func() { s.tableDown = true }, func() { s.tableDown = false })
 	case "objects-down":
 		during(func() { s.objectsDown = true }, func() { s.objectsDown = false })
+	case "mute":
+		during(func() { s.mute = true }, func() { s.mute = false })
 	case "cut":
 		during(func() { s.cut[e.Instance] = true }, func() { s.cut[e.Instance] = false })
 	case "isolate":
@@ -214,6 +216,9 @@
 
 // exposed reports whether an instance that i reaches has the version, or reads the table every 2 s and reaches it.
 func (s *simulation) exposed(i int, group []*node, version manifest.Version) bool {
+	if s.mute {
+		return false
+	}
 	for _, n := range group {
 		if n.last >= version {
 			return true
@@ -260,13 +265,16 @@
 			s.violations = append(s.violations, fmt.Sprintf("instance %d ends with version %d, instance 0 with %d", i, n.last, s.nodes[0].last))
 		}
 	}
+	if s.world.alarms[configuration.AlarmStaleTable] > 0 && !s.restored {
+		s.violations = append(s.violations, "a stale table was reported although the table never was older")
+	}
 	if s.row != nil && s.row.Version < uint64(s.nodes[0].last) {
 		s.violations = append(s.violations, fmt.Sprintf("the table ends with version %d, the instances have %d", s.row.Version, s.nodes[0].last))
 	}
 }
 
 var kinds = []string{
-	"commit", "commit", "commit", "commit", "table-down", "objects-down", "cut", "cut", "partition", "isolate",
+	"commit", "commit", "commit", "commit", "table-down", "objects-down", "mute", "cut", "cut", "partition", "isolate",
 	"lost-reply", "late-write", "not-written", "restart", "corrupt", "restore",
 }
 
@@ -299,14 +307,17 @@
 		version manifest.Version
 		alarms  []configuration.Alarm
 	}{
-		"commit":                 {[]event{commit}, 2, nil},
-		"lost reply":             {[]event{{Kind: "lost-reply", At: second}, commit}, 2, nil},
-		"late write":             {[]event{{Kind: "late-write", At: second, Span: 3 * second}, commit}, 2, nil},
-		"concurrent commits":     {[]event{{At: 5 * second, Kind: "commit", Other: 3}}, 2, nil},
-		"repeated commit":        {[]event{{At: 5 * second, Kind: "commit", Other: 4}}, 2, nil},
-		"table down":             {[]event{{Kind: "table-down", At: 4 * second, Span: 25 * second}, commit}, 1, nil},
-		"object store down":      {[]event{{Kind: "objects-down", At: 4 * second, Span: 25 * second}, commit}, 1, nil},
-		"fresh instance":         {[]event{commit, {At: 7 * second, Kind: "table-down", Span: 5 * second}, {At: 8 * second, Kind: "restart"}}, 2, nil},
+		"commit":             {[]event{commit}, 2, nil},
+		"lost reply":         {[]event{{Kind: "lost-reply", At: second}, commit}, 2, nil},
+		"late write":         {[]event{{Kind: "late-write", At: second, Span: 3 * second}, commit}, 2, nil},
+		"concurrent commits": {[]event{{At: 5 * second, Kind: "commit", Other: 3}}, 2, nil},
+		"repeated commit":    {[]event{{At: 5 * second, Kind: "commit", Other: 4}}, 2, nil},
+		"table down":         {[]event{{Kind: "table-down", At: 4 * second, Span: 25 * second}, commit}, 1, nil},
+		"object store down":  {[]event{{Kind: "objects-down", At: 4 * second, Span: 25 * second}, commit}, 1, nil},
+		"fresh instance":     {[]event{commit, {At: 7 * second, Kind: "table-down", Span: 5 * second}, {At: 8 * second, Kind: "restart"}}, 2, nil},
+		"peers without answer": {[]event{
+			{Kind: "mute", At: 4 * second, Span: 6 * second}, commit, {Kind: "cut", At: 4 * second, Instance: 4, Span: 25 * second},
+		}, 2, nil},
 		"isolated from peers":    {[]event{{Kind: "isolate", At: 4900 * time.Millisecond, Instance: 4, Span: 9 * second}, commit}, 2, nil},
 		"cut off from platform":  {[]event{{Kind: "cut", At: second, Instance: 1, Span: 20 * second}, commit}, 2, nil},
 		"stale table":            {[]event{commit, {At: 10 * second, Kind: "restore"}}, 2, []configuration.Alarm{configuration.AlarmStaleTable}},
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -83,7 +83,7 @@
 		time.Sleep(effectLimit + 100*time.Millisecond) // so that no instance reads the table during the next commit
 		w.puts = []string{"lost-reply"}
 		w.pending.Go(func() {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(60 * time.Millisecond)
 			w.mutex.Lock()
 			w.row = &w.written[len(w.written)-2]
 			w.mutex.Unlock()
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -17,6 +17,11 @@
 // instances is the number of instances in a world; the two lowest live ones of each group watch the table.
 const instances = 5
 
+const (
+	requestTime = 5 * time.Millisecond
+	replyTime   = 40 * time.Millisecond // times the instance number, so that replies overtake each other
+)
+
 var errTest = errors.New("simulated failure")
 
 // world simulates a table, an object store and a network in virtual time.
@@ -27,6 +32,7 @@
 	objects     map[string][]byte
 	tableDown   bool
 	objectsDown bool
+	mute        bool            // peers send news but don't answer questions
 	cut         [instances]bool // no access to the platform
 	group       [instances]int  // instances with different groups don't reach each other
 	viewed      [instances]int  // group by the membership view, which follows with a delay
@@ -126,6 +132,12 @@
 	n.last = x.Version
 }
 
+func (w *world) isMute() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.mute
+}
+
 // reachable returns the other instances of i's group.
 func (w *world) reachable(i int) []*node {
 	w.mutex.Lock()
@@ -151,9 +163,9 @@
 	return lower < 2
 }
 
-// platform waits for the latency of the platform; a lost request ends with its context.
+// platform waits until a request reaches the platform; a lost request ends with its context.
 func (w *world) platform(ctx context.Context, i int, down *bool) error {
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(requestTime)
 	w.mutex.Lock()
 	lost, refused := w.cut[i], *down
 	w.mutex.Unlock()
@@ -171,6 +183,7 @@
 	if err := w.platform(ctx, i, &w.tableDown); err != nil {
 		return configuration.Row{}, false, err
 	}
+	defer time.Sleep(time.Duration(i+1) * replyTime)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.row == nil {
@@ -202,6 +215,7 @@
 	case "not-written":
 		return configuration.ErrNotWritten
 	}
+	defer time.Sleep(time.Duration(i+1) * replyTime)
 	return w.apply(row, c)
 }
 
@@ -244,6 +258,9 @@
 func (w *world) records(ctx context.Context, i int) ([]configuration.Record, error) {
 	var list []configuration.Record
 	peers := w.reachable(i)
+	if w.isMute() {
+		peers = nil
+	}
 	for _, n := range peers {
 		if r, ok := n.store.Record(); ok {
 			list = append(list, r)
@@ -267,6 +284,9 @@
 
 func (w *world) sections(i int, digests []string) map[string][]byte {
 	found := map[string][]byte{}
+	if w.isMute() {
+		return found
+	}
 	for _, n := range w.reachable(i) {
 		for _, digest := range digests {
 			if body, ok := n.store.Section(digest); ok {
@@ -277,14 +297,23 @@
 	return found
 }
 
-// gossip lets every instance hear the versions of those it reaches once a second, until ctx ends.
+// gossip lets every instance hear from those it reaches once a second, until ctx ends. As in an exchange between real
+// instances, a version is told once: an instance that fails to fetch it is not reminded.
 func (w *world) gossip(ctx context.Context) {
+	type pair struct{ from, to *node }
+	told := map[pair]manifest.Version{}
 	for ctx.Err() == nil {
 		for i := range instances {
-			for _, n := range w.reachable(i) {
-				if x := n.store.Active(); x != nil {
-					w.nodes[i].store.Offer(ctx, x.Version, x.Digest)
+			for _, from := range w.reachable(i) {
+				w.mutex.Lock()
+				to := w.nodes[i]
+				w.mutex.Unlock()
+				news, digest := manifest.Version(0), ""
+				if x := from.store.Active(); x != nil && told[pair{from, to}] != x.Version {
+					news, digest = x.Version, x.Digest
+					told[pair{from, to}] = news
 				}
+				to.store.Offer(ctx, news, digest)
 			}
 		}
 		time.Sleep(time.Second)
