Report every conflict after an unanswered put as unknown

Cause: a commit id used for other content was reported as not run even if an earlier put of the commit got no answer. Change: conflicts share one constructor that looks at earlier puts; settings test for literal values.

--- a/configuration/attempt.go
+++ b/configuration/attempt.go
@@ -62,7 +62,7 @@
 	case !ok:
 		return 0, nil
 	case known.Digest != c.ref.Digest:
-		return 0, conflict("the commit id was used for other content", "use a new commit id for each change")
+		return 0, c.conflict("the commit id was used for other content", "use a new commit id for each change")
 	case record.Version == known.Version && known.Version == c.ref.Version:
 		c.activate(record)
 	default:
@@ -76,11 +76,10 @@
 func (c *commit) base(record Record) (Record, error) {
 	active, _ := c.store.Record()
 	if latest := max(record.Version, active.Version); latest != c.replaces {
-		err := conflict("another commit was first: the current version is "+latest.String(),
+		err := c.conflict("another commit was first: the current version is "+latest.String(),
 			"look at the current manifest, apply the change to it and commit it with that version as the replaced one")
-		if c.uncertain || latest > c.replaces && !record.remembers(c.ref.Version) && !active.remembers(c.ref.Version) {
-			// The version after the replaced one may have been made by an earlier attempt of this very commit: nothing
-			// remembers who made it, or a put without an answer took effect and a restore of the table removed it.
+		if latest > c.replaces && !record.remembers(c.ref.Version) && !active.remembers(c.ref.Version) {
+			// Nothing remembers which commit made the version after the replaced one; it may have been this one.
 			err.Outcome = poplarwinch.OutcomeUnknown
 		}
 		return Record{}, err
--- a/configuration/commit_error.go
+++ b/configuration/commit_error.go
@@ -36,8 +36,14 @@
 	}
 }
 
-func conflict(message, remedy string) *poplarwinch.Error {
-	return &poplarwinch.Error{
+// conflict returns the error of a commit that can't take effect any more. It may have: a put without an answer may have
+// been written before a restore of the table removed it.
+func (c *commit) conflict(message, remedy string) *poplarwinch.Error {
+	e := &poplarwinch.Error{
 		Kind: poplarwinch.KindConflict, Outcome: poplarwinch.OutcomeNotRun, Message: message, Remedy: remedy,
 	}
+	if c.uncertain {
+		e.Outcome = poplarwinch.OutcomeUnknown
+	}
+	return e
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// A value that is cut at a comment sign or interpolated would be a wrong credential.
+func TestValuesAreLiteral(t *testing.T) {
+	const value = "a#b ;c %(id)s \\ :="
+	s, err := load(t, nil, "access-key-id = id", "access-key-id = "+value)
+	if err != nil || s.Platform.AccessKeyID != value {
+		t.Fatalf("access key id %v, %v, want %q", s, err, value)
+	}
+}
+
 // A secret from the environment must work without a file, as in deployments without secret volumes.
 func TestSecretFromEnvironment(t *testing.T) {
 	s, err := load(t, map[string]string{settings.VariablePeerSecret: peerSecret}, "secret-file = peer.secret", "")
