Run at most one suspect on an engine in the whole fleet

Cause: an innocent suspect shared its second engine with the culprit, which another instance had placed there, and was rejected with it. Change: a suspect also takes a permit for the engine.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -127,7 +127,7 @@
 			return nil, err
 		}
 	}
-	found, err := p.claimEngine(ctx)
+	found, err := p.claimEngine(ctx, permit != nil)
 	if err != nil {
 		p.releasePermit(ctx, permit, false)
 		return nil, err
@@ -136,24 +136,25 @@
 	return found, nil
 }
 
-// claimEngine selects an engine on which the prompt may start now.
-func (p *promptRun) claimEngine(ctx context.Context) (*spot, error) {
+// claimEngine selects an engine on which the prompt may start now. A suspect starts only where no other suspect runs.
+func (p *promptRun) claimEngine(ctx context.Context, suspect bool) (*spot, error) {
 	s := p.server
 	avoid := len(p.prompt.Avoid)
 	for {
 		decision, group, err := p.decide(ctx)
 		if err == nil {
-			end, ok := s.quarantine.Start(decision.Upstream.ID, p.fingerprint)
+			found := &spot{upstream: decision.Upstream, group: group, cached: decision.Candidates[0].Cached}
+			ok, err := p.start(ctx, found, suspect)
 			if ok {
 				s.router.Sent(decision.Upstream, &p.prompt)
 				p.logDecision(&decision)
-				return &spot{upstream: decision.Upstream, group: group, cached: decision.Candidates[0].Cached, end: end}, nil
+				return found, nil
 			}
 			if group != nil {
 				s.groups.Free(group)
 			}
-			if s.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
-				return nil, quarantine.Rejected()
+			if err != nil {
+				return nil, err
 			}
 			p.prompt.Avoid = append(p.prompt.Avoid, decision.Upstream.ID)
 			continue
@@ -169,6 +170,32 @@
 	}
 }
 
+// start registers the prompt as running on the engine; it reports false if it may not run there now.
+func (p *promptRun) start(ctx context.Context, found *spot, suspect bool) (bool, error) {
+	q := p.server.quarantine
+	end, ok := q.Start(found.upstream.ID, p.fingerprint)
+	if !ok {
+		if q.Check(p.fingerprint) == quarantine.VerdictReject {
+			return false, quarantine.Rejected()
+		}
+		return false, nil
+	}
+	found.end = end
+	if !suspect {
+		return true, nil
+	}
+	permit, err := p.server.guard.Engine(ctx, found.upstream.ID, clock.FromTime(p.deadline))
+	if permit == nil {
+		end()
+		return false, err
+	}
+	found.end = func() {
+		end()
+		p.releasePermit(ctx, permit, false)
+	}
+	return true, nil
+}
+
 // decide selects an engine, or reserves a group of engines.
 func (p *promptRun) decide(ctx context.Context) (routing.Decision, *reservation.Group, error) {
 	if p.needsGroup() {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -63,39 +63,54 @@
 // Acquire waits until no other copy of the suspect runs and returns a permit that lasts until the given time. Known is
 // the number of deaths that this instance knows of. The error is ErrRejected, the context's, or the table's.
 func (g *Guard) Acquire(ctx context.Context, f Fingerprint, known int, until clock.Millis) (*Permit, error) {
-	key := "suspect/" + f.String()
 	for {
-		row, exists, err := g.get(ctx, key)
-		if err != nil {
-			return nil, fmt.Errorf("read the suspect's row: %w", err)
-		}
-		deaths, free, err := g.judge(row, exists, known)
-		if err != nil {
+		p, deaths, err := g.try(ctx, "suspect/"+f.String(), known, until)
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if deaths >= rejectedFrom {
+		case p != nil:
+			return p, nil
+		case deaths >= rejectedFrom:
 			return nil, ErrRejected
 		}
-		if !free {
-			if err := g.clock.Sleep(ctx, guardPoll); err != nil {
-				return nil, err
-			}
-			continue
-		}
-		condition := table.Absent()
-		if exists {
-			condition = table.StateIs(row.State, row.Attempt)
-		}
-		p := &Permit{guard: g, key: key, deaths: deaths}
-		switch held, err := p.take(ctx, condition, until+guardMargin); {
-		case err != nil:
+		if err := g.clock.Sleep(ctx, guardPoll); err != nil {
 			return nil, err
-		case held:
-			return p, nil
 		}
 	}
 }
 
+// Engine returns a permit for the only suspect that may run on an engine, or nil while another one does. If two ran
+// together, the death of the engine would not tell which one is the culprit.
+func (g *Guard) Engine(ctx context.Context, u poplarwinch.UpstreamID, until clock.Millis) (*Permit, error) {
+	p, _, err := g.try(ctx, "isolation/"+string(u), 0, until)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return p, nil
+}
+
+// try takes the row if it is free. Without a permit it returns the deaths in the row.
+func (g *Guard) try(ctx context.Context, key string, known int, until clock.Millis) (p *Permit, deaths int, err error) {
+	row, exists, err := g.get(ctx, key)
+	if err != nil {
+		return nil, 0, fmt.Errorf("read the suspect's row: %w", err)
+	}
+	deaths, free, err := g.judge(row, exists, known)
+	if err != nil || !free || known > 0 && deaths >= rejectedFrom {
+		return nil, deaths, err
+	}
+	condition := table.Absent()
+	if exists {
+		condition = table.StateIs(row.State, row.Attempt)
+	}
+	p = &Permit{guard: g, key: key, deaths: deaths}
+	held, err := p.take(ctx, condition, until+guardMargin)
+	if err != nil || !held {
+		return nil, 0, err
+	}
+	return p, deaths, nil
+}
+
 // judge returns the suspect's deaths and whether no copy of it is running.
 func (g *Guard) judge(row table.Row, exists bool, known int) (deaths int, free bool, err error) {
 	if !exists {
