--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,9 @@
 	"github.com/poplarwinch/poplarwinch/routing"
 )
 
+// Property tests use a fixed seed, so that every run checks the same cases.
+func init() { flag.Set("rapid.seed", "1") }
+
 // fixture is a controller with a forecast that the test sets.
 type fixture struct {
 	*Controller
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,9 @@
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
+// Property tests use a fixed seed, so that every run checks the same cases.
+func init() { flag.Set("rapid.seed", "1") }
+
 const start clock.Millis = 1_000_000
 
 // fleet is a registry of engines with the model drafting in three failure domains.
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -10,6 +11,9 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
+// Property tests use a fixed seed, so that every run checks the same cases.
+func init() { flag.Set("rapid.seed", "1") }
+
 const start clock.Millis = 1_000_000
 
 var models = []Loaded{{Name: "drafting", Adapters: []LoadedAdapter{{Name: "binder"}}}}
