--- a/cmd/load/figures.go
+++ b/cmd/load/figures.go
@@ -15,7 +15,9 @@
 	prompts counts
 	calls   counts
 	surge   surgeCounts
-	doubled uint64
+	// recordRead is set once the record of executions was compared.
+	recordRead bool
+	doubled    uint64
 	// falseNotRun counts keys whose every reply said not-run although the call was executed.
 	falseNotRun uint64
 	// falseCompleted counts keys with a completed reply although the call was never executed.
--- a/cmd/load/ledger.go
+++ b/cmd/load/ledger.go
@@ -34,6 +34,7 @@
 	defer l.mutex.Unlock()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.recordRead = true
 	for key, t := range l.entries {
 		n := executions[key]
 		if n > 1 {
--- a/cmd/load/report.go
+++ b/cmd/load/report.go
@@ -18,6 +18,7 @@
 	Surge          *surgeReport  `json:"surge,omitempty"`
 	Prompts        countReport   `json:"prompts"`
 	Calls          *countReport  `json:"calls,omitempty"`
+	RecordRead     bool          `json:"record-read"` // without it doubled calls are not counted
 	Doubled        uint64        `json:"doubled"`
 	FalseNotRun    uint64        `json:"false-not-run"`
 	FalseCompleted uint64        `json:"false-completed"`
@@ -67,7 +68,7 @@
 func newReport(f, alone *figures) *report {
 	r := &report{
 		InterTokenP95: f.interToken.quantile(0.95), Prompts: newCountReport(&f.prompts),
-		Doubled: f.doubled, FalseNotRun: f.falseNotRun, FalseCompleted: f.falseCompleted, RecordError: f.recordError,
+		RecordRead: f.recordRead, Doubled: f.doubled, FalseNotRun: f.falseNotRun, FalseCompleted: f.falseCompleted, RecordError: f.recordError,
 	}
 	for i, c := range classes {
 		if f.firstToken[i].count.Load()+f.total[i].count.Load() > 0 {
@@ -151,13 +152,17 @@
 		fmt.Fprintf(t, "service at the surge\t%.2f%%\t%d of %d\n", 100*r.Surge.Share, r.Surge.Within, r.Surge.Sent)
 	}
 	r.Prompts.writeRow(t, "prompts")
+	if r.RecordError != "" {
+		fmt.Fprintf(t, "record of executions not read\t%s\n", r.RecordError)
+	}
 	if r.Calls != nil {
 		r.Calls.writeRow(t, "calls")
+		if !r.RecordRead {
+			fmt.Fprintln(t, "executions\tnot checked (no --record)")
+			return
+		}
 		fmt.Fprintf(t, "executions\tdoubled %d\tfalse not-run %d\tfalse completed %d\n", r.Doubled, r.FalseNotRun, r.FalseCompleted)
 	}
-	if r.RecordError != "" {
-		fmt.Fprintf(t, "record of executions not read\t%s\n", r.RecordError)
-	}
 }
 
 func (c *countReport) writeRow(t io.Writer, name string) {
--- a/cmd/load/run_test.go
+++ b/cmd/load/run_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// A refused connection must not count as a failure while another entry accepts, and must be seen when none does.
+func TestRefusedConnectionsFailOver(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeError(w, 503, "overloaded", "not-run") }))
+	defer server.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	options := []string{"--seconds", "0.2", "--rate", "100", "--mix", "1k=1", "--entry", gone.URL}
+	if r, _ := execute(t, options...); r.Prompts.Sent == 0 || r.Prompts.Failed["connection-refused"] != r.Prompts.Sent {
+		t.Errorf("without an entry: %+v, want all failed", r.Prompts)
+	}
+	if r, _ := execute(t, append(options, "--entry", server.URL)...); r.Prompts.Sent == 0 || r.Prompts.Rejected["overloaded"] != r.Prompts.Sent {
+		t.Errorf("with one entry of two: %+v, want all answered by it", r.Prompts)
+	}
+}
+
 // A surge that is not generated would make every service figure of a surge look perfect.
 func TestSurgeRaisesTheRate(t *testing.T) {
 	p := profile{base: 10, factor: 10, start: 100, end: 200}
--- a/membership/members_test.go
+++ b/membership/members_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,27 @@
 	}
 }
 
+// Two members that cannot reach each other, while all others reach both, must not be held dead.
+func TestCutPairStaysAlive(t *testing.T) {
+	complaint := bubble(t, 1, func(n *network) string {
+		nodes := start(n, 5)
+		time.Sleep(agreeBound)
+		n.mutex.Lock()
+		n.cut = [2]string{nodes[0].address, nodes[1].address}
+		n.mutex.Unlock()
+		for range 1200 {
+			time.Sleep(100 * time.Millisecond)
+			if d := n.disagreement(); d != "" {
+				return d
+			}
+		}
+		return ""
+	})
+	if complaint != "" {
+		t.Fatal(complaint)
+	}
+}
+
 // Duties of a crashed or leaving member must not stay with it.
 func TestEndedMembersAreRemoved(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -274,7 +296,28 @@
 		for _, id := range n.nodes["arima-0"].Snapshot().Delegates("chaguanas") {
 			n.pause(n.nodes[string(id)])
 		}
-		_, complaint := within(agreeBound, check)
+		if _, complaint := within(agreeBound, check); complaint != "" {
+			return complaint
+		}
+		// After a partition between domains, their news pass again.
+		n.partition(func(a string) int { return int(a[0]) })
+		time.Sleep(10 * time.Minute)
+		n.partition(func(string) int { return 0 })
+		for _, x := range n.running() {
+			if x.domain == "chaguanas" {
+				x.Announce(9, "sha256:09")
+			}
+		}
+		_, complaint := within(20*time.Second, func() string {
+			for _, x := range n.running() {
+				v := x.Snapshot()
+				news := slices.ContainsFunc(v.Contacts["chaguanas"], func(c membership.Member) bool { return c.ManifestVersion == 9 })
+				if x.domain != "chaguanas" && slices.Contains(v.Delegates("chaguanas"), v.Self.ID) && !news {
+					return x.address + " has no news of chaguanas"
+				}
+			}
+			return ""
+		})
 		return complaint
 	})
 	if complaint != "" {
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -23,6 +23,7 @@
 	loss   float64 // share of lost calls
 	nodes  map[string]*node
 	groups map[string]int // partition of each address
+	cut    [2]string      // addresses that cannot reach each other
 	wait   sync.WaitGroup
 }
 
@@ -97,6 +98,9 @@
 
 func (n *network) connected(from, to string) bool {
 	a, b := n.nodes[from], n.nodes[to]
+	if n.cut == [2]string{from, to} || n.cut == [2]string{to, from} {
+		return false
+	}
 	return a != nil && b != nil && a.cancel != nil && b.cancel != nil && n.groups[from] == n.groups[to]
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -37,6 +38,7 @@
 	// Metrics writes all metrics in Prometheus text format; the default writes the global set and the process's.
 	Metrics func(w io.Writer)
 
+	log     log.Interface
 	token   *[sha256.Size]byte
 	handler http.Handler
 }
@@ -54,9 +56,14 @@
 	}
 }
 
+// WithLog sets the log for failures of incoming connections; the default is apex/log's own.
+func WithLog(l log.Interface) Option {
+	return func(s *Server) { s.log = l }
+}
+
 // New returns a server.
 func New(opts ...Option) *Server {
-	s := &Server{Metrics: func(w io.Writer) { metrics.WritePrometheus(w, true) }}
+	s := &Server{log: log.Log, Metrics: func(w io.Writer) { metrics.WritePrometheus(w, true) }}
 	for _, o := range opts {
 		o(s)
 	}
@@ -92,7 +99,7 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: commitTimeout,
-		WriteTimeout: 2 * commitTimeout, IdleTimeout: 2 * time.Minute,
+		WriteTimeout: 2 * commitTimeout, IdleTimeout: 2 * time.Minute, ErrorLog: newErrorLog(s.log),
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -139,6 +140,26 @@
 	}
 }
 
+// A server that outlives its context would keep a stopped instance's address in use.
+func TestServeEndsWithItsContext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- newServer().Serve(ctx, l) }()
+	response, err := http.Get("http://" + l.Addr().String() + "/healthz")
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("GET /healthz: %v, %v", response, err)
+	}
+	response.Body.Close()
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("Serve() = %v", err)
+	}
+}
+
 // Every failure must have a body that programs can read, and wrong methods must name the right ones.
 func TestOtherReplies(t *testing.T) {
 	s := newServer()
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"connectrpc.com/connect"
+	"github.com/apex/log"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -30,6 +31,7 @@
 	ServeManifest func(ctx context.Context, query ManifestQuery) (ManifestPart, error)
 
 	clock    *clock.Clock
+	log      log.Interface
 	secret   string
 	accepted []string
 	tls      *tls.Config
@@ -70,6 +72,11 @@
 	}
 }
 
+// WithLog sets the log for failures of incoming connections; the default is apex/log's own.
+func WithLog(l log.Interface) Option {
+	return func(e *Endpoint) { e.log = l }
+}
+
 // New returns an endpoint.
 func New(opts ...Option) (*Endpoint, error) {
 	c, err := newCodec()
@@ -77,7 +84,7 @@
 		return nil, err
 	}
 	e := &Endpoint{
-		clock: clock.System(), codec: c, links: map[string]*link{},
+		clock: clock.System(), log: log.Log, codec: c, links: map[string]*link{},
 		suspectHashes: map[poplarwinch.InstanceID]uint64{},
 	}
 	for _, o := range opts {
--- a/peer/server.go
+++ b/peer/server.go
@@ -38,7 +38,7 @@
 	protocols.SetUnencryptedHTTP2(e.tls == nil)
 	server := &http.Server{
 		Handler: e.handler, Protocols: protocols, HTTP2: http2Config(serverPingAfter),
-		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
+		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, ErrorLog: newErrorLog(e.log),
 	}
 	listener = &countingListener{listener, &e.traffic}
 	ended := make(chan error, 1)
