Place models on the engines of a failure domain

Cause: engines kept the models they were started with; a new version in the manifest reached no engine. Change: the holder of the domain's lease plans minimums, demand and versions, and sends numbered orders; demand counts admitted and rejected prompt tokens.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -34,6 +34,7 @@
 	violated  invariant.Report
 
 	total     account
+	demand    demand
 	customers sync.Map // poplarwinch.CustomerID to *account
 	waiting   [upstream.Priorities]atomic.Int64
 
@@ -71,6 +72,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, ended(err)
 	}
+	c.demand.add(c.clock.Now(), r.Prompt)
 	account := c.account(&r)
 	if !account.add(r.cost(), int64(r.MaxRequests), int64(r.MaxTokens)) {
 		return nil, overQuota(&r)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,10 +16,12 @@
 	"github.com/poplarwinch/poplarwinch/configuration"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/entry"
+	"github.com/poplarwinch/poplarwinch/lease"
 	"github.com/poplarwinch/poplarwinch/membership"
 	"github.com/poplarwinch/poplarwinch/objects"
 	"github.com/poplarwinch/poplarwinch/operator"
 	"github.com/poplarwinch/poplarwinch/peer"
+	"github.com/poplarwinch/poplarwinch/placement"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/roster"
@@ -63,6 +65,8 @@
 	claims     *claim.Ledger
 	groups     *reservation.Builder
 	sweeper    *reservation.Sweeper
+	lease      *lease.Lease
+	planner    *placement.Planner
 	store      *configuration.Store
 	members    *membership.Members
 	peers      *peer.Endpoint
@@ -128,6 +132,7 @@
 	)
 	i.retries = admission.NewRetryBudget(i.clock)
 	i.reserve()
+	i.place()
 	i.claims = claim.New(
 		claim.WithClock(i.clock), claim.WithLog(i.log), claim.WithTable(i.table.Get, i.table.Put),
 		claim.WithObjects(i.objects.Get, i.objects.PutNew), claim.WithTimeLimit(i.longestTimeout),
@@ -189,6 +194,7 @@
 	i.loop(ctx, i.claims.Run)
 	i.loop(ctx, i.groups.Run)
 	i.loop(ctx, i.sweeper.Run)
+	i.loop(ctx, i.runPlacement)
 	i.loop(ctx, i.watcher().Run)
 	i.loop(ctx, i.members.Run)
 	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
--- a/instance/upstreams.go
+++ b/instance/upstreams.go
@@ -26,15 +26,19 @@
 	if err != nil {
 		return upstream.Health{}, err
 	}
-	out := upstream.Health{Ready: h.Ready, Leaving: h.Leaving, BootID: h.BootID, Models: make([]upstream.Loaded, len(h.Models))}
+	return upstream.Health{Ready: h.Ready, Leaving: h.Leaving, BootID: h.BootID, Models: loadedModels(h)}, nil
+}
+
+// loadedModels returns the models of an engine's health reply; the result is never nil.
+func loadedModels(h engine.Health) []upstream.Loaded {
+	models := make([]upstream.Loaded, len(h.Models))
 	for i, m := range h.Models {
-		loaded := upstream.Loaded{Name: m.Name, Version: m.Version}
+		models[i] = upstream.Loaded{Name: m.Name, Version: m.Version}
 		for _, a := range m.Adapters {
-			loaded.Adapters = append(loaded.Adapters, upstream.LoadedAdapter{Name: a.Name, Version: a.Version})
+			models[i].Adapters = append(models[i].Adapters, upstream.LoadedAdapter{Name: a.Name, Version: a.Version})
 		}
-		out.Models[i] = loaded
 	}
-	return out, nil
+	return models
 }
 
 // serviceStatus is the health reply of a plain service.
--- /dev/null
+++ b/placement/situation.go
@@ -0,0 +1,16 @@
+package placement
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/manifest"
+)
+
+// situation is all that a placement decision depends on.
+type situation struct {
+	now      clock.Millis
+	manifest *manifest.Manifest
+	engines  []Engine
+	demand   map[poplarwinch.ModelName]int64
+	underway map[poplarwinch.UpstreamID]*underway
+}
