--- a/cmd/poplarwinch/status.go
+++ b/cmd/poplarwinch/status.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"text/tabwriter"
+	"time"
 )
 
 // statusCommand shows the status of an instance.
@@ -25,28 +27,84 @@
 	if c.JSON {
 		return writeJSON(stdout, answer)
 	}
-	status, err := decodeJSON(answer)
-	if err != nil {
-		return err
+	var s status
+	if err := json.Unmarshal(answer, &s); err != nil {
+		return failed("check that the address is that of the operator interface", "the answer is not a status: %v", err)
 	}
-	writeLines(stdout, "", status)
-	return nil
+	return s.write(stdout)
+}
+
+// status is the part of the answer of GET /status that the table shows.
+type status struct {
+	Instance      string `json:"instance"`
+	Version       string `json:"version"`
+	FailureDomain string `json:"failure-domain"`
+	Ready         bool   `json:"ready"`
+	Manifest      struct {
+		Version uint64 `json:"version"`
+		Digest  string `json:"digest"`
+	} `json:"manifest"`
+	Peers            []statusPeer      `json:"peers"`
+	Upstreams        []statusUpstream  `json:"upstreams"`
+	RequestsInFlight int               `json:"requests-in-flight"`
+	Rejections       map[string]uint64 `json:"rejections"`
+	Alarms           []statusAlarm     `json:"alarms"`
+}
+
+type statusPeer struct {
+	Instance        string `json:"instance"`
+	Address         string `json:"address"`
+	FailureDomain   string `json:"failure-domain"`
+	State           string `json:"state"`
+	ManifestVersion uint64 `json:"manifest-version"`
+}
+
+type statusUpstream struct {
+	ID                   string `json:"id"`
+	Pool                 string `json:"pool"`
+	Address              string `json:"address"`
+	State                string `json:"state"`
+	Running              int    `json:"running"`
+	Waiting              int    `json:"waiting"`
+	WaitingPrefillTokens int64  `json:"waiting-prefill-tokens"`
+	KVUsedTokens         int64  `json:"kv-used-tokens"`
+	KVCapacityTokens     int64  `json:"kv-capacity-tokens"`
+	ReportAgeMillis      int64  `json:"report-age-ms"`
+	InFlight             int    `json:"in-flight"`
+}
+
+type statusAlarm struct {
+	Name        string `json:"name"`
+	Message     string `json:"message"`
+	SinceMillis int64  `json:"since-ms"`
 }
 
-// writeLines writes one line for each value, with the path to it.
-func writeLines(w io.Writer, path string, value any) {
-	switch v := value.(type) {
-	case map[string]any:
-		for _, name := range slices.Sorted(maps.Keys(v)) {
-			writeLines(w, strings.TrimPrefix(path+"."+name, "."), v[name])
-		}
-	case []any:
-		for i, element := range v {
-			writeLines(w, fmt.Sprintf("%s[%d]", path, i), element)
-		}
-	default:
-		fmt.Fprintf(w, "%s: %v\n", path, v)
+// write shows the status as tables.
+func (s *status) write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "instance\t%s\nprogram\t%s\nfailure domain\t%s\nready\t%v\n", s.Instance, s.Version, s.FailureDomain, s.Ready)
+	fmt.Fprintf(t, "manifest\tversion %d, digest %s\nrequests in flight\t%d\n", s.Manifest.Version, s.Manifest.Digest, s.RequestsInFlight)
+	var kinds []string
+	for _, kind := range slices.Sorted(maps.Keys(s.Rejections)) {
+		kinds = append(kinds, fmt.Sprintf("%s %d", kind, s.Rejections[kind]))
+	}
+	fmt.Fprintf(t, "rejections\t%s\n", strings.Join(kinds, ", "))
+	fmt.Fprintf(t, "\npeer\tfailure domain\taddress\tstate\tmanifest\n")
+	for _, p := range s.Peers {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", p.Instance, p.FailureDomain, p.Address, p.State, p.ManifestVersion)
+	}
+	fmt.Fprintf(t, "\nupstream\tpool\taddress\tstate\trunning\twaiting\twaiting tokens\tKV used\tKV capacity\treport age ms\tin flight here\n")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", u.ID, u.Pool, u.Address, u.State, u.Running, u.Waiting,
+			u.WaitingPrefillTokens, u.KVUsedTokens, u.KVCapacityTokens, u.ReportAgeMillis, u.InFlight)
+	}
+	if len(s.Alarms) > 0 {
+		fmt.Fprintf(t, "\nalarm\tsince\tmessage\n")
+	}
+	for _, a := range s.Alarms {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", a.Name, time.UnixMilli(a.SinceMillis).UTC().Format(time.RFC3339), a.Message)
 	}
+	return t.Flush()
 }
 
 // writeJSON writes an answer with indentation.
--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -14,6 +14,7 @@
 // TestCrashingRequest guards against a request that crashes one engine after another, sent again and again through
 // several instances, and against losing the innocent prompts that shared those engines.
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(10)}
 	w := newWorld(t, worldOptions{engines: 6, engine: slow})
 	var nodes []*node
--- a/instance/fault_test.go
+++ b/instance/fault_test.go
@@ -25,6 +25,7 @@
 
 // TestEngineFaults guards against partial, repeated, foreign or lost answers when the path to an engine misbehaves.
 func TestEngineFaults(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		faults emulatedengine.Faults
@@ -76,6 +77,7 @@
 
 // TestRefusedElsewhere guards against giving up, or reporting a run, when one engine refuses before running.
 func TestRefusedElsewhere(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 2})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
@@ -97,6 +99,7 @@
 // TestEngineDeathMidAnswer guards against a partial answer that looks complete, and against an error when the whole
 // answer can still be had from another engine.
 func TestEngineDeathMidAnswer(t *testing.T) {
+	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(20)}
 	w := newWorld(t, worldOptions{engines: 2, engine: slow, instance: []instance.Option{quickEngines()}})
 	n := w.start("entry-1", "domain-a")
@@ -135,6 +138,7 @@
 
 // TestStalledConnections guards against condemning an engine because its open connections went silent.
 func TestStalledConnections(t *testing.T) {
+	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(20)}
 	w := newWorld(t, worldOptions{engines: 1, engine: slow, instance: []instance.Option{quickEngines()}})
 	n := w.start("entry-1", "domain-a")
@@ -151,6 +155,7 @@
 
 // TestResumeThroughAnotherInstance guards against losing an answer with the instance that served it.
 func TestResumeThroughAnotherInstance(t *testing.T) {
+	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(20)}
 	w := newWorld(t, worldOptions{engines: 1, engine: slow})
 	first := w.start("entry-1", "domain-a")
@@ -195,6 +200,7 @@
 
 // TestNonRepeatableCalls guards against a call that runs twice, and against a false "not-run".
 func TestNonRepeatableCalls(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name    string
 		faults  emulatedservice.Faults
@@ -236,6 +242,7 @@
 
 // TestRollingStop guards against a planned stop that cuts off requests in progress.
 func TestRollingStop(t *testing.T) {
+	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(20)}
 	w := newWorld(t, worldOptions{engines: 2, engine: slow})
 	n := w.start("entry-1", "domain-a")
@@ -287,6 +294,7 @@
 
 // TestDeadline guards against a request that outlives its time limit.
 func TestDeadline(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 1})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
--- a/instance/group_test.go
+++ b/instance/group_test.go
@@ -14,6 +14,7 @@
 // TestPromptBeyondOneEngine guards against a prompt that needs more than twice one engine's memory failing, and against
 // reservations that stay behind.
 func TestPromptBeyondOneEngine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 5, engine: []emulatedengine.Option{emulatedengine.WithMemory(100_000)}})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
--- a/instance/input_test.go
+++ b/instance/input_test.go
@@ -13,6 +13,7 @@
 
 // TestBadInput guards against crashes, wrong outcomes and errors without a remedy for requests that can't be served.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 1, services: 1})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
@@ -66,6 +67,7 @@
 
 // TestSlowUpload guards against an upload that never ends holding its memory beyond the request's time limit.
 func TestSlowUpload(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 1})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -17,6 +17,7 @@
 // TestLeavingUpstream guards against new work for an upstream that is leaving while the platform's list is out of reach
 // and still names it, and against cutting off what runs there.
 func TestLeavingUpstream(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 3, engine: []emulatedengine.Option{emulatedengine.WithStep(5)}})
 	var nodes []*node
 	for i := range 3 {
--- a/instance/openai_test.go
+++ b/instance/openai_test.go
@@ -14,6 +14,7 @@
 
 // TestOpenAIClient guards against answers or errors that the official client library can't read.
 func TestOpenAIClient(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 2})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
--- a/instance/placement_test.go
+++ b/instance/placement_test.go
@@ -16,6 +16,7 @@
 // TestPlacementRollsOverVersion guards against a planner that is not connected to the lease, the manifest or the engines:
 // engines with an earlier version must get the current one, by numbered orders and one after another.
 func TestPlacementRollsOverVersion(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 2, engine: []emulatedengine.Option{
 		emulatedengine.WithFencingChecks(), emulatedengine.WithLoadTime(200),
 		emulatedengine.WithModels(emulatedengine.Model{Name: "drafting", Version: "0"}),
--- a/instance/prompt_test.go
+++ b/instance/prompt_test.go
@@ -14,6 +14,7 @@
 
 // TestWholePath guards against a break anywhere on the path from caller to engine.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{engines: 2})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
