--- a/admission/policies_test.go
+++ b/admission/policies_test.go
@@ -118,11 +118,18 @@
 	for _, column := range t.columns {
 		f := t.figures[column]
 		slices.Sort(f)
-		fmt.Printf(" %.4g (%.4g-%.4g) |", f[len(f)/2], f[0], f[len(f)-1])
+		fmt.Printf(" %s (%s-%s) |", figure(f[len(f)/2]), figure(f[0]), figure(f[len(f)-1]))
 	}
 	fmt.Println()
 }
 
+func figure(f float64) string {
+	if f >= 100 {
+		return fmt.Sprintf("%.0f", f)
+	}
+	return fmt.Sprintf("%.3g", f)
+}
+
 // BenchmarkPolicies prints the tables of docs/policy.md.
 func BenchmarkPolicies(b *testing.B) {
 	violated := func(name, detail string) { b.Errorf("invariant %s broken: %s", name, detail) }
@@ -150,6 +157,8 @@
 					for _, class := range classes {
 						surgeTable.add(string(class), share(answers, inTime, func(a *answer) bool { return inSurge(a) && a.class == class }))
 					}
+					peakAnswers := slices.DeleteFunc(slices.Clone(answers), func(a *answer) bool { return !inSurge(a) })
+					surgeTable.add("short p95 ms", quantile(peakAnswers, routing.ClassShort, 0.95))
 					surgeTable.add("rejected", share(answers, func(a *answer) bool { return a.rejected }, inSurge))
 				}
 				latency, peak = append(latency, steadyTable), append(peak, surgeTable)
