Bound stale probes, mark refused upstreams down at once

Cause: in a large fleet gossip is slower than the stale limit, so every instance would probe every upstream; a refused call has to exclude an engine without waiting for a probe.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -238,6 +238,21 @@
 	}
 }
 
+// Guards against an assertion that never fires: a release too many, or of other tokens than were added.
+func TestAccountNoticesWhatDoesNotAddUp(t *testing.T) {
+	for name, removed := range map[string][]int64{"as added": {10, 5}, "too many": {10, 5, 5}, "too few tokens": {10, 4}, "too many tokens": {16}} {
+		a, sound := &account{}, true
+		a.add(10, 0, 0)
+		a.add(5, 0, 0)
+		for _, tokens := range removed {
+			sound = a.remove(tokens) && sound
+		}
+		if want := name == "as added"; sound != want {
+			t.Errorf("%s: sound is %v, want %v", name, sound, want)
+		}
+	}
+}
+
 // Guards against retries beyond 10% of requests, and against a quiet instance that may not retry at all.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -145,7 +145,7 @@
 // Guards against missed and repeated deaths: each would let a crashing request go unnoticed or accuse innocent ones.
 func TestDeathsAreReportedOnce(t *testing.T) {
 	var deaths int
-	r, _ := newTest(t, WithDied(func(poplarwinch.UpstreamID) { deaths++ }))
+	r, m := newTest(t, WithDied(func(poplarwinch.UpstreamID) { deaths++ }))
 	r.Apply([]Listed{engineEntry("e")})
 	for i, c := range []struct {
 		o    Observation
@@ -160,11 +160,16 @@
 		{Observation{State: StateUp, BootID: "b3"}, 2},
 	} {
 		c.o.ID, c.o.At = "e", start+clock.Millis(i)
+		m.Advance(1)
 		r.Merge([]Observation{c.o})
 		if deaths != c.want {
 			t.Fatalf("step %d: %d deaths, want %d", i, deaths, c.want)
 		}
 	}
+	r.Refused("e")
+	if u, _ := r.Snapshot().Lookup("e"); u.State() != StateDown || deaths != 3 {
+		t.Fatalf("after a refused call the state is %s with %d deaths", u.State(), deaths)
+	}
 }
 
 // Guards against counters that drift: an engine would look loaded or idle for ever.
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -17,8 +17,12 @@
 	// An upstream whose last observation is older than this is probed by every instance, because its watchers may be
 	// gone or unreachable.
 	staleTimeout = 2 * clock.Second
-	// At most this number of upstreams without ownership is probed at each interval.
-	maxStaleProbes = 32
+	// An instance probes at most this number of stale upstreams at each interval. In a large fleet gossip alone takes
+	// longer than staleTimeout, and 90 instances with 8 probes a second each add 2.5 probes a second for each of 290
+	// upstreams.
+	maxStaleProbes      = 4
+	maxStaleProbesSmall = 64
+	smallFleet          = 64
 )
 
 // Watcher probes upstreams and merges what it sees into the registry. Set the fields before Run.
@@ -57,14 +61,17 @@
 
 // round starts one probe of each upstream that is due.
 func (w *Watcher) round(ctx context.Context) {
-	stale := 0
-	now := w.clock.Now()
-	for _, u := range w.registry.Snapshot().All() {
+	all := w.registry.Snapshot().All()
+	now, budget := w.clock.Now(), maxStaleProbes
+	if len(all) <= smallFleet {
+		budget = maxStaleProbesSmall
+	}
+	for _, u := range all {
 		if w.Owned != nil && !w.Owned(u.ID) {
-			if stale == maxStaleProbes || now-w.registry.seenAt(u.ID) <= staleTimeout {
+			if budget == 0 || now-w.registry.seenAt(u.ID) <= staleTimeout {
 				continue
 			}
-			stale++
+			budget--
 		}
 		w.mutex.Lock()
 		_, running := w.busy[u.ID]
