Test strict order of lanes, retry budget bounds and ring expiry

Cause: trial mutations of these rules passed all tests. Change: three tests or wider cases; benchmark of load reports.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -201,6 +201,33 @@
 	})
 }
 
+// Guards against long prompts that fill the engines while short ones wait.
+func TestLongPromptsYieldToWaitingShortOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.wait.Store(1500) // above the limit for short prompts, below that for long ones
+		var admitted atomic.Int64
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, tokens := range []poplarwinch.Tokens{100, 100_000} {
+			go func() {
+				if _, err := f.Admit(ctx, f.request("a", tokens, clock.Hour)); err == nil {
+					admitted.Add(int64(tokens))
+				}
+			}()
+			time.Sleep(time.Second)
+		}
+		if n := admitted.Load(); n != 0 || f.Waiting() != 2 {
+			t.Errorf("a prompt of %d tokens was admitted, %d wait", n, f.Waiting())
+		}
+		f.wait.Store(400)
+		time.Sleep(time.Second)
+		if n := admitted.Load(); n != 100_100 {
+			t.Errorf("%d tokens were admitted after the wait fell, want both prompts", n)
+		}
+		cancel()
+	})
+}
+
 // Guards against a lock on the path of a request that does not have to wait.
 func TestUnsaturatedPathTakesNoLock(t *testing.T) {
 	f := newFixture(t)
@@ -238,6 +265,23 @@
 	}
 }
 
+// Guards against a minimum that adds to the share of requests, and against a retry storm after a long calm.
+func TestRetryBudgetInOneSecond(t *testing.T) {
+	for requests, want := range map[int]int{0: 3, 20: 3, 100: 10, 100_000: 100} {
+		b := NewRetryBudget(clock.NewManual(1_000_000).Clock())
+		for range requests {
+			b.Earn()
+		}
+		got := 0
+		for b.Take() {
+			got++
+		}
+		if got != want {
+			t.Errorf("%d retries after %d requests, want %d", got, requests, want)
+		}
+	}
+}
+
 // Guards against an assertion that never fires: a release too many, or of other tokens than were added.
 func TestAccountNoticesWhatDoesNotAddUp(t *testing.T) {
 	for name, removed := range map[string][]int64{"as added": {10, 5}, "too many": {10, 5, 5}, "too few tokens": {10, 4}, "too many tokens": {16}} {
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -185,7 +185,9 @@
 			},
 			"first token": func(t *rapid.T) { pick(t, tickets).FirstToken() },
 			"end":         func(t *rapid.T) { pick(t, tickets).End() },
-			"time":        func(t *rapid.T) { m.Advance(clock.Millis(rapid.IntRange(1, 5000).Draw(t, "span"))) },
+			"time": func(t *rapid.T) {
+				m.Advance(rapid.SampledFrom([]clock.Millis{1, 100, 900, pendingBuckets * pendingWidth}).Draw(t, "span"))
+			},
 			"report": func(t *rapid.T) {
 				at := m.Now() - clock.Millis(rapid.IntRange(0, 2000).Draw(t, "lag"))
 				r.Merge([]Observation{{ID: "e", At: m.Now(), State: StateUp, Load: Load{At: at}}})
@@ -270,3 +272,24 @@
 		}
 	}
 }
+
+// BenchmarkMerge measures the load reports of 290 engines, without a change of state.
+func BenchmarkMerge(b *testing.B) {
+	r, m := newTest(b)
+	var list []Listed
+	var reports []Observation
+	for i := range 290 {
+		l := engineEntry(poplarwinch.UpstreamID(fmt.Sprintf("e%03d", i)))
+		list = append(list, l)
+		reports = append(reports, Observation{ID: l.ID, State: StateUp, Models: models})
+	}
+	r.Apply(list)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Advance(500)
+		for i := range reports {
+			reports[i].At, reports[i].Load.At = m.Now(), m.Now()
+		}
+		r.Merge(reports)
+	}
+}
