Follow the instance list by watch instead of reading it every second

Cause: at 2,620 entries of about 250 bytes the list has some 650 KB; read every second by each node it would take 23 times the 28 KB/s that a node may spend. Change: list once, then the API's watch in spans of 30 s; emulated as well. Conclusion: the cost no longer depends on the size of the fleet.

--- a/emulator/fault/gate.go
+++ b/emulator/fault/gate.go
@@ -103,6 +103,16 @@
 	return true
 }
 
+// Out reports whether an outage is set, for responses that go on after Serve.
+func (g *Gate) Out() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.faults.Outage != ""
+}
+
+// Ended reports whether the emulator was closed.
+func (g *Gate) Ended() bool { return g.ctx.Err() != nil }
+
 // Serve reads the body of r, runs effect once and replies with its result, subject to the faults.
 func (g *Gate) Serve(w http.ResponseWriter, r *http.Request, class func(body []byte) Class, effect func(body []byte) Response) {
 	body, err := io.ReadAll(r.Body)
--- a/emulator/roster/server.go
+++ b/emulator/roster/server.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/fault"
@@ -70,6 +71,10 @@
 		s.SetEndpoints(list)
 		w.WriteHeader(http.StatusNoContent)
 	case "GET " + path:
+		if r.URL.Query().Get("watch") == "true" {
+			s.watch(w, r)
+			return
+		}
 		s.gate.Serve(w, r, func([]byte) fault.Class { return fault.Reads }, func([]byte) fault.Response { return s.list() })
 	default:
 		http.NotFound(w, r)
@@ -78,13 +83,19 @@
 
 // list replies with the list, at the age that the faults set.
 func (s *Server) list() fault.Response {
-	var endpoints []Endpoint
-	s.lists.Do(func(v *history.View[[]Endpoint]) {
-		endpoints, _ = v.At(current, s.clock.Now()-s.gate.Stale())
-	})
-	body, err := json.Marshal(newList(endpoints))
+	at := s.clock.Now() - s.gate.Stale()
+	l := s.at(at)
+	l.Metadata.ResourceVersion = strconv.FormatInt(int64(at), 10)
+	body, err := json.Marshal(l)
 	if err != nil {
 		return fault.Response{Status: http.StatusInternalServerError, Body: []byte(err.Error())}
 	}
 	return fault.Response{Status: http.StatusOK, Body: body, Header: map[string]string{"Content-Type": "application/json"}}
 }
+
+// at returns the list at a point in time, which serves as the list's resource version.
+func (s *Server) at(at clock.Millis) list {
+	var endpoints []Endpoint
+	s.lists.Do(func(v *history.View[[]Endpoint]) { endpoints, _ = v.At(current, at) })
+	return newList(endpoints)
+}
--- a/emulator/roster/slice.go
+++ b/emulator/roster/slice.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type list struct {
 	Kind       string   `json:"kind"`
 	APIVersion string   `json:"apiVersion"`
-	Metadata   struct{} `json:"metadata"`
+	Metadata   version  `json:"metadata"`
 	Items      []*slice `json:"items"`
 }
 
@@ -20,9 +22,14 @@
 	Ports       []port          `json:"ports"`
 }
 
+type version struct {
+	ResourceVersion string `json:"resourceVersion"`
+}
+
 type metadata struct {
-	Name   string            `json:"name"`
-	Labels map[string]string `json:"labels"`
+	Name            string            `json:"name"`
+	ResourceVersion string            `json:"resourceVersion,omitempty"`
+	Labels          map[string]string `json:"labels"`
 }
 
 type sliceEndpoint struct {
@@ -59,7 +66,7 @@
 		s := groups[group]
 		if s == nil {
 			s = &slice{AddressType: "IPv4", Metadata: metadata{
-				Name:   fmt.Sprintf("%s-%s-%d", e.Kind, e.Name, len(groups)),
+				Name:   fmt.Sprintf("%s-%s-%08x", e.Kind, e.Name, uint32(xxhash.Sum64String(group))),
 				Labels: map[string]string{"poplarwinch/kind": e.Kind, "poplarwinch/name": e.Name},
 			}}
 			for _, name := range slices.Sorted(maps.Keys(e.Ports)) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -202,7 +202,7 @@
 	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
 	i.loop(ctx, func(ctx context.Context) error { return i.operator.Serve(ctx, i.listeners.operator) })
 	l := &listing{
-		clock: i.clock, log: i.log, self: i.self(), list: i.roster.List, registry: i.registry, offer: i.members.Offer,
+		clock: i.clock, log: i.log, self: i.self(), follow: i.roster.Follow, registry: i.registry, offer: i.members.Offer,
 		first: make(chan struct{}),
 	}
 	i.loops.Go(func() { l.run(ctx) })
--- a/instance/listing.go
+++ b/instance/listing.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	listInterval = clock.Second
+	listRetry = clock.Second
 	// maxForeign bounds the upstreams of other failure domains that an instance knows in each pool. They serve only while
 	// the own domain has none, and an instance's state must not grow with the whole fleet.
 	maxForeign = 16
@@ -27,7 +27,7 @@
 	clock    *clock.Clock
 	log      log.Interface
 	self     membership.Member
-	list     func(ctx context.Context) ([]roster.Endpoint, error)
+	follow   func(ctx context.Context, apply func([]roster.Endpoint)) error
 	registry *upstream.Registry
 	offer    func(candidates []membership.Candidate)
 	failed   bool
@@ -36,25 +36,25 @@
 	read  bool
 }
 
-// run reads the list until ctx ends. While the list is unavailable, the last one stays in use.
+// run follows the list until ctx ends. While the list is unavailable, the last one stays in use.
 func (l *listing) run(ctx context.Context) {
 	for {
-		l.refresh(ctx)
-		if l.clock.Sleep(ctx, listInterval) != nil {
+		err := l.follow(ctx, l.apply)
+		if ctx.Err() != nil {
 			return
 		}
-	}
-}
-
-func (l *listing) refresh(ctx context.Context) {
-	endpoints, err := l.list(ctx)
-	if err != nil {
-		if !l.failed && ctx.Err() == nil {
+		if !l.failed {
 			l.log.WithError(err).Warn("instance list unavailable; the last one stays in use")
 		}
 		l.failed = true
-		return
+		if l.clock.Sleep(ctx, listRetry) != nil {
+			return
+		}
 	}
+}
+
+// apply takes over a list.
+func (l *listing) apply(endpoints []roster.Endpoint) {
 	if l.failed {
 		l.log.WithField("endpoints", len(endpoints)).Info("instance list available again")
 	}
--- a/roster/list.go
+++ b/roster/list.go
@@ -8,13 +8,18 @@
 )
 
 type endpointSliceList struct {
-	Kind  string          `json:"kind"`
+	Kind     string `json:"kind"`
+	Metadata struct {
+		ResourceVersion string `json:"resourceVersion"`
+	} `json:"metadata"`
 	Items []endpointSlice `json:"items"`
 }
 
 type endpointSlice struct {
 	Metadata struct {
-		Labels map[string]string `json:"labels"`
+		Name            string            `json:"name"`
+		ResourceVersion string            `json:"resourceVersion"`
+		Labels          map[string]string `json:"labels"`
 	} `json:"metadata"`
 	Endpoints []sliceEndpoint `json:"endpoints"`
 	Ports     []slicePort     `json:"ports"`
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -50,10 +50,7 @@
 	if err != nil {
 		return err
 	}
-	request.Header.Set("Accept", "application/json")
-	if r.token != "" {
-		request.Header.Set("Authorization", "Bearer "+r.token)
-	}
+	r.authorize(request)
 	response, err := r.pool.Client().Do(request)
 	if err != nil {
 		return err
@@ -78,3 +75,10 @@
 	}
 	return nil
 }
+
+func (r *Roster) authorize(request *http.Request) {
+	request.Header.Set("Accept", "application/json")
+	if r.token != "" {
+		request.Header.Set("Authorization", "Bearer "+r.token)
+	}
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -152,3 +152,39 @@
 		t.Fatalf("List() = %v, %v; want 3 endpoints", list, err)
 	}
 }
+
+// A follower that misses a change keeps sending work to an instance that left, and one that reads the whole list at each
+// change costs too much in a large fleet.
+func TestFollow(t *testing.T) {
+	s, c, url := start(t)
+	set(t, url+"/endpoints", endpoints)
+	lists := make(chan []roster.Endpoint, 16)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- c.Follow(ctx, func(l []roster.Endpoint) { lists <- l }) }()
+	if l := <-lists; len(l) != 3 {
+		t.Fatalf("first list %v", l)
+	}
+	for _, step := range []struct {
+		body string
+		want int
+	}{
+		{strings.Replace(endpoints, `"id":"e1"`, `"id":"e9"`, 1), 3},
+		{`[{"id":"i1","kind":"entry","name":"entry","ip":"127.0.0.3","ports":{"caller":80,"peer":81},"failure-domain":"chaguanas"}]`, 1},
+		{endpoints, 3},
+	} {
+		set(t, url+"/endpoints", step.body)
+		for len(<-lists) != step.want {
+		}
+	}
+	if r := s.Record(); r.Reads != 2 {
+		t.Errorf("%d requests for three changes, want the list and one watch", r.Reads)
+	}
+	s.Close()
+	var unavailable *roster.UnavailableError
+	s.SetFaults(fault.Faults{Outage: fault.Unavailable})
+	if err := <-ended; !errors.As(err, &unavailable) {
+		t.Errorf("Follow() = %v, want *UnavailableError", err)
+	}
+}
