--- a/clock/clock.go
+++ b/clock/clock.go
@@ -43,3 +43,8 @@
 		return ctx.Err()
 	}
 }
+
+// Ahead returns a clock that shows the time of c plus the current offset and waits like c.
+func (c *Clock) Ahead(offset func() Millis) *Clock {
+	return &Clock{now: func() Millis { return c.now() + offset() }, after: c.after}
+}
