Follow the cache of a conversation to the engine that holds it

Cause: after a turn on another engine than the hashed one, later turns could not find that engine's cache, and a long cached prompt was predicted as new. Change: the last holder of the longest known prefix is a candidate of the decision and of the forecast.

--- a/routing/prefixindex.go
+++ b/routing/prefixindex.go
@@ -92,6 +92,26 @@
 	return low
 }
 
+// holder returns the number of the engine that stored the deepest known block last. It looks at few depths, each half
+// of the one before.
+func (x *PrefixIndex) holder(blocks []uint64) (number uint16, ok bool) {
+	now := x.clock.Now()
+	for n := len(blocks); n > 0; n /= 2 {
+		block, newest := blocks[n-1], prefixLifetime
+		set := &x.sets[block%prefixSets]
+		for i := range set {
+			word := set[i].Load()
+			if a := age(word, now); word != 0 && word>>40 == block>>40 && a < newest {
+				number, newest, ok = uint16(word>>24), a, true
+			}
+		}
+		if ok {
+			return number, true
+		}
+	}
+	return 0, false
+}
+
 func (x *PrefixIndex) has(u *upstream.Upstream, block uint64, now, floor clock.Millis) bool {
 	k := key(u, block)
 	set := &x.sets[block%prefixSets]
--- a/routing/reason.go
+++ b/routing/reason.go
@@ -7,7 +7,8 @@
 const (
 	// ReasonShortestWait means that the upstream had the smallest prediction of the candidates.
 	ReasonShortestWait Reason = "shortest-wait"
-	// ReasonPrefix means that the prompt's prefix hashes to the upstream and its prediction was within bounds.
+	// ReasonPrefix means that the prompt's prefix is cached on the upstream, or hashes to it with a prediction within
+	// bounds.
 	ReasonPrefix Reason = "prefix"
 	// ReasonLongSet means that a long prompt took the best candidate of the engines for long prompts.
 	ReasonLongSet Reason = "long-set"
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,7 @@
 
 const (
 	maxCandidates = 4
+	maxEvaluated  = 5
 	// The search for an engine without a long prefill ends after this number of engines.
 	freeSample = 16
 	// A forecast looks at this number of engines; all 290 of a large failure domain took 35 us for each request.
@@ -116,7 +118,7 @@
 		consider(&c, rate)
 	}
 	// The engine with the prompt's prefix may be much faster than the others.
-	if u := r.rendezvous(preferred(engines, r.recent(p.Model).longSet(now, len(engines)), p), p); u != nil {
+	if u := r.holder(engines, p); u != nil {
 		c := r.candidate(now, u, p)
 		consider(&c, r.rate(u.Load()))
 	}
@@ -134,11 +136,14 @@
 
 func (r *Router) engine(now clock.Millis, engines []*upstream.Upstream, longs int, p *Prompt) Decision {
 	preferred := preferred(engines, longs, p)
-	list := make([]Candidate, 0, maxCandidates)
+	list := make([]Candidate, 0, maxEvaluated)
 	if u := r.rendezvous(preferred, p); u != nil {
 		list = append(list, r.candidate(now, u, p))
 	}
 	prefix := len(list)
+	if u := r.holder(engines, p); u != nil && !has(list, u) {
+		list = append(list, r.candidate(now, u, p))
+	}
 	list = r.sample(now, list, preferred, 2, p)
 	if p.Class != ClassLong {
 		list = r.sampleFree(now, list, engines, p)
@@ -157,20 +162,40 @@
 	}
 	reason := ReasonShortestWait
 	switch {
-	case len(list) == 1:
-		reason = ReasonOnly
 	case prefix > 0 && prefixWins(&list[0], &list[best], p):
 		best, reason = 0, ReasonPrefix
+	case list[best].Cached > 0:
+		reason = ReasonPrefix
 	case p.Class == ClassLong && longs > 0:
 		reason = ReasonLongSet
 	}
 	list[0], list[best] = list[best], list[0]
 	list = r.sample(now, list, engines, maxCandidates-len(list), p)
-	rest := list[1:]
-	slices.SortFunc(rest, func(a, b Candidate) int { return int(a.Predicted - b.Predicted) })
+	if len(list) == 1 {
+		reason = ReasonOnly
+	}
+	slices.SortFunc(list[1:], func(a, b Candidate) int { return cmp.Compare(a.Predicted, b.Predicted) })
+	list = list[:min(len(list), maxCandidates)]
 	return Decision{Upstream: list[0].Upstream, Predicted: list[0].Predicted, Reason: reason, Candidates: list}
 }
 
+// holder returns the eligible engine that received the prompt's longest known prefix last, or nil.
+func (r *Router) holder(engines []*upstream.Upstream, p *Prompt) *upstream.Upstream {
+	number, ok := r.prefixes.holder(p.Blocks)
+	if !ok {
+		return nil
+	}
+	for _, u := range engines {
+		if u.Number == number {
+			if eligible(u, p.Avoid) {
+				return u
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
 // prefixWins reports whether the prefix choice is taken although best may be predicted faster.
 func prefixWins(prefix, best *Candidate, p *Prompt) bool {
 	if p.Class != ClassLong && prefix.LongPrefills > best.LongPrefills {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// Guards against sending a conversation away from the engine that has its cache after one turn went elsewhere.
+func TestConversationFollowsItsCache(t *testing.T) {
+	f := newFleet(t, 60)
+	earlier, later := prompt(50_000, manyBlocks(48)...), prompt(52_000)
+	later.Blocks = append(slices.Clone(earlier.Blocks), 1, 2)
+	hashed, _ := f.router.Engine(f.registry.Snapshot(), earlier)
+	elsewhere := hashed.Candidates[1].Upstream
+	f.router.Sent(elsewhere, earlier)
+	d, _ := f.router.Engine(f.registry.Snapshot(), later)
+	if d.Upstream != elsewhere || d.Reason != routing.ReasonPrefix || d.Candidates[0].Cached < 45_000 {
+		t.Fatalf("selected %v for reason %s, want %s", d.Candidates[0], d.Reason, elsewhere.ID)
+	}
+	if forecast, _ := f.router.Forecast(f.registry.Snapshot(), later); forecast.TimeToFirstToken > 1000 {
+		t.Fatalf("the forecast of %d ms ignores the cache", forecast.TimeToFirstToken)
+	}
+}
+
 // Guards against service calls to servers that are down, avoided or busier than needed.
 func TestServer(t *testing.T) {
 	m := clock.NewManual(start)
