Let long prompts leave their set when it has a long queue

Cause: after a surge the engines outside the set for long prompts idled while long prompts missed their limits. Change: a long prompt that would wait more than 10 s on each candidate of the set also considers one engine outside.

--- a/routing/router.go
+++ b/routing/router.go
@@ -17,6 +17,9 @@
 const (
 	maxCandidates = 4
 	maxEvaluated  = 5
+	// A long prompt that would wait longer than this in the set for long prompts may leave it. Without that, engines
+	// outside the set idled after a surge while long prompts missed their limits.
+	longOverflow = 10 * clock.Second
 	// The search for an engine without a long prefill ends after this number of engines.
 	freeSample = 16
 	// A forecast looks at this number of engines; all 290 of a large failure domain took 35 us for each request.
@@ -154,6 +157,9 @@
 	if len(list) == 0 {
 		return Decision{}
 	}
+	if p.Class == ClassLong && r.overflows(list, p) {
+		list = r.sample(now, list, engines[longs:], 1, p)
+	}
 	best := 0
 	for i := range list {
 		if list[i].Predicted < list[best].Predicted {
@@ -166,7 +172,7 @@
 		best, reason = 0, ReasonPrefix
 	case list[best].Cached > 0:
 		reason = ReasonPrefix
-	case p.Class == ClassLong && longs > 0:
+	case slices.Contains(engines[:longs], list[best].Upstream) && p.Class == ClassLong:
 		reason = ReasonLongSet
 	}
 	list[0], list[best] = list[best], list[0]
@@ -179,6 +185,13 @@
 	return Decision{Upstream: list[0].Upstream, Predicted: list[0].Predicted, Reason: reason, Candidates: list}
 }
 
+// overflows reports whether a long prompt would wait too long on each of the candidates.
+func (r *Router) overflows(list []Candidate, p *Prompt) bool {
+	return !slices.ContainsFunc(list, func(c Candidate) bool {
+		return r.wait(&c, p, r.rate(c.Upstream.Load())) <= longOverflow
+	})
+}
+
 // holder returns the eligible engine that received the prompt's longest known prefix last, or nil.
 func (r *Router) holder(engines []*upstream.Upstream, p *Prompt) *upstream.Upstream {
 	number, ok := r.prefixes.holder(p.Blocks)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -182,7 +182,8 @@
 	}
 }
 
-// Guards against long prompts that occupy the whole fleet while most of the work is short.
+// Guards against long prompts that occupy the whole fleet while most of the work is short, and against idle engines
+// while the set for long prompts has a long queue.
 func TestLongPromptsUseABoundedSet(t *testing.T) {
 	f := newFleet(t, 12)
 	engines := map[poplarwinch.UpstreamID]bool{}
@@ -196,6 +197,14 @@
 	if n := len(engines); n < 3 || n > 6 {
 		t.Errorf("long prompts with 40%% of the tokens used %d of 12 engines", n)
 	}
+	for i := range 12 {
+		if engines[id(i)] {
+			f.observe(i, upstream.StateUp, 400_000)
+		}
+	}
+	if d, _ := f.router.Engine(f.registry.Snapshot(), prompt(48_000, 1)); engines[d.Upstream.ID] {
+		t.Errorf("a long prompt waits %d ms in the set while other engines are idle", d.Predicted)
+	}
 }
 
 // Guards against prompts of one conversation that spread over engines, and against one engine that is overloaded
