--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -22,3 +22,8 @@
 	// LongPrefills counts the long prompts in prefill that this instance and its peers know of.
 	LongPrefills int64
 }
+
+// Work returns what the prompt costs on the candidate, for upstream.Upstream.Begin.
+func (c *Candidate) Work(p *Prompt) upstream.Work {
+	return upstream.Work{Prefill: p.Tokens - c.Cached, Priority: p.Class.Priority()}
+}
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -12,7 +12,8 @@
 	MaxNew    poplarwinch.Tokens
 	// Blocks are the chained hashes of the prompt's whole prefix blocks.
 	Blocks []uint64
-	Class  Class
+	// Class is ClassOf(Tokens).
+	Class Class
 	// Avoid names upstreams that must not be selected, for example because an attempt failed there.
 	Avoid []poplarwinch.UpstreamID
 }
