--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -24,3 +24,8 @@
 	// Reserved is the memory that is reserved on the engine for the prompt.
 	Reserved poplarwinch.Tokens
 }
+
+// Work returns what the prompt costs on the candidate, for upstream.Upstream.Begin.
+func (c *Candidate) Work(p *Prompt) upstream.Work {
+	return upstream.Work{Prefill: p.Tokens - c.Cached, Priority: p.Class.Priority()}
+}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -175,14 +175,15 @@
 		u, _ := f.registry.Snapshot().Lookup(id(i))
 		u.Begin(upstream.Work{Prefill: 200_000, Priority: 2})
 	}
-	for range 50 {
-		if d, _ := f.router.Engine(f.registry.Snapshot(), prompt(1000, rand.Uint64())); d.Upstream.ID != id(2) {
+	for _, block := range manyBlocks(50) {
+		if d, _ := f.router.Engine(f.registry.Snapshot(), prompt(1000, block)); d.Upstream.ID != id(2) {
 			t.Fatalf("selected %s for reason %s", d.Upstream.ID, d.Reason)
 		}
 	}
 }
 
-// Guards against long prompts that occupy the whole fleet while most of the work is short.
+// Guards against long prompts that occupy the whole fleet while most of the work is short, and against idle engines
+// while the set for long prompts has a long queue.
 func TestLongPromptsUseABoundedSet(t *testing.T) {
 	f := newFleet(t, 12)
 	engines := map[poplarwinch.UpstreamID]bool{}
@@ -196,6 +197,14 @@
 	if n := len(engines); n < 3 || n > 6 {
 		t.Errorf("long prompts with 40%% of the tokens used %d of 12 engines", n)
 	}
+	for i := range 12 {
+		if engines[id(i)] {
+			f.observe(i, upstream.StateUp, 400_000)
+		}
+	}
+	if d, _ := f.router.Engine(f.registry.Snapshot(), prompt(48_000, 1)); engines[d.Upstream.ID] {
+		t.Errorf("a long prompt waits %d ms in the set while other engines are idle", d.Predicted)
+	}
 }
 
 // Guards against prompts of one conversation that spread over engines, and against one engine that is overloaded
@@ -216,6 +225,23 @@
 	}
 }
 
+// Guards against sending a conversation away from the engine that has its cache after one turn went elsewhere.
+func TestConversationFollowsItsCache(t *testing.T) {
+	f := newFleet(t, 60)
+	earlier, later := prompt(50_000, manyBlocks(48)...), prompt(52_000)
+	later.Blocks = append(slices.Clone(earlier.Blocks), 1, 2)
+	hashed, _ := f.router.Engine(f.registry.Snapshot(), earlier)
+	elsewhere := hashed.Candidates[1].Upstream
+	f.router.Sent(elsewhere, earlier)
+	d, _ := f.router.Engine(f.registry.Snapshot(), later)
+	if d.Upstream != elsewhere || d.Reason != routing.ReasonPrefix || d.Candidates[0].Cached < 45_000 {
+		t.Fatalf("selected %v for reason %s, want %s", d.Candidates[0], d.Reason, elsewhere.ID)
+	}
+	if forecast, _ := f.router.Forecast(f.registry.Snapshot(), later); forecast.TimeToFirstToken > 1000 {
+		t.Fatalf("the forecast of %d ms ignores the cache", forecast.TimeToFirstToken)
+	}
+}
+
 // Guards against service calls to servers that are down, avoided or busier than needed.
 func TestServer(t *testing.T) {
 	m := clock.NewManual(start)
@@ -294,9 +320,9 @@
 }
 
 func manyBlocks(n int) []uint64 {
-	blocks := make([]uint64, n)
+	blocks, random := make([]uint64, n), rand.New(rand.NewPCG(3, 4))
 	for i := range blocks {
-		blocks[i] = rand.Uint64()
+		blocks[i] = random.Uint64()
 	}
 	return blocks
 }
