Emulate the watch with exact versions; measure idle control cost

Cause: the emulated watch sent every slice again at each poll, which kept instances at 15 to 40% of a core, and missed a change in the millisecond of the list (TestFollow hung once). Change: versions are numbers of lists; slices are copied before they are stamped; the test also expects silence without a change.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,6 +15,7 @@
 // arguments are the command line arguments.
 type arguments struct {
 	Engine  *engineCommand  `arg:"subcommand:engine" help:"emulate a model engine"`
+	Engines *enginesCommand `arg:"subcommand:engines" help:"emulate several model engines in one process"`
 	Service *serviceCommand `arg:"subcommand:service" help:"emulate a plain service"`
 
 	Ports     *portsCommand     `arg:"subcommand:ports" help:"print free loopback ports"`
--- a/emulator/roster/server.go
+++ b/emulator/roster/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/fault"
@@ -25,7 +26,10 @@
 	seed  uint64
 	first []Endpoint
 	gate  *fault.Gate
-	lists *history.Store[[]Endpoint]
+	// lists holds the number of the list that was current at each time; all lists are kept in all.
+	lists *history.Store[int]
+	mutex sync.Mutex
+	all   [][]Endpoint
 }
 
 // New returns a server with an empty list, unless an option sets another one.
@@ -34,7 +38,7 @@
 	for _, o := range opts {
 		o(s)
 	}
-	s.lists = history.New[[]Endpoint](s.clock)
+	s.lists = history.New[int](s.clock)
 	s.gate = fault.NewGate(fault.WithClock(s.clock), fault.WithSeed(s.seed), fault.WithRestore(s.lists.Restore))
 	s.SetEndpoints(s.first)
 	return s
@@ -48,7 +52,11 @@
 
 // SetEndpoints replaces the list, like PUT /endpoints.
 func (s *Server) SetEndpoints(list []Endpoint) {
-	s.lists.Do(func(v *history.View[[]Endpoint]) { v.Put(current, list) })
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.all = append(s.all, list)
+	number := len(s.all) - 1
+	s.lists.Do(func(v *history.View[int]) { v.Put(current, number) })
 }
 
 // Record returns the counts of reads, like GET /record.
@@ -83,9 +91,9 @@
 
 // list replies with the list, at the age that the faults set.
 func (s *Server) list() fault.Response {
-	at := s.clock.Now() - s.gate.Stale()
-	l := s.at(at)
-	l.Metadata.ResourceVersion = strconv.FormatInt(int64(at), 10)
+	number := s.number()
+	l := s.numbered(number)
+	l.Metadata.ResourceVersion = strconv.Itoa(number)
 	body, err := json.Marshal(l)
 	if err != nil {
 		return fault.Response{Status: http.StatusInternalServerError, Body: []byte(err.Error())}
@@ -93,9 +101,19 @@
 	return fault.Response{Status: http.StatusOK, Body: body, Header: map[string]string{"Content-Type": "application/json"}}
 }
 
-// at returns the list at a point in time, which serves as the list's resource version.
-func (s *Server) at(at clock.Millis) list {
-	var endpoints []Endpoint
-	s.lists.Do(func(v *history.View[[]Endpoint]) { endpoints, _ = v.At(current, at) })
-	return newList(endpoints)
+// number returns the number of the list that the platform shows, which serves as its resource version.
+func (s *Server) number() int {
+	var number int
+	s.lists.Do(func(v *history.View[int]) { number, _ = v.At(current, s.clock.Now()-s.gate.Stale()) })
+	return number
+}
+
+// numbered returns the list with the given number.
+func (s *Server) numbered(number int) list {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if number < 0 || number >= len(s.all) {
+		return newList(nil)
+	}
+	return newList(s.all[number])
 }
--- a/emulator/roster/watch.go
+++ b/emulator/roster/watch.go
@@ -22,7 +22,7 @@
 
 // watch writes the changes of the list after a resource version until the requested time is over.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	from, err := strconv.ParseInt(r.URL.Query().Get("resourceVersion"), 10, 64)
+	known, err := strconv.Atoi(r.URL.Query().Get("resourceVersion"))
 	if err != nil {
 		http.Error(w, "resourceVersion: "+err.Error(), http.StatusBadRequest)
 		return
@@ -34,7 +34,6 @@
 	})
 	control := http.NewResponseController(w)
 	_ = control.Flush()
-	known := s.at(clock.Millis(from))
 	encoder := json.NewEncoder(w)
 	for s.clock.Now() < end {
 		if s.clock.Sleep(r.Context(), watchPoll) != nil || s.gate.Ended() {
@@ -43,9 +42,11 @@
 		if s.gate.Out() {
 			continue
 		}
-		at := s.clock.Now() - s.gate.Stale()
-		next := s.at(at)
-		for _, e := range changes(known, next, at) {
+		next := s.number()
+		if next == known {
+			continue
+		}
+		for _, e := range changes(s.numbered(known), s.numbered(next), strconv.Itoa(next)) {
 			if encoder.Encode(e) != nil {
 				return
 			}
@@ -56,9 +57,8 @@
 }
 
 // changes returns the events that lead from one list to another.
-func changes(from, to list, at clock.Millis) []event {
+func changes(from, to list, version string) []event {
 	var events []event
-	version := strconv.FormatInt(int64(at), 10)
 	before := map[string][]byte{}
 	for _, x := range from.Items {
 		before[x.Metadata.Name], _ = json.Marshal(x)
@@ -67,19 +67,24 @@
 		text, _ := json.Marshal(x)
 		old, ok := before[x.Metadata.Name]
 		delete(before, x.Metadata.Name)
-		x.Metadata.ResourceVersion = version
 		switch {
 		case !ok:
-			events = append(events, event{Type: "ADDED", Object: x})
+			events = append(events, event{Type: "ADDED", Object: x.at(version)})
 		case !bytes.Equal(old, text):
-			events = append(events, event{Type: "MODIFIED", Object: x})
+			events = append(events, event{Type: "MODIFIED", Object: x.at(version)})
 		}
 	}
 	for _, x := range from.Items {
 		if _, gone := before[x.Metadata.Name]; gone {
-			x.Metadata.ResourceVersion = version
-			events = append(events, event{Type: "DELETED", Object: x})
+			events = append(events, event{Type: "DELETED", Object: x.at(version)})
 		}
 	}
 	return events
 }
+
+// at returns a copy of the slice with a resource version.
+func (s *slice) at(version string) *slice {
+	c := *s
+	c.Metadata.ResourceVersion = version
+	return &c
+}
--- a/instance/status.go
+++ b/instance/status.go
@@ -33,6 +33,9 @@
 	i.operator.Metrics = func(w io.Writer) {
 		i.entry.WriteMetrics(w)
 		i.alarms.write(w)
+		sent, received := i.peers.Traffic()
+		metrics.WriteCounterUint64(w, `poplarwinch_peer_bytes_total{direction="sent"}`, sent)
+		metrics.WriteCounterUint64(w, `poplarwinch_peer_bytes_total{direction="received"}`, received)
 		metrics.WritePrometheus(w, true)
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -178,6 +178,15 @@
 		for len(<-lists) != step.want {
 		}
 	}
+	// The last change has one event for each of its two slices.
+	time.Sleep(100 * time.Millisecond)
+	for len(lists) > 0 {
+		<-lists
+	}
+	time.Sleep(200 * time.Millisecond)
+	if len(lists) != 0 {
+		t.Errorf("%d further lists without a change", len(lists))
+	}
 	if r := s.Record(); r.Reads != 2 {
 		t.Errorf("%d requests for three changes, want the list and one watch", r.Reads)
 	}
