Send request bodies of the platform clients from memory

Cause: the SDK's request body can end early when the response is fast, and the transport then closes the connection. TestFailedConditionKeepsConnection and TestStalledConnections failed in 2 of 3 series of runs with -race -count=3. Change: the body is read before it is sent, and cannot be sent a second time. Measured: go test -race -count=2 of table, objects and roster passes; 500 runs of TestFailedConditionKeepsConnection with 1, 2 and 10 processors pass. Conclusion: no known failure in these packages.

--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -33,7 +33,7 @@
 		MaxIdleConnsPerHost: maxIdle,
 	}
 	return &Pool{transport: t, client: &http.Client{
-		Transport: t,
+		Transport: buffer{next: t},
 		// A followed redirect would send the request body a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
