Follow the cache events of engines

Cause: an instance knew only of prefixes that it had sent itself, and trusted them for 10 minutes whether or not the engine still had them. Change: each instance follows up to 32 engines of its failure domain. Gaps, restarts and replays are handled; a gap after a restart no longer brings back what the index had forgotten (PrefixIndex.Gap lowered the floor of Forget). Before: TestFollowerGap with the earlier Gap trusts a block of the old boot.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,6 +67,7 @@
 	sweeper    *reservation.Sweeper
 	lease      *lease.Lease
 	planner    *placement.Planner
+	follower   *routing.Follower
 	store      *configuration.Store
 	members    *membership.Members
 	peers      *peer.Endpoint
@@ -133,6 +134,7 @@
 	i.retries = admission.NewRetryBudget(i.clock)
 	i.reserve()
 	i.place()
+	i.follow()
 	i.claims = claim.New(
 		claim.WithClock(i.clock), claim.WithLog(i.log), claim.WithTable(i.table.Get, i.table.Put),
 		claim.WithObjects(i.objects.Get, i.objects.PutNew), claim.WithTimeLimit(i.longestTimeout),
@@ -195,6 +197,7 @@
 	i.loop(ctx, i.groups.Run)
 	i.loop(ctx, i.sweeper.Run)
 	i.loop(ctx, i.runPlacement)
+	i.loop(ctx, i.follower.Run)
 	i.loop(ctx, i.watcher().Run)
 	i.loop(ctx, i.members.Run)
 	i.loop(ctx, func(ctx context.Context) error { return i.peers.Serve(ctx, i.listeners.peer) })
--- /dev/null
+++ b/routing/follower.go
@@ -0,0 +1,105 @@
+package routing
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+const (
+	// maxStreams bounds the open event streams of an instance. In larger domains each instance follows other engines, and
+	// knows of the rest what it sent there itself.
+	maxStreams = 32
+	// Events take effect in the index together at this interval. A removal that follows the storing of the same block
+	// within it cancels the storing, which PrefixIndex.Removed would ignore as too recent; the replay of an engine's
+	// earlier events at the start of a stream consists of such pairs.
+	applyInterval clock.Millis = 200
+	// The list of engines is read at every fifth of these intervals, once a second.
+	listEvery = 5
+)
+
+// Follower corrects a prefix index by the cache events of engines. Set the function fields before Run.
+type Follower struct {
+	// Events passes the events after a sequence number to handle until the stream breaks or ctx ends, and returns the
+	// reason.
+	Events func(ctx context.Context, u *upstream.Upstream, after uint64, handle func(CacheEvent)) error
+	// Engines returns the engines of the own failure domain.
+	Engines func() []Followed
+
+	clock   *clock.Clock
+	index   *PrefixIndex
+	self    uint64
+	streams map[poplarwinch.UpstreamID]*cacheStream
+	loops   sync.WaitGroup
+}
+
+// NewFollower returns a follower for the index of the instance with the id self.
+func NewFollower(self poplarwinch.InstanceID, c *clock.Clock, x *PrefixIndex) *Follower {
+	return &Follower{
+		clock: c, index: x, self: xxhash.Sum64String(string(self)), streams: map[poplarwinch.UpstreamID]*cacheStream{},
+	}
+}
+
+// Run follows engines until ctx ends and returns ctx's error after the last stream has ended.
+func (f *Follower) Run(ctx context.Context) error {
+	defer f.loops.Wait()
+	for round := 0; ; round++ {
+		if round%listEvery == 0 {
+			f.list(ctx)
+		}
+		for _, s := range f.streams {
+			s.apply()
+		}
+		if err := f.clock.Sleep(ctx, applyInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// list starts and ends streams.
+func (f *Follower) list(ctx context.Context) {
+	chosen := f.choose(f.Engines())
+	for id, s := range f.streams {
+		if _, ok := chosen[id]; !ok {
+			s.cancel()
+			delete(f.streams, id)
+		}
+	}
+	for id, e := range chosen {
+		old := f.streams[id]
+		if old != nil && old.upstream == e.Upstream && old.boot == e.BootID {
+			continue
+		}
+		s := newCacheStream(f, e, old)
+		if old != nil {
+			old.cancel()
+		}
+		var own context.Context
+		own, s.cancel = context.WithCancel(ctx)
+		f.streams[id] = s
+		f.loops.Go(func() { s.run(own) })
+	}
+}
+
+// choose returns the engines that this instance follows. Engines that are down stay chosen, so that a short failure does
+// not change the others.
+func (f *Follower) choose(engines []Followed) map[poplarwinch.UpstreamID]Followed {
+	engines = slices.DeleteFunc(engines, func(e Followed) bool {
+		return e.BootID == "" || e.Upstream.State() == upstream.StateLeaving
+	})
+	slices.SortFunc(engines, func(a, b Followed) int {
+		return cmp.Compare(upstream.Mix(f.self, b.Upstream.Hash), upstream.Mix(f.self, a.Upstream.Hash))
+	})
+	chosen := map[poplarwinch.UpstreamID]Followed{}
+	for _, e := range engines[:min(len(engines), maxStreams)] {
+		chosen[e.Upstream.ID] = e
+	}
+	return chosen
+}
--- a/routing/prefixindex.go
+++ b/routing/prefixindex.go
@@ -63,9 +63,12 @@
 	}
 }
 
-// Gap records that events of u were lost.
+// Gap records that events of u were lost. What was forgotten before stays forgotten.
 func (x *PrefixIndex) Gap(u *upstream.Upstream) {
-	x.floors[u.Number].Store(int64(x.clock.Now() - gapTrust))
+	floor, next := &x.floors[u.Number], int64(x.clock.Now()-gapTrust)
+	for old := floor.Load(); old < next && !floor.CompareAndSwap(old, next); {
+		old = floor.Load()
+	}
 }
 
 // Forget records that u has lost its cache, for example after a restart.
