Count a failed load for what the engine kept

Cause: an engine whose load had failed counted as having no model, so others were moved for it; the limit of 2 minutes is short for large models. Change: it counts for its remaining models, after 10 minutes; two table cases. Conclusion: one engine that can't load delays a version change, not blocks it.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -74,26 +74,25 @@
 	}
 }
 
-// await counts an engine whose order is under way.
+// await counts an engine whose order is under way. A load that has failed counts for what the engine kept.
 func (p *plan) await(a *assignment, u *underway) {
 	a.settled, a.want = true, u.models
-	if u.failed(p.now) {
-		return
-	}
-	if a.loads() {
+	failed := u.failed(p.now)
+	if a.loads() && !failed {
 		p.loads--
 	}
 	for _, name := range namesOf(u.models) {
-		t := p.byName[name]
-		t.assigned++
+		t, keeps := p.byName[name], false
 		for _, m := range a.engine.Models {
-			if m.Name == name && !equal(m, t.model) {
-				t.updating = true
-			}
+			keeps = keeps || m.Name == name && contains(u.models, m)
+			t.updating = t.updating || m.Name == name && !equal(m, t.model) && !failed
 		}
-		if slices.ContainsFunc(a.engine.Models, func(m upstream.Loaded) bool { return m.Name == name && contains(u.models, m) }) {
+		if keeps {
 			t.serving++
 		}
+		if keeps || !failed {
+			t.assigned++
+		}
 	}
 }
 
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -44,7 +44,7 @@
 
 // TestDecide guards against engines that are left without a model, moved without need, or taken from a model that needs
 // them. Engines are named by their position; "-" before the models marks one that is down or leaving, "?" one without a
-// recent observation, and "a@1 > b@1" one with an order under way.
+// recent observation, "a@1 > b@1" one with an order under way, and "a@1 >! b@1" one whose order has had no effect for long.
 func TestDecide(t *testing.T) {
 	for name, test := range map[string]struct {
 		models   string
@@ -109,6 +109,14 @@
 		"loads under way count": {
 			models: "a@1", engines: []string{" > a@1", ""}, loads: 1,
 		},
+		"a failed load makes room for others": {
+			models: "a@1", minimums: map[string]int{"a": 1}, engines: []string{" >! a@1", ""}, loads: 1,
+			want: []string{"1 minimum: a@1"},
+		},
+		"a failed update does not stop the others": {
+			models: "a@2", minimums: map[string]int{"a": 2}, engines: []string{"a@1 >! a@1 a@2", "a@1"}, loads: 1,
+			want: []string{"1 version: a@1 a@2"},
+		},
 		"leaving, down and unobserved engines get no order": {
 			models: "a@1", minimums: map[string]int{"a": 3}, engines: []string{"-z@1", "?z@1", "z@1"}, loads: 3,
 			want: []string{"2 minimum: a@1"},
@@ -130,7 +138,12 @@
 				observed, ordered, waits := strings.Cut(strings.TrimLeft(text, "-?"), ">")
 				e.Models = parse(observed)
 				if waits {
-					s.underway[e.ID] = &underway{models: parse(ordered), since: testNow, next: testNow + 1}
+					ordered, failed := strings.CutPrefix(ordered, "!")
+					u := &underway{models: parse(ordered), since: testNow, next: testNow + 1}
+					if failed {
+						u.since -= loadLimit + 1
+					}
+					s.underway[e.ID] = u
 				}
 				s.engines = append(s.engines, e)
 			}
--- a/placement/underway.go
+++ b/placement/underway.go
@@ -14,7 +14,8 @@
 	// An order that was rejected or not answered is repeated once its validity has ended.
 	retryAfter = validity
 	// A load that takes longer is regarded as failed: it no longer counts as a load, and the model gets another engine.
-	loadLimit = 2 * clock.Minute
+	// Large models take minutes to load from the rate-limited weight store.
+	loadLimit = 10 * clock.Minute
 )
 
 // underway is an order whose effect has not been observed yet.
