Test that an order expires while its sender is paused

Cause: nothing guarded the order in which clock and lease are read. Change: a direct test with the log fields, and a check in the simulation that no order is valid beyond its lease. Conclusion: the validity of an order counts from before the lease check.

--- /dev/null
+++ b/placement/planner_test.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"context"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/manifest"
+	"github.com/poplarwinch/poplarwinch/upstream"
+)
+
+// TestOrderExpiresDuringPause guards against an order that engines accept although its sender was paused past its lease
+// right after it had checked the lease. It also checks the log of decisions.
+func TestOrderExpiresDuringPause(t *testing.T) {
+	for name, pause := range map[string]clock.Millis{"no pause": 0, "pause past the lease": 15 * clock.Second} {
+		t.Run(name, func(t *testing.T) {
+			m, entries := clock.NewManual(testNow), memory.New()
+			p := New(m.Clock(), &log.Logger{Handler: entries, Level: log.InfoLevel})
+			p.Valid = func(margin clock.Millis) (uint64, bool) {
+				if margin > 0 {
+					defer m.Advance(pause)
+				}
+				return 7, true
+			}
+			p.Active = func() *manifest.Manifest { return manifestOf("a@1", nil, 1) }
+			p.Engines = func() []Engine { return []Engine{{ID: "0", Up: true, At: m.Now()}} }
+			p.Demand = func() map[poplarwinch.ModelName]int64 { return nil }
+			p.Read = func(context.Context, Engine) ([]upstream.Loaded, error) { return nil, nil }
+			orders := 0
+			p.Order = func(_ context.Context, _ Engine, o Order) error {
+				orders++
+				if valid := o.ValidUntil >= m.Now(); valid != (pause == 0) {
+					t.Errorf("the order is valid until %d at %d", o.ValidUntil, m.Now())
+				}
+				return nil
+			}
+			p.round(t.Context())
+			if orders != 1 || len(entries.Entries) != 2 {
+				t.Fatalf("%d orders and %d log entries, want 1 and 2", orders, len(entries.Entries))
+			}
+			decision := entries.Entries[1]
+			for _, field := range []string{"upstream", "wanted", "observed", "reason", "fencing-number"} {
+				if _, ok := decision.Fields[field]; !ok || decision.Message != "placement decision" {
+					t.Errorf("log entry %q lacks %s", decision.Message, field)
+				}
+			}
+		})
+	}
+}
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -124,7 +124,8 @@
 				return token, ok || token != 0
 			}
 		}, "sent after the lease"},
-		"minimums are ignored": {true, func(_ *world, p *Planner) { p.ignoreFloor = true }, "below the minimum"},
+		"orders are valid for too long": {true, ignoreLease, "valid after the lease"},
+		"minimums are ignored":          {true, func(_ *world, p *Planner) { p.ignoreFloor = true }, "below the minimum"},
 		"the limit of loads is ignored": {true, func(w *world, p *Planner) {
 			p.Active = func() *manifest.Manifest {
 				m := w.manifest()
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -256,6 +256,9 @@
 	if sent, last := w.clock.Now(), w.ends[o.FencingNumber]+validity; sent > last {
 		w.violations = append(w.violations, fmt.Sprint("sent after the lease: ", sent-last, " ms"))
 	}
+	if past := o.ValidUntil - w.ends[o.FencingNumber]; past > 0 {
+		w.violations = append(w.violations, fmt.Sprint("valid after the lease: ", past, " ms"))
+	}
 	f := memory.Effect{Kind: memory.OK}
 	if w.calls < len(w.scenario.calls) && w.platform.Now() < quiet {
 		f = w.scenario.calls[w.calls]
