--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -51,3 +51,24 @@
 		})
 	}
 }
+
+// TestOrderFollowsReading guards against an order that undoes what an earlier holder or a restart did to the engine after
+// it was observed: the decision was made for other models.
+func TestOrderFollowsReading(t *testing.T) {
+	m := clock.NewManual(testNow)
+	p := New(m.Clock(), &log.Logger{Handler: memory.New(), Level: log.InfoLevel})
+	p.Valid = func(clock.Millis) (uint64, bool) { return 7, true }
+	p.Active = func() *manifest.Manifest { return manifestOf("a@1", nil, 1) }
+	p.Engines = func() []Engine { return []Engine{{ID: "0", Up: true, At: m.Now(), Models: parse("z@1")}} }
+	p.Demand = func() map[poplarwinch.ModelName]int64 { return nil }
+	now, orders := parse("a@1 z@1"), 0
+	p.Read = func(context.Context, Engine) ([]upstream.Loaded, error) { return now, nil }
+	p.Order = func(context.Context, Engine, Order) error { orders++; return nil }
+	if p.round(t.Context()); orders != 0 {
+		t.Error("an order was sent by an outdated observation")
+	}
+	now = parse("z@1")
+	if p.round(t.Context()); orders != 1 {
+		t.Errorf("%d orders after the observation was confirmed, want 1", orders)
+	}
+}
