--- a/placement/plan.go
+++ b/placement/plan.go
@@ -74,26 +74,25 @@
 	}
 }
 
-// await counts an engine whose order is under way.
+// await counts an engine whose order is under way. A load that has failed counts for what the engine kept.
 func (p *plan) await(a *assignment, u *underway) {
 	a.settled, a.want = true, u.models
-	if u.failed(p.now) {
-		return
-	}
-	if a.loads() {
+	failed := u.failed(p.now)
+	if a.loads() && !failed {
 		p.loads--
 	}
 	for _, name := range namesOf(u.models) {
-		t := p.byName[name]
-		t.assigned++
+		t, keeps := p.byName[name], false
 		for _, m := range a.engine.Models {
-			if m.Name == name && !equal(m, t.model) {
-				t.updating = true
-			}
+			keeps = keeps || m.Name == name && contains(u.models, m)
+			t.updating = t.updating || m.Name == name && !equal(m, t.model) && !failed
 		}
-		if slices.ContainsFunc(a.engine.Models, func(m upstream.Loaded) bool { return m.Name == name && contains(u.models, m) }) {
+		if keeps {
 			t.serving++
 		}
+		if keeps || !failed {
+			t.assigned++
+		}
 	}
 }
 
@@ -243,7 +242,7 @@
 				continue
 			}
 			others := slices.DeleteFunc(slices.Clone(a.want), func(m upstream.Loaded) bool { return m.Name == t.model.Name })
-			if t.serving > t.floor() {
+			if t.serving > t.floor() || p.ignoreFloor {
 				t.serving--
 				a.want = append(others, t.model)
 			} else {
@@ -263,7 +262,8 @@
 		switch {
 		case !a.settled && !same(a.want, a.engine.Models):
 			list = append(list, a)
-		case a.settled && u != nil && p.now >= u.next && p.now-a.engine.At <= staleAfter && p.wanted(u.models):
+		case a.settled && u != nil && p.now >= u.next && p.now-a.engine.At <= staleAfter && p.wanted(u.models) &&
+			!same(a.want, a.engine.Models):
 			a.reason = ReasonRepeat
 			list = append(list, a)
 		}
