Add seeded chaos runs that check the guarantees under failures

make chaos starts a deployment in separate processes, makes a random sequence of failures happen under load and checks ten guarantees. cmd/load reads its entry addresses from a file and writes the outcome of each request, which the checks compare with the emulators' records. scripts/demo and scripts/chaos share scripts/lib.sh.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,20 @@
 PACKAGES := ./... ./cmd/poplarwinch/... ./cmd/standin/... ./cmd/load/...
 DEPLOYMENT ?= maraval
 
-.PHONY: demo test lint race bench build tools fmt
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: demo chaos soak test lint race bench build tools fmt
 
 demo: build
 	scripts/demo $(DEPLOYMENT)
 
+chaos: build
+	scripts/chaos $(SEED) $(SECONDS)
+
+soak: build
+	scripts/chaos $(SEED) $(SECONDS) soak
+
 test:
 	go test $(PACKAGES)
 
--- a/cmd/load/arguments.go
+++ b/cmd/load/arguments.go
@@ -2,7 +2,8 @@
 
 // arguments are the command line options.
 type arguments struct {
-	Entry         []string `arg:"--entry,separate,required" help:"entry address as HOST:PORT or URL; repeatable" placeholder:"ADDRESS"`
+	Entry         []string `arg:"--entry,separate" help:"entry address as HOST:PORT or URL; repeatable" placeholder:"ADDRESS"`
+	EntryFile     string   `arg:"--entry-file" help:"file with one entry address per line, read again during the run; instead of --entry" placeholder:"FILE"`
 	Seconds       float64  `arg:"--seconds" default:"10" help:"length of the run"`
 	Rate          float64  `arg:"--rate" default:"10" help:"prompts per second"`
 	Seed          uint64   `arg:"--seed" default:"1" help:"seed of arrivals, classes and prompts"`
@@ -25,6 +26,7 @@
 	CallRate      float64  `arg:"--call-rate" help:"calls per second" placeholder:"R"`
 	Repeat        float64  `arg:"--repeat" help:"probability that the caller repeats a call with the same key"`
 	Record        []string `arg:"--record,separate" help:"URL of a service emulator's record of executions; repeatable" placeholder:"URL"`
+	Outcomes      string   `arg:"--outcomes" help:"file for one JSON line about each request" placeholder:"FILE"`
 	MaxInFlight   int      `arg:"--max-in-flight" default:"20000" help:"requests in flight at which further arrivals are counted as unsent"`
 	JSON          bool     `arg:"--json" help:"print the figures as JSON"`
 }
--- a/cmd/load/call.go
+++ b/cmd/load/call.go
@@ -35,7 +35,7 @@
 				time.Sleep(c.delay)
 				start = time.Now()
 			}
-			replies[i] = p.call(ctx, c, key, start)
+			replies[i] = p.call(ctx, c, key, start, i)
 		})
 	}
 	wait.Wait()
@@ -51,9 +51,10 @@
 
 // call sends one copy on a fresh connection: the transport would repeat a request with an
 // Idempotency-Key by itself when a reused connection breaks.
-func (p *phase) call(ctx context.Context, c callArrival, key string, start time.Time) callReply {
+func (p *phase) call(ctx context.Context, c callArrival, key string, start time.Time, copied int) callReply {
 	ctx, cancel := context.WithDeadline(ctx, start.Add(p.timeout+p.grace))
 	defer cancel()
+	o := outcome{ID: fmt.Sprintf("%s-%d", key, copied), Work: "call", Key: key}
 	var body string
 	r := func() result {
 		response, err := p.fresh.do(ctx, func(ctx context.Context, entry string) (*http.Request, error) {
@@ -65,6 +66,8 @@
 			request.Header.Set("Content-Type", "application/json")
 			request.Header.Set("Idempotency-Key", key)
 			p.setHeaders(request, c.key)
+			request.Header.Set("Request-Id", o.ID)
+			o.Entry = entry
 			return request, nil
 		})
 		if err != nil {
@@ -81,5 +84,7 @@
 		body = string(data)
 		return result{status: statusCompleted}
 	}()
-	return callReply{result: p.finish(ctx, r, start), body: body}
+	r = p.finish(ctx, r, start)
+	p.outcomes.add(o, r, start)
+	return callReply{result: r, body: body}
 }
--- a/cmd/load/client.go
+++ b/cmd/load/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,21 +12,14 @@
 
 // client spreads requests round robin over the entry addresses.
 type client struct {
-	entries []string
+	entries *entries
 	http    *http.Client
 	next    atomic.Uint64
 }
 
 // newClient returns a client that keeps connections open, or opens a fresh one for each request.
-func newClient(entries []string, fresh bool) *client {
-	urls := make([]string, len(entries))
-	for i, e := range entries {
-		if !strings.Contains(e, "://") {
-			e = "http://" + e
-		}
-		urls[i] = strings.TrimRight(e, "/")
-	}
-	return &client{entries: urls, http: &http.Client{Transport: &http.Transport{
+func newClient(entries *entries, fresh bool) *client {
+	return &client{entries: entries, http: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4096,
 		IdleConnTimeout:     30 * time.Second,
@@ -39,10 +31,10 @@
 // do sends the request that build returns for an entry. It goes on to the next entry only when
 // the connection was refused, since any other failure may hide a request that ran.
 func (c *client) do(ctx context.Context, build func(ctx context.Context, entry string) (*http.Request, error)) (*http.Response, error) {
-	start := c.next.Add(1)
+	start, list := c.next.Add(1), *c.entries.list.Load()
 	var refused error
-	for i := range uint64(len(c.entries)) {
-		request, err := build(ctx, c.entries[(start+i)%uint64(len(c.entries))])
+	for i := range uint64(len(list)) {
+		request, err := build(ctx, list[(start+i)%uint64(len(list))])
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -49,6 +49,10 @@
 		return exitUsage
 	}
 	r := p.execute(ctx)
+	if err := p.outcomes.close(); err != nil {
+		fmt.Fprintln(stderr, "--outcomes:", err)
+		return exitUsage
+	}
 	if a.JSON {
 		err = r.writeJSON(stdout)
 	} else {
--- a/cmd/load/phase.go
+++ b/cmd/load/phase.go
@@ -25,6 +25,7 @@
 	slots                 chan struct{}
 	ledger                ledger
 	figures               *figures
+	outcomes              *outcomes
 }
 
 // run plays the schedule and waits for every request. After ctx ends no new request is sent;
--- a/cmd/load/plan.go
+++ b/cmd/load/plan.go
@@ -14,6 +14,8 @@
 // plan is the checked command line.
 type plan struct {
 	arguments            *arguments
+	entries              *entries
+	outcomes             *outcomes
 	keys                 []string
 	library              *library
 	profile              profile
@@ -54,12 +56,19 @@
 		return nil, fmt.Errorf("--call: %q is not a method and a path such as \"POST /bookings\"", a.Call)
 	}
 	p.callMethod, p.callPath = method, path
-	return p, nil
+	var err error
+	if p.entries, err = newEntries(a.Entry, a.EntryFile); err != nil {
+		return nil, err
+	}
+	p.outcomes, err = openOutcomes(a.Outcomes)
+	return p, err
 }
 
 func (a *arguments) check() error {
 	share := func(v float64) bool { return v >= 0 && v <= 1 }
 	switch {
+	case (len(a.Entry) == 0) == (a.EntryFile == ""):
+		return errors.New("--entry or --entry-file: exactly one of them is required")
 	case a.Seconds <= 0:
 		return errors.New("--seconds: must be above 0")
 	case a.Rate < 0 || a.CallRate < 0 || a.Surge < 0:
@@ -94,6 +103,9 @@
 
 // execute runs the phases and returns their report.
 func (p *plan) execute(ctx context.Context) *report {
+	reading, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go p.entries.loop(reading)
 	started := strconv.FormatInt(time.Now().UnixMilli(), 36)
 	if !p.arguments.Alone {
 		f := p.run(ctx, "mixed", started, false)
@@ -118,7 +130,7 @@
 		grace:   time.Duration(a.GraceMs) * time.Millisecond,
 		limit:   limit, maxTokens: a.MaxTokens, shortOnly: shortOnly,
 		keys: p.keys, library: p.library,
-		keep: newClient(a.Entry, false), fresh: newClient(a.Entry, true),
+		keep: newClient(p.entries, false), fresh: newClient(p.entries, true),
 		prompts: &arrivals{
 			random: rand.New(rand.NewPCG(a.Seed, 1)), profile: promptRate, mix: a.Mix, stream: a.Stream,
 			keys: len(p.keys), documents: a.Documents, documentShare: a.DocumentShare,
@@ -126,7 +138,7 @@
 		service: a.Service, callMethod: p.callMethod, callPath: p.callPath, records: a.Record,
 		slots:   make(chan struct{}, a.MaxInFlight),
 		ledger:  ledger{entries: map[string]told{}},
-		figures: newFigures(),
+		figures: newFigures(), outcomes: p.outcomes,
 	}
 	if a.Service != "" && a.CallRate > 0 {
 		ph.calls = &callArrivals{
--- a/cmd/load/send.go
+++ b/cmd/load/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,9 +17,11 @@
 func (p *phase) sendPrompt(ctx context.Context, a arrival, due time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, due.Add(p.timeout+p.grace))
 	defer cancel()
-	r := p.prompt(ctx, a, due)
+	o := outcome{ID: fmt.Sprintf("load-%d-%s-%s-p%d", p.seed, p.started, p.name, a.number), Work: "prompt", Class: classes[a.class].name}
+	r := p.prompt(ctx, a, due, &o)
 	r = p.finish(ctx, r, due)
 	p.figures.addPrompt(a, r, p.limit)
+	p.outcomes.add(o, r, due)
 }
 
 // finish adds the times to a result and turns it into a lost one when the deadline passed first.
@@ -31,7 +34,7 @@
 	return r
 }
 
-func (p *phase) prompt(ctx context.Context, a arrival, due time.Time) result {
+func (p *phase) prompt(ctx context.Context, a arrival, due time.Time, o *outcome) result {
 	text := p.library.prompt(a, p.name)
 	body, size := text.body(p.model, p.maxTokens, a.stream)
 	response, err := p.keep.do(ctx, func(ctx context.Context, entry string) (*http.Request, error) {
@@ -43,6 +46,8 @@
 		request.GetBody = func() (io.ReadCloser, error) { return body(), nil }
 		request.Header.Set("Content-Type", "application/json")
 		p.setHeaders(request, a.key)
+		request.Header.Set("Request-Id", o.ID)
+		o.Entry = entry
 		return request, nil
 	})
 	if err != nil {
--- /dev/null
+++ b/scripts/chaos-failures.sh
@@ -0,0 +1,136 @@
+# The failures. begin starts one and end_failure ends it; failures without an end of their own are left to supervise.
+
+# begin KIND TARGET LENGTH VARIANT
+begin() {
+	local i=$2 half=$(($4 % 2)) outages=(unavailable silent)
+	note begin "$@"
+	case $1 in
+	kill-entry)
+		note kill-entry "${entry_id[$i]}"
+		signal KILL "${entry_pid[$i]}"
+		wait "${entry_pid[$i]}" 2>/dev/null || true
+		start_entry "$i"
+		publish
+		;;
+	stop-entry)
+		stop_entry "$i"
+		start_entry "$i"
+		publish
+		;;
+	pause-entry)
+		paused_pid[$i]=${entry_pid[$i]} paused_id[$i]=${entry_id[$i]}
+		signal STOP "${entry_pid[$i]}"
+		note pause-entry "${entry_id[$i]}"
+		;;
+	kill-engine)
+		signal KILL "${engine_pid[$i]}"
+		wait "${engine_pid[$i]}" 2>/dev/null || true
+		;;
+	leave-engine)
+		if ! running "${engine_pid[$i]}"; then
+			note skipped "$1: the engine is down"
+			return
+		fi
+		leaving_id+=("${engine_id[$i]}") leaving_pid+=("${engine_pid[$i]}")
+		leaving_address+=("${engine_address[$i]}") leaving_domain+=("${domains[$((i % 3))]}")
+		signal TERM "${engine_pid[$i]}"
+		note leave-engine "${engine_id[$i]}"
+		engine_id[$i]=$deployment-engine-$((++engine_count)) engine_address[$i]=
+		start_engine "$i"
+		publish
+		;;
+	stall-engine) put "${engine_address[$i]}" /faults "{\"crash-marker\":\"$marker\",\"stall-connections\":true}" ;;
+	kill-service)
+		signal KILL "${service_pid[$i]}"
+		wait "${service_pid[$i]}" 2>/dev/null || true
+		;;
+	stall-service) put "${service_address[$i]}" /faults '{"stall-connections":true}' ;;
+	stall-platform) put "$(address "${emulators[$i]}")" /faults '{"stall-connections":true}' ;;
+	table-lost-replies) put "$(address table)" /faults '{"lose-reply":true,"applies-to":"writes","share":0.5}' ;;
+	table-outage) put "$(address table)" /faults "{\"outage\":\"${outages[$half]}\"}" ;;
+	table-delay) put "$(address table)" /faults "{\"applies-to\":\"writes\",\"share\":0.5,\"delay-before-ms\":$((500 + $4 * 4))}" ;;
+	objects-outage) put "$(address objects)" /faults "{\"outage\":\"${outages[$half]}\"}" ;;
+	list-stale) put "$(address instances)" /faults '{"stale-ms":10000}' ;;
+	list-silent) put "$(address instances)" /faults '{"outage":"silent"}' ;;
+	crash-prompt) send_crash_prompt ;;
+	commit) commit_manifests 1 "$4" ;;
+	concurrent-commits) commit_manifests 2 "$4" ;;
+	esac
+}
+
+# end_failure KIND TARGET
+end_failure() {
+	note end "$@"
+	case $1 in
+	pause-entry)
+		signal CONT "${paused_pid[$2]}"
+		note resume-entry "${paused_id[$2]}"
+		unset "paused_pid[$2]" "paused_id[$2]"
+		;;
+	stall-platform) put "$(address "${emulators[$2]}")" /faults '{}' ;;
+	table-*) put "$(address table)" /faults '{}' ;;
+	objects-*) put "$(address objects)" /faults '{}' ;;
+	list-*) put "$(address instances)" /faults '{}' ;;
+	esac
+}
+
+# stop_entry SLOT: begins the graceful stop of an entry instance.
+stop_entry() {
+	now
+	stopping_id+=("${entry_id[$1]}") stopping_pid+=("${entry_pid[$1]}") stopping_since+=("$ms")
+	note term-entry "${entry_id[$1]}"
+	signal TERM "${entry_pid[$1]}"
+	entry_state[$1]=ended
+}
+
+# send_crash_prompt sends a prompt that crashes engines through several instances at once, and then repeats it.
+send_crash_prompt() {
+	local body key targets
+	crash_count=$((crash_count + 1))
+	note crash-prompt "$crash_count"
+	key=$(head -1 "$work/keys")
+	body="{\"model\":\"$model\",\"max_tokens\":4,\"prompt\":\"$marker number $crash_count of seed $SEED\"}"
+	mapfile -t targets <"$work/entries"
+	for e in "${targets[@]}" "${targets[@]}"; do
+		curl -s -m 12 -H "Authorization: Bearer $key" -H 'Content-Type: application/json' -H 'Request-Timeout-Ms: 8000' \
+			-w '\n%{http_code}\n' -d "$body" "http://$e/v1/completions" >>"$work/crash-$crash_count.log" 2>&1 || true
+	done &
+	pids+=($!)
+	sleep 0.05
+	for e in "${targets[@]:0:2}"; do
+		curl -s -m 12 -H "Authorization: Bearer $key" -H 'Content-Type: application/json' -H 'Request-Timeout-Ms: 8000' \
+			-w '\n%{http_code}\n' -d "$body" "http://$e/v1/completions" >>"$work/crash-$crash_count.log" 2>&1 &
+		pids+=($!)
+	done
+}
+
+# commit_manifests COUNT VARIANT: commits COUNT different manifests at once through different instances, all against the
+# version that is active in the first one.
+commit_manifests() {
+	local n first version targets
+	mapfile -t targets < <(for i in "${!entry_id[@]}"; do [ "${entry_state[$i]}" != ready ] || echo "${entry_operator[$i]}"; done)
+	first=$(($2 % ${#targets[@]}))
+	version=$(curl -s -m 1 "http://${targets[$first]}/manifest" | grep -o '"version": *[0-9][0-9]*' | head -1 | grep -o '[0-9]*$') || true
+	if [ -z "$version" ]; then
+		note skipped "commit: instance ${targets[$first]} names no version"
+		return
+	fi
+	for n in $(seq "$1"); do
+		commit_count=$((commit_count + 1))
+		sed "s|\"weight\": 8,|\"weight\": $((8 + commit_count)),|" "$work/manifest.json" >"$work/manifest-$commit_count.json"
+		commit "$commit_count" "$version" "${targets[$(((first + n - 1) % ${#targets[@]}))]}" &
+		pids+=($!)
+	done
+}
+
+commit() { # NUMBER REPLACES OPERATOR
+	local status=0 accepted
+	bin/poplarwinch manifest commit "$work/manifest-$1.json" --replaces "$2" --commit-id "chaos-$SEED-$1" --operator "$3" \
+		>"$work/commit-$1.log" 2>&1 || status=$?
+	accepted=$(sed -n 's/^accepted as version \([0-9]*\),.*/\1/p' "$work/commit-$1.log")
+	if [ -n "$accepted" ]; then
+		note accepted "$accepted" "$2" "$1"
+	else
+		note not-accepted "$status" "$2" "$1"
+	fi
+}
