Tell other failure domains of suspects at once

Cause: instances of other domains learned of a suspect by the next exchange of delegates, up to a second later, and ran the next copy of a crashing prompt unguarded. Change: a notice of suspects goes on through contacts to all peers of the other domains before the observer answers its caller.

--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -106,6 +106,28 @@
 	}
 }
 
+// A member of another domain that learns of a suspect only by the next exchange runs the request's next copy unguarded.
+func TestNotifyPassesSuspectsToOtherDomains(t *testing.T) {
+	t.Parallel()
+	x, delegate := newInstance(t, "x", "arima"), newInstance(t, "delegate", "arima")
+	contact, z := newInstance(t, "contact", "chaguanas"), newInstance(t, "z", "chaguanas")
+	delegate.exchange(t, contact)
+	x.exchange(t, delegate)
+	contact.exchange(t, z)
+	suspect := peer.Suspect{Fingerprint: [16]byte{7}}
+	if err := x.Notify(t.Context(), peer.Notice{Suspects: []peer.Suspect{suspect}, ManifestVersion: 4}); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*instance{delegate, contact, z} {
+		if _, ok := r.suspects[suspect.Fingerprint]; !ok {
+			t.Errorf("%s does not know the suspect", r.self.ID)
+		}
+	}
+	if len(x.suspects) != 0 || z.offered != 0 {
+		t.Errorf("the observer got its own news back, or a version crossed: %d, %d", len(x.suspects), z.offered)
+	}
+}
+
 // BenchmarkExchange measures an exchange in which all loads have changed, half of them known newer
 // on either side. A node starts one and answers one each second, so its traffic is twice
 // "bytes/exchange" and its CPU time "cpu-us/exchange", which covers both sides.
--- a/peer/notice.go
+++ b/peer/notice.go
@@ -1,6 +1,6 @@
 package peer
 
-// Notice is urgent news for all instances of the domain. It is not passed on by its receivers.
+// Notice is urgent news for all instances of the domain. Of its content only suspects are passed on to other domains.
 type Notice struct {
 	Observations    []Observation
 	Suspects        []Suspect
--- a/peer/notify.go
+++ b/peer/notify.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 
@@ -17,6 +16,7 @@
 	Suspects        []wireSuspect     `cbor:"3,keyasint,omitempty"`
 	ManifestVersion uint64            `cbor:"4,keyasint,omitempty"`
 	ManifestDigest  string            `cbor:"5,keyasint,omitempty"`
+	Route           noticeRoute       `cbor:"6,keyasint,omitempty"`
 }
 
 type noticeReply struct{}
@@ -24,6 +24,7 @@
 // Notify sends a notice to all live members of the domain at once, so that silent ones do not
 // delay the others. It returns the errors of those that did not answer; they learn the news from
 // the next exchanges. With 90 members a notice takes about 30 KB, so only the observer sends it.
+// Suspects are passed on to the other domains before it returns.
 func (e *Endpoint) Notify(ctx context.Context, notice Notice) error {
 	v := e.members.Snapshot()
 	request := &noticeRequest{
@@ -33,15 +34,10 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	var wait sync.WaitGroup
-	failures := make([]error, len(v.Live))
-	for i, m := range v.Live {
-		if m.ID == v.Self.ID {
-			continue
-		}
-		wait.Go(func() { failures[i] = e.notify(ctx, m, request) })
-	}
+	wait.Go(func() { e.passOn(ctx, request) })
+	err := e.broadcast(ctx, v.Live, request)
 	wait.Wait()
-	return errors.Join(failures...)
+	return err
 }
 
 func (e *Endpoint) notify(ctx context.Context, target membership.Member, request *noticeRequest) error {
@@ -57,6 +53,7 @@
 	e.mergeObservations(decodeObservations(n.Observations))
 	e.mergeSuspects(decodeSuspects(n.Suspects))
 	e.offerVersion(ctx, n.ManifestVersion, n.ManifestDigest)
+	e.passOn(ctx, n)
 	return connect.NewResponse(&noticeReply{}), nil
 }
 
