--- a/scripts/chaos-failures.sh
+++ b/scripts/chaos-failures.sh
@@ -107,12 +107,16 @@
 # commit_manifests COUNT VARIANT: commits COUNT different manifests at once through different instances, all against the
 # version that is active in the first one.
 commit_manifests() {
-	local n first version targets
+	local n first version= targets
 	mapfile -t targets < <(for i in "${!entry_id[@]}"; do [ "${entry_state[$i]}" != ready ] || echo "${entry_operator[$i]}"; done)
-	first=$(($2 % ${#targets[@]}))
-	version=$(curl -s -m 1 "http://${targets[$first]}/manifest" | grep -o '"version": *[0-9][0-9]*' | head -1 | grep -o '[0-9]*$') || true
+	# A paused instance does not answer; an operator then asks the next one.
+	for n in "${!targets[@]}"; do
+		first=$((($2 + n) % ${#targets[@]}))
+		version=$(curl -s -m 1 "http://${targets[$first]}/manifest" | grep -o '"version": *[0-9][0-9]*' | head -1 | grep -o '[0-9]*$') || true
+		[ -z "$version" ] || break
+	done
 	if [ -z "$version" ]; then
-		note skipped "commit: instance ${targets[$first]} names no version"
+		note skipped "commit: no instance names a version"
 		return
 	fi
 	for n in $(seq "$1"); do
