--- a/cmd/load/run_test.go
+++ b/cmd/load/run_test.go
@@ -179,7 +179,7 @@
 		var body struct{ Prompt string }
 		json.NewDecoder(r.Body).Decode(&body)
 		token := strconv.Itoa(len(prompts))
-		prompts[token] = answer(body.Prompt, 32)
+		prompts[token] = answer.Answer(body.Prompt, 32)
 		w.Header().Set("Resume-Token", token)
 		writeStream(w, prompts[token][:len(prompts)%5], oneBased, "")
 		fmt.Fprintf(w, "id: %d\nda", len(prompts)%5+1) // an event that is cut must not count as received
--- a/membership/members_test.go
+++ b/membership/members_test.go
@@ -141,7 +141,7 @@
 			time.Sleep(pause)
 			n.resume(nodes[victim])
 			since := map[string]time.Time{}
-			for start := time.Now(); time.Since(start) < time.Minute; time.Sleep(200 * time.Millisecond) {
+			for start := time.Now(); time.Since(start) < 2*time.Minute; time.Sleep(100 * time.Millisecond) {
 				for _, x := range nodes {
 					for _, k := range x.Snapshot().Known {
 						pair := x.address + " holds dead " + k.Address
