Attribute broken connections in chaos runs to their cause

Check 1 in turn fails for any broken connection that neither a kill nor such a pause explains, which it only counted before.

--- a/scripts/chaos-checks.sh
+++ b/scripts/chaos-checks.sh
@@ -54,18 +54,19 @@
 	{
 		s = field("status"); n++; by[s]++
 		who = id[substr(field("entry"), 8)]; due = field("due-ms"); end = field("end-ms")
-		if (field("kind") == "connection-broken") { if (killed[who]) cut++; else cutLive++ }
 		# A paused instance cannot answer: its pauses during the request extend the limit by their length.
 		# 250 ms allow for the way of the error reply back to the caller.
 		extra = 0
 		for (p = 1; p <= pauses; p++) if (pauseID[p] == who && pauseStart[p] < end && pauseEnd[p] > due)
 			extra += (pauseEnd[p] < end ? pauseEnd[p] : end) - (pauseStart[p] > due ? pauseStart[p] : due)
+		# An instance that lives closes a connection without an answer only when a pause has outlasted the time limit.
+		if (field("kind") == "connection-broken") { if (killed[who]) cut++; else if (extra > 0 && end - due > limit) cutPaused++; else cutLive++ }
 		if (s == "lost") lost++
 		else if (end - due > limit + extra + 250) { late++; if (late <= 5) print "late " $0 > "/dev/stderr" }
 		else if (extra > 0) paused++
 	}
-	END { printf "%d requests of %d without an answer, %d late; completed %d, not-run %d, failed %d; %d at paused instances, %d cut off by kill -9, %d broken connections of other instances", lost, n, late, by["completed"], by["rejected"], by["failed"], paused, cut, cutLive
-		print "|" lost + late }' "$work/events" "$work/outcomes")
+	END { printf "%d requests of %d without an answer, %d late; completed %d, not-run %d, failed %d; %d at paused instances, %d cut off by kill -9, %d after a pause beyond the limit, %d by other instances", lost, n, late, by["completed"], by["rejected"], by["failed"], paused, cut, cutPaused, cutLive
+		print "|" lost + late + cutLive }' "$work/events" "$work/outcomes")
 	verdict "1 time limits" "${out##*|}" "${out%|*}"
 }
 
@@ -169,7 +170,7 @@
 		if grep -q '"message":"not settled' "$work/$id.log"; then unsettled=$((unsettled + 1)); fi
 	done < <(grep ' term-entry ' "$work/events")
 	cut=$(awk -v events="$work/events" "$json$events"'
-	field("kind") == "connection-broken" { who = id[substr(field("entry"), 8)]; if (termed[who] && !killed[who]) { n++; print "  cut off: " $0 > "/dev/stderr" } }
+	field("kind") == "connection-broken" { who = id[substr(field("entry"), 8)]; if (termed[who] && !killed[who] && field("end-ms") + 0 >= termed[who]) { n++; print "  cut off: " $0 > "/dev/stderr" } }
 	END { print n + 0 }' "$work/events" "$work/outcomes")
 	verdict "7 graceful stops" $((bad + cut)) "$stops stops, $bad without a clean end, $cut requests cut off, $unsettled with claims or reservations not settled"
 }
@@ -197,7 +198,7 @@
 				checked++; first = 0
 				for (i = 1; i <= n[who]; i++) if (ver[who, i] >= version[c] + 0) { first = when[who, i]; break }
 				if (!first || first > due) { missed++; print "  version " version[c] " not in effect in " who " in time" > "/dev/stderr" }
-				else if (first - from > slowest) slowest = first - from
+				else if (first - due + limit > slowest) slowest = first - due + limit
 			}
 		}
 		for (s in refused) r = r " " refused[s] " with exit code " s
