--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -310,6 +311,23 @@
 	})
 }
 
+// BenchmarkEngineBySize measures a decision for a short prompt by the number of engines of the failure domain.
+func BenchmarkEngineBySize(b *testing.B) {
+	for _, n := range []int{15, 73, 145, 290} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			f := newFleet(b, n)
+			p := prompt(2000, 1, 2)
+			r := routing.New(routing.WithClock(clock.System()))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := r.Engine(f.registry.Snapshot(), p); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkForecast measures the prediction that admission control makes for each request among 290 engines.
 func BenchmarkForecast(b *testing.B) {
 	f := newFleet(b, 290)
