Answer within the time limit when the table is slow

Change: the record gets what is left of the time limit and then goes on in the background; a probe after a lost stream goes on without its request.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -75,7 +75,7 @@
 	if err == nil {
 		p.server.quarantine.Completed(u.ID, p.fingerprint)
 		a.freeGroup()
-		p.releasePermit(ctx, spot.permit, false)
+		p.releasePermit(spot.permit, false)
 		return nil
 	}
 	p.prompt.Avoid = append(p.prompt.Avoid, u.ID)
@@ -91,17 +91,21 @@
 		p.server.check(ctx, u)
 	}
 	p.engineDied = p.server.quarantine.Deaths(p.fingerprint) > before || lost(err) && u.State() == upstream.StateDown
-	p.releasePermit(ctx, spot.permit, p.engineDied && a.sentPrompt)
+	p.releasePermit(spot.permit, p.engineDied && a.sentPrompt)
 	a.abandon(err)
 	return err
 }
 
-// releasePermit records the end of a suspect's run, also when the request's time limit has passed.
-func (p *promptRun) releasePermit(ctx context.Context, permit *quarantine.Permit, died bool) {
-	if permit == nil {
-		return
+// releasePermit records the end of a suspect's run in the background, since the answer must not wait for the table. Until
+// it is recorded no other copy runs.
+func (p *promptRun) releasePermit(permit *quarantine.Permit, died bool) {
+	if permit != nil {
+		p.server.abandoned.running.Go(func() { p.runRelease(permit, died) })
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+}
+
+func (p *promptRun) runRelease(permit *quarantine.Permit, died bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := permit.Release(ctx, died); err != nil {
 		p.log.WithError(err).Warn("end of a suspect's run not recorded; it counts as a crash after its time limit")
@@ -133,7 +137,7 @@
 	}
 	found, err := p.claimEngine(ctx, permit != nil)
 	if err != nil {
-		p.releasePermit(ctx, permit, false)
+		p.releasePermit(permit, false)
 		return nil, err
 	}
 	found.permit = permit
@@ -195,7 +199,7 @@
 	}
 	found.end = func() {
 		end()
-		p.releasePermit(ctx, permit, false)
+		p.releasePermit(permit, false)
 	}
 	return true, nil
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -23,9 +23,11 @@
 
 const (
 	idempotencyHeader = "Idempotency-Key"
-	// settleTimeout bounds the recording of a call's end. It is not part of the request's time limit, because the
-	// record matters most when the limit has just passed.
+	// settleTimeout bounds the recording of the end of a call or of a suspect's run.
 	settleTimeout = 2 * time.Second
+	// settleMinimum is the part of the time limit that is kept for writing the answer, and the time that the record of a
+	// call's end gets when the limit has passed.
+	settleMinimum = 50 * time.Millisecond
 )
 
 // methods are the methods that plain services may be called with. Others, such as CONNECT and TRACE, have no place here.
@@ -177,7 +179,7 @@
 	ctx, cancelCall := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancelCall()
 	answer, err := r.sendOnce(ctx)
-	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.settleTime())
 	defer cancel()
 	var settled error
 	switch {
@@ -197,6 +199,12 @@
 	return r.answer(answer)
 }
 
+// settleTime returns how long the answer may wait for the record of the call's end. Afterwards the write goes on in the
+// background; the answer must not be late because the table is slow.
+func (r *serviceRun) settleTime() time.Duration {
+	return max(settleMinimum, min(settleTimeout, time.Until(r.deadline)-settleMinimum))
+}
+
 // single sends the call once without a claim.
 func (r *serviceRun) single(ctx context.Context) error {
 	answer, err := r.sendOnce(ctx)
--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -101,21 +101,21 @@
 }
 
 // Check probes an upstream because a request to it failed. It returns when the result of a probe that started after the
-// call is merged and its death, if it died, has been reported.
+// call is merged and its death, if it died, has been reported, or when ctx ends.
 func (w *Watcher) Check(ctx context.Context, u *Upstream) {
 	called := w.clock.Now()
 	for {
 		run, started := w.begin(u.ID)
 		if started {
-			w.run(ctx, u, run)
-			return
+			// The probe goes on after ctx, since its result matters to others, too.
+			w.probes.Go(func() { w.run(context.WithoutCancel(ctx), u, run) })
 		}
 		select {
 		case <-run.done:
 		case <-ctx.Done():
 			return
 		}
-		if run.started > called {
+		if started || run.started > called {
 			return
 		}
 	}
