--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -175,7 +175,9 @@
 		{endpoints, 3},
 	} {
 		set(t, url+"/endpoints", step.body)
-		for len(<-lists) != step.want {
+		l := <-lists
+		for len(l) != step.want {
+			l = <-lists
 		}
 	}
 	// The last change has one event for each of its two slices.
