Wait shortly after the death of an engine before unisolated starts

Cause: a copy of a crashing prompt that reached an instance before the news of its first crash started without isolation on the engine of an innocent suspect, which then had two deaths (seen under the race detector only).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -125,6 +125,9 @@
 
 // choose selects an engine and registers the prompt as running there. A suspect needs a permit first.
 func (p *promptRun) choose(ctx context.Context) (*spot, error) {
+	if err := p.settle(ctx); err != nil {
+		return nil, err
+	}
 	var permit *quarantine.Permit
 	switch p.server.quarantine.Check(p.fingerprint) {
 	case quarantine.VerdictReject:
@@ -144,6 +147,15 @@
 	return found, nil
 }
 
+// settle waits shortly after the death of an engine, until the peers' news of suspects has arrived.
+func (p *promptRun) settle(ctx context.Context) error {
+	q := p.server.quarantine
+	if left := q.Settling(); left > 0 && q.Check(p.fingerprint) == quarantine.VerdictAllow {
+		return p.server.clock.Sleep(ctx, left)
+	}
+	return nil
+}
+
 // claimEngine selects an engine on which the prompt may start now. A suspect starts only where no other suspect runs.
 func (p *promptRun) claimEngine(ctx context.Context, suspect bool) (*spot, error) {
 	s := p.server
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -20,8 +20,10 @@
 
 	// suspects is replaced as a whole, so that Check takes no lock.
 	suspects atomic.Pointer[map[Fingerprint]Suspect]
-	mutex    sync.Mutex
-	runs     map[poplarwinch.UpstreamID]map[*run]struct{}
+	// lastDeath is the time of the last death of an engine that this instance saw.
+	lastDeath atomic.Int64
+	mutex     sync.Mutex
+	runs      map[poplarwinch.UpstreamID]map[*run]struct{}
 }
 
 // New returns an empty register.
@@ -79,6 +81,7 @@
 
 // Died makes the requests that ran on u suspects and returns those whose record changed, for the peers.
 func (g *Register) Died(u poplarwinch.UpstreamID) []Suspect {
+	g.lastDeath.Store(int64(g.clock.Now()))
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
