--- a/cmd/standin/ports.go
+++ b/cmd/standin/ports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 )
 
@@ -11,14 +12,27 @@
 	Count int `arg:"positional,required" help:"number of ports"`
 }
 
+// The range lies below the one from which the system takes ports for connections, which could take a port between its
+// choice and its use.
+const (
+	firstPort = 20_000
+	portRange = 12_000
+)
+
 func (c *portsCommand) run(context.Context) error {
-	for range c.Count {
-		// The listeners stay open until the process ends, so that the ports are different.
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	port := rand.IntN(portRange)
+	for found, tried := 0, 0; found < c.Count; tried++ {
+		if tried == portRange {
+			return fmt.Errorf("only %d free ports from %d to %d", found, firstPort, firstPort+portRange-1)
+		}
+		port = (port + 1) % portRange
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+port))
 		if err != nil {
-			return err
+			continue
 		}
-		fmt.Println(l.Addr().(*net.TCPAddr).Port)
+		defer l.Close()
+		fmt.Println(firstPort + port)
+		found++
 	}
 	return nil
 }
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,15 +162,24 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// lastPort is the last port that freeAddress returned. The range lies below the one from which the system takes ports for
+// connections and for listeners without a port, which could take an address between its choice and its use.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(20_000 + rand.Int64N(10_000)) }
+
+// freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20_000+lastPort.Add(1)%12_000)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start starts an entry instance in the failure domain, with the given instances as seeds.
