Log decisions by one piece of code; teach the router its predictions

Cause: the log line of a decision stood twice; the router's learned delay by work of lower priority, which protects short prompts on engines that ignore priorities, never received a sample in a running instance. Conclusion: both come from the decision's candidate now.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -66,8 +66,10 @@
 	p.attempts++
 	p.upstream = u.ID
 	id := engine.StreamID(fmt.Sprintf("%s-%s-%d", p.id, randomHex(6), p.attempts))
-	work := upstream.Work{Prefill: p.prompt.Tokens - spot.cached, Priority: p.prompt.Class.Priority()}
-	a := &attempt{promptRun: p, upstream: u, id: id, ticket: u.Begin(work), group: spot.group}
+	a := &attempt{
+		promptRun: p, upstream: u, id: id, group: spot.group, candidate: &spot.candidate, began: p.sinceStart(),
+		ticket: u.Begin(spot.candidate.Work(&p.prompt)),
+	}
 	defer spot.end()
 	defer a.ticket.End()
 	before := p.server.quarantine.Deaths(p.fingerprint)
@@ -116,8 +118,8 @@
 type spot struct {
 	upstream *upstream.Upstream
 	group    *reservation.Group
-	// cached is the part of the prompt that is believed to be in the engine's prefix cache.
-	cached poplarwinch.Tokens
+	// candidate has the figures of the decision.
+	candidate routing.Candidate
 	// permit allows a suspect to run.
 	permit *quarantine.Permit
 	end    func()
@@ -163,7 +165,7 @@
 	for {
 		decision, group, err := p.decide(ctx)
 		if err == nil {
-			found := &spot{upstream: decision.Upstream, group: group, cached: decision.Candidates[0].Cached}
+			found := &spot{upstream: decision.Upstream, group: group, candidate: decision.Candidates[0]}
 			ok, err := p.start(ctx, found, suspect)
 			if ok {
 				s.router.Sent(decision.Upstream, &p.prompt)
--- a/entry/record.go
+++ b/entry/record.go
@@ -7,42 +7,17 @@
 	"github.com/poplarwinch/poplarwinch/routing"
 )
 
-// candidateFields is a candidate of a routing decision as it is logged.
-type candidateFields struct {
-	Upstream  poplarwinch.UpstreamID `json:"upstream"`
-	Predicted int64                  `json:"predicted-ms"`
-	Waiting   int64                  `json:"waiting-tokens"`
-	Cached    int64                  `json:"cached-tokens"`
-	Running   int64                  `json:"running-requests"`
-	Reserved  int64                  `json:"reserved-tokens,omitempty"`
-}
-
 // logDecision writes the log line of a routing decision for a prompt.
 func (p *promptRun) logDecision(d *routing.Decision) {
-	p.exchange.logDecision(d, log.Fields{
-		"model": string(p.prompt.Model), "adapter": string(p.prompt.Adapter), "class": string(p.prompt.Class),
-		"tokens": int64(p.prompt.Tokens), "attempt": p.attempts + 1,
-	})
+	p.log.WithFields(d.Fields()).WithFields(log.Fields{
+		"model": p.prompt.Model, "adapter": p.prompt.Adapter, "class": p.prompt.Class, "tokens": p.prompt.Tokens,
+		"attempt": p.attempts + 1,
+	}).Info("routing decision")
 }
 
 // logDecision writes the log line of a routing decision for a service call.
 func (r *serviceRun) logDecision(d *routing.Decision) {
-	r.exchange.logDecision(d, log.Fields{"service": string(r.service.Name), "attempt": r.attempts})
-}
-
-func (x *exchange) logDecision(d *routing.Decision, fields log.Fields) {
-	candidates := make([]candidateFields, len(d.Candidates))
-	for i, c := range d.Candidates {
-		candidates[i] = candidateFields{
-			Upstream: c.Upstream.ID, Predicted: int64(c.Predicted), Waiting: int64(c.Waiting),
-			Cached: int64(c.Cached), Running: c.Running, Reserved: int64(c.Reserved),
-		}
-	}
-	fields["upstream"] = string(d.Upstream.ID)
-	fields["reason"] = string(d.Reason)
-	fields["predicted-ms"] = int64(d.Predicted)
-	fields["candidates"] = candidates
-	x.log.WithFields(fields).Info("routing decision")
+	r.log.WithFields(d.Fields()).WithField("service", r.service.Name).WithField("attempt", r.attempts).Info("routing decision")
 }
 
 // record counts the end of a request and writes its log line.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -8,6 +8,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/reservation"
+	"github.com/poplarwinch/poplarwinch/routing"
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
 
@@ -26,7 +27,11 @@
 	ticket   *upstream.Ticket
 	// group is the memory on several engines that the prompt uses, if one engine can't hold it.
 	group *reservation.Group
-	last  int
+	// candidate has the figures of the decision, and began is the time from the request's start to this attempt; a resumed
+	// stream has neither.
+	candidate *routing.Candidate
+	began     clock.Millis
+	last      int
 	// sentPrompt says that the engine may have run a part of the prompt in this attempt.
 	sentPrompt bool
 }
@@ -84,10 +89,9 @@
 		if f.Waiting {
 			continue
 		}
-		if a.firstToken == 0 {
-			a.firstToken = max(1, a.sinceStart())
+		if a.last == 0 {
+			a.noteFirstToken()
 		}
-		a.ticket.FirstToken()
 		if err := a.sink.frame(a, f); err != nil {
 			return err
 		}
@@ -98,6 +102,18 @@
 	}
 }
 
+// noteFirstToken records that the prefill has ended, and teaches the router how good its prediction was.
+func (a *attempt) noteFirstToken() {
+	a.ticket.FirstToken()
+	now := a.sinceStart()
+	if a.firstToken == 0 {
+		a.firstToken = max(1, now)
+	}
+	if a.candidate != nil {
+		a.server.router.Observe(a.candidate, &a.prompt, now-a.began)
+	}
+}
+
 // resume continues the stream on a new connection. The engine is given up when it does not know the stream or can't be
 // reached several times in a row.
 func (a *attempt) resume(ctx context.Context, cause error) (*engine.Stream, error) {
--- a/routing/decision.go
+++ b/routing/decision.go
@@ -17,18 +17,17 @@
 	Candidates []Candidate
 }
 
-// Fields returns the fields of the decision's log line.
-func (d Decision) Fields(p *Prompt) log.Fields {
+// Fields returns the decision for a log line: the choice, its reason and the figures behind it.
+func (d Decision) Fields() log.Fields {
 	candidates := make([]log.Fields, len(d.Candidates))
 	for i, c := range d.Candidates {
 		candidates[i] = log.Fields{
 			"upstream": c.Upstream.ID, "predicted-ms": c.Predicted, "waiting-tokens": c.Waiting,
-			"lower-waiting-tokens": c.LowerWaiting, "cached-tokens": c.Cached, "running": c.Running,
-			"long-prefills": c.LongPrefills,
+			"lower-waiting-tokens": c.LowerWaiting, "cached-tokens": c.Cached, "running-requests": c.Running,
+			"long-prefills": c.LongPrefills, "reserved-tokens": c.Reserved,
 		}
 	}
 	return log.Fields{
-		"request-id": p.RequestID, "customer": p.Customer, "model": p.Model, "class": p.Class, "tokens": p.Tokens,
 		"upstream": d.Upstream.ID, "reason": d.Reason, "predicted-ms": d.Predicted, "candidates": candidates,
 	}
 }
