Read the load of engines once a second

Cause: at the planned size an instance watches 6.4 engines; health (some 400 bytes) and load (470 bytes) twice a second take 11 KB/s of its 28 KB/s. Change: load once a second, health as before. Conclusion: 3 KB/s less for each node; leaving is noticed as fast as before.

--- a/upstream/watcher.go
+++ b/upstream/watcher.go
@@ -12,6 +12,9 @@
 
 const (
 	probeInterval clock.Millis = 500
+	// Loads are read less often than health: they lag anyway, and at 6.4 engines for each instance reading both twice a
+	// second would take 11 KB/s of the 28 KB/s that an instance may spend on control.
+	loadInterval clock.Millis = 900
 	// Interval, probe and repeated probe take at most 2.5 s together, within the 3 s target for leaving upstreams.
 	probeTimeout = clock.Second
 	// An upstream whose last observation is older than this is probed by every instance, because its watchers may be
@@ -43,12 +46,13 @@
 	clock    *clock.Clock
 	mutex    sync.Mutex
 	busy     map[poplarwinch.UpstreamID]*probeRun
+	loads    map[poplarwinch.UpstreamID]clock.Millis // time of the last reading
 	probes   sync.WaitGroup
 }
 
 // NewWatcher returns a watcher for the registry that uses the registry's clock.
 func NewWatcher(r *Registry) *Watcher {
-	return &Watcher{registry: r, clock: r.clock, busy: map[poplarwinch.UpstreamID]*probeRun{}}
+	return &Watcher{registry: r, clock: r.clock, busy: map[poplarwinch.UpstreamID]*probeRun{}, loads: map[poplarwinch.UpstreamID]clock.Millis{}}
 }
 
 // Run probes until ctx ends and returns ctx's error after the last probe.
@@ -64,6 +68,7 @@
 
 // round starts one probe of each upstream that is due.
 func (w *Watcher) round(ctx context.Context) {
+	w.forgetLoads()
 	all := w.registry.Snapshot().All()
 	now, budget := w.clock.Now(), maxStaleProbes
 	if len(all) <= smallFleet {
@@ -147,7 +152,7 @@
 	if w.Changed != nil && u.State() != before {
 		w.Changed(o)
 	}
-	if u.Kind != KindEngine || o.State == StateDown || w.Load == nil {
+	if u.Kind != KindEngine || o.State == StateDown || w.Load == nil || !w.loadDue(u.ID) {
 		return
 	}
 	if load := w.load(ctx, u); load.At != 0 {
@@ -183,6 +188,27 @@
 	return limited(ctx, w.clock, func(ctx context.Context) (Health, error) { return w.Health(ctx, u, fresh) })
 }
 
+// forgetLoads drops the times of upstreams that are gone, once they outnumber the present ones.
+func (w *Watcher) forgetLoads() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.loads) > 2*len(w.registry.Snapshot().All()) {
+		clear(w.loads)
+	}
+}
+
+// loadDue reports whether the engine's load is to be read now, and notes it as read.
+func (w *Watcher) loadDue(id poplarwinch.UpstreamID) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := w.clock.Now()
+	if now-w.loads[id] < loadInterval {
+		return false
+	}
+	w.loads[id] = now
+	return true
+}
+
 // load returns the load report, or a zero one if it can't be read.
 func (w *Watcher) load(ctx context.Context, u *Upstream) Load {
 	load, err := limited(ctx, w.clock, func(ctx context.Context) (Load, error) { return w.Load(ctx, u) })
