Take a suspect's permit before it is registered on an engine

Cause: a suspect that waited for the table was registered as running on the engine it had not reached; when that engine died the innocent suspect had two deaths. Change: the permit for the engine comes first, then the registration.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -192,25 +192,26 @@
 	}
 }
 
-// start registers the prompt as running on the engine; it reports false if it may not run there now.
+// start registers the prompt as running on the engine; it reports false if it may not run there now. The permit comes
+// first: a prompt that waits for the table while it is registered would be blamed for a death of the engine meanwhile.
 func (p *promptRun) start(ctx context.Context, found *spot, suspect bool) (bool, error) {
+	var permit *quarantine.Permit
+	if suspect {
+		var err error
+		permit, err = p.server.guard.Engine(ctx, found.upstream.ID, clock.FromTime(p.deadline))
+		if permit == nil {
+			return false, err
+		}
+	}
 	q := p.server.quarantine
 	end, ok := q.Start(found.upstream.ID, p.fingerprint)
 	if !ok {
+		p.releasePermit(permit, false)
 		if q.Check(p.fingerprint) == quarantine.VerdictReject {
 			return false, quarantine.Rejected()
 		}
 		return false, nil
 	}
-	found.end = end
-	if !suspect {
-		return true, nil
-	}
-	permit, err := p.server.guard.Engine(ctx, found.upstream.ID, clock.FromTime(p.deadline))
-	if permit == nil {
-		end()
-		return false, err
-	}
 	found.end = func() {
 		end()
 		p.releasePermit(permit, false)
