--- a/cmd/standin/engine_test.go
+++ b/cmd/standin/engine_test.go
@@ -9,15 +9,15 @@
 
 // A model argument that is read wrongly would start an engine that rejects every prompt.
 func TestParseModels(t *testing.T) {
-	got, err := parseModels([]string{"drafting@1+binder@2+brief@3", "tagging@4"})
+	got, err := parseModels([]string{"drafting@1+letter@2+brief@3", "tagging@4"})
 	want := []engine.Model{
-		{Name: "drafting", Version: "1", Adapters: []engine.Adapter{{Name: "binder", Version: "2"}, {Name: "brief", Version: "3"}}},
+		{Name: "drafting", Version: "1", Adapters: []engine.Adapter{{Name: "letter", Version: "2"}, {Name: "brief", Version: "3"}}},
 		{Name: "tagging", Version: "4"},
 	}
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%+v, %v", got, err)
 	}
-	for _, text := range []string{"", "drafting", "@1", "drafting@", "drafting@1+", "drafting@1+binder"} {
+	for _, text := range []string{"", "drafting", "@1", "drafting@", "drafting@1+", "drafting@1+letter"} {
 		if got, err := parseModels([]string{text}); err == nil {
 			t.Errorf("%q accepted as %+v", text, got)
 		}
--- a/completion/assembler_test.go
+++ b/completion/assembler_test.go
@@ -27,11 +27,11 @@
 			"chat with a tool call", completion.FormatChat,
 			[]string{
 				`{"id":"c2","created":7,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":null}}]}`,
-				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t1","type":"function","function":{"name":"book","arguments":"{\"po"}}]}}]}`,
-				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"d\":4}"}}]}}]}`,
+				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t1","type":"function","function":{"name":"book","arguments":"{\"ro"}}]}}]}`,
+				`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"om\":4}"}}]}}]}`,
 				`{"choices":[{"index":0,"delta":{},"finish_reason":"tool_calls"}]}`,
 			},
-			`{"id":"c2","object":"chat.completion","created":7,"model":"m","choices":[{"index":0,"message":{"content":null,"refusal":null,"role":"assistant","tool_calls":[{"id":"t1","type":"function","function":{"name":"book","arguments":"{\"pod\":4}"}}]},"logprobs":null,"finish_reason":"tool_calls"}]}`,
+			`{"id":"c2","object":"chat.completion","created":7,"model":"m","choices":[{"index":0,"message":{"content":null,"refusal":null,"role":"assistant","tool_calls":[{"id":"t1","type":"function","function":{"name":"book","arguments":"{\"room\":4}"}}]},"logprobs":null,"finish_reason":"tool_calls"}]}`,
 		},
 	}
 	for _, c := range cases {
--- a/completion/request_test.go
+++ b/completion/request_test.go
@@ -12,13 +12,13 @@
 )
 
 func ExampleParse() {
-	body := `{"model":"drafting:notes","prompt":"Summarise the site history.","max_tokens":8}`
+	body := `{"model":"drafting:notes","prompt":"Summarise the shift report.","max_tokens":8}`
 	r, err := completion.Parse(completion.FormatText, []byte(body))
 	fmt.Println(r.Model, r.Adapter, r.MaxTokens, r.Stream, err)
 	fmt.Println(string(r.Body))
 	// Output:
 	// drafting notes 8 false <nil>
-	// {"stream":true,"stream_options":{"include_usage":true},"model":"drafting:notes","prompt":"Summarise the site history.","max_tokens":8}
+	// {"stream":true,"stream_options":{"include_usage":true},"model":"drafting:notes","prompt":"Summarise the shift report.","max_tokens":8}
 }
 
 // Malformed input must give a typed error that names the field, and must never panic.
@@ -83,7 +83,7 @@
 
 // Prompts with a common prefix must share its block hashes, and models must not share any.
 func TestBlocksFollowPrefix(t *testing.T) {
-	shared := strings.Repeat("site history ", 1000)
+	shared := strings.Repeat("shift report ", 1000)
 	a := completion.Blocks("m", "", []byte(shared+strings.Repeat("a", 5000)))
 	b := completion.Blocks("m", "", []byte(shared+strings.Repeat("b", 5000)))
 	other := completion.Blocks("n", "", []byte(shared))
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -645,7 +645,7 @@
 
 // Orders of a deposed planner must be rejected by engines that check fencing numbers.
 func TestOrders(t *testing.T) {
-	models := []engine.Model{{Name: "tagging", Version: "2", Adapters: []engine.Adapter{{Name: "binder", Version: "1"}}}}
+	models := []engine.Model{{Name: "tagging", Version: "2", Adapters: []engine.Adapter{{Name: "letter", Version: "1"}}}}
 	now := clock.System().Now()
 	for _, c := range []struct {
 		name    string
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -230,10 +230,7 @@
 
 // interrupted returns the error of a request whose time limit ended or whose caller went away.
 func (p *promptRun) interrupted(ctx context.Context, cause error) error {
-	outcome := poplarwinch.OutcomeNotRun
-	if p.mayHaveRun {
-		outcome = poplarwinch.OutcomeFailed
-	}
+	outcome := p.outcome()
 	if p.request.Context().Err() != nil || errors.Is(cause, errCaller) {
 		return &poplarwinch.Error{
 			Kind: poplarwinch.KindCallerGone, Outcome: outcome, Cause: cause,
@@ -247,11 +244,16 @@
 	}
 }
 
-func (p *promptRun) upstreamFailed(cause error) error {
-	outcome := poplarwinch.OutcomeNotRun
+// outcome returns what is known about a prompt without a complete answer.
+func (p *promptRun) outcome() poplarwinch.Outcome {
 	if p.mayHaveRun {
-		outcome = poplarwinch.OutcomeFailed
+		return poplarwinch.OutcomeFailed
 	}
+	return poplarwinch.OutcomeNotRun
+}
+
+func (p *promptRun) upstreamFailed(cause error) error {
+	outcome := p.outcome()
 	return &poplarwinch.Error{
 		Kind: poplarwinch.KindUpstreamFailed, Outcome: outcome, Cause: cause, RetryAfter: clock.Second,
 		Message: fmt.Sprintf("no engine completed the prompt in %d attempts", p.attempts), Remedy: "retry; the prompt is safe to repeat",
--- a/entry/services.go
+++ b/entry/services.go
@@ -139,7 +139,7 @@
 		}
 		again := !r.mayHaveRun || idempotent
 		if !again || ctx.Err() != nil || r.attempts >= maxAttempts || r.attempts == 0 || !r.server.retries.Take() {
-			return r.failed(ctx, err, poplarwinch.OutcomeUnknown)
+			return r.failed(ctx, err)
 		}
 		r.log.WithField("upstream", string(r.upstream)).WithField("attempt", r.attempts).WithError(err).Warn("attempt failed; trying another server")
 	}
@@ -194,7 +194,7 @@
 		r.log.WithError(settled).Warn("claim not settled yet; the write is repeated in the background")
 	}
 	if err != nil {
-		return r.failed(ctx, err, poplarwinch.OutcomeUnknown)
+		return r.failed(ctx, err)
 	}
 	return r.answer(answer)
 }
@@ -209,7 +209,7 @@
 func (r *serviceRun) single(ctx context.Context) error {
 	answer, err := r.sendOnce(ctx)
 	if err != nil {
-		return r.failed(ctx, err, poplarwinch.OutcomeUnknown)
+		return r.failed(ctx, err)
 	}
 	return r.answer(answer)
 }
@@ -264,16 +264,16 @@
 	return r.writeWhole(a.Status, "", a.Body)
 }
 
-// failed returns the caller's error for a call without an answer; outcome is the one for a call that may have run.
-func (r *serviceRun) failed(ctx context.Context, cause error, outcome poplarwinch.Outcome) error {
+// failed returns the caller's error for a call without an answer.
+func (r *serviceRun) failed(ctx context.Context, cause error) error {
 	var known *poplarwinch.Error
 	if errors.As(cause, &known) {
 		if r.mayHaveRun && known.Outcome == poplarwinch.OutcomeNotRun {
-			known.Outcome = outcome
+			known.Outcome = poplarwinch.OutcomeUnknown
 		}
 		return known
 	}
-	remedy := "find out from the service whether the call ran before a new call with another key"
+	outcome, remedy := poplarwinch.OutcomeUnknown, "find out from the service whether the call ran before a new call with another key"
 	if !r.mayHaveRun {
 		outcome, remedy = poplarwinch.OutcomeNotRun, "repeat the call later with the same key"
 	}
--- a/instance/disconnect_test.go
+++ b/instance/disconnect_test.go
@@ -20,7 +20,7 @@
 	w.services[0].SetFaults(emulatedservice.Faults{Delay: 500})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(200*time.Millisecond, cancel)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.caller+"/services/bookings/bookings", strings.NewReader(`{"pod":4}`))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.caller+"/services/bookings/bookings", strings.NewReader(`{"room":4}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 		r.Body.Close()
 		t.Fatalf("status %d before the caller disconnected", r.StatusCode)
 	}
-	r := post(t, n.caller, "/services/bookings/bookings", testKey, `{"pod":4}`, "Idempotency-Key", "disconnected")
+	r := post(t, n.caller, "/services/bookings/bookings", testKey, `{"room":4}`, "Idempotency-Key", "disconnected")
 	if r.StatusCode != http.StatusOK || r.Header.Get("Replayed") != "true" {
 		t.Errorf("repeat: status %d, outcome %q, replayed %q", r.StatusCode, r.Header.Get("Outcome"), r.Header.Get("Replayed"))
 	}
--- a/instance/fault_test.go
+++ b/instance/fault_test.go
@@ -221,7 +221,7 @@
 			w.commit(n, manifestText(), 0)
 			w.services[0].SetFaults(c.faults)
 			call := func(n *node) *http.Response {
-				return post(t, n.caller, "/services/bookings/bookings", testKey, `{"pod":4}`, "Idempotency-Key", "key-"+c.name)
+				return post(t, n.caller, "/services/bookings/bookings", testKey, `{"room":4}`, "Idempotency-Key", "key-"+c.name)
 			}
 			if got := call(n).Header.Get("Outcome"); got != c.outcome {
 				t.Fatalf("outcome %q, want %q", got, c.outcome)
--- a/instance/group_test.go
+++ b/instance/group_test.go
@@ -18,7 +18,7 @@
 	w := newWorld(t, worldOptions{engines: 5, engine: []emulatedengine.Option{emulatedengine.WithMemory(100_000)}})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
-	prompt := strings.Repeat("contract binder ", 62_500)
+	prompt := strings.Repeat("quarterly notes ", 62_500)
 	want := strings.Join(answer.Answer(prompt, 8), "")
 	results := make(chan string, 3)
 	for range cap(results) {
--- a/instance/openai_test.go
+++ b/instance/openai_test.go
@@ -22,10 +22,10 @@
 	client := openai.NewClient(option.WithBaseURL("http://"+n.caller+"/v1/"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
 	question := openai.ChatCompletionNewParams{
 		Model:     "drafting:notes",
-		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Which pods are free?")},
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Which rooms are free?")},
 		MaxTokens: openai.Int(9),
 	}
-	want := strings.Join(answer.Answer(answer.Prompt([]answer.Message{{Role: "user", Content: "Which pods are free?"}}), 9), "")
+	want := strings.Join(answer.Answer(answer.Prompt([]answer.Message{{Role: "user", Content: "Which rooms are free?"}}), 9), "")
 
 	t.Run("chat, whole", func(t *testing.T) {
 		got, err := client.Chat.Completions.New(ctx, question)
--- a/instance/prompt_test.go
+++ b/instance/prompt_test.go
@@ -18,7 +18,7 @@
 	w := newWorld(t, worldOptions{engines: 2})
 	n := w.start("entry-1", "domain-a")
 	w.commit(n, manifestText(), 0)
-	prompt := strings.Repeat("site history ", 400)
+	prompt := strings.Repeat("shift report ", 400)
 	want := strings.Join(answer.Answer(prompt, 12), "")
 	body := fmt.Sprintf(`{"model":"drafting","prompt":%q,"max_tokens":12`, prompt)
 
--- a/instance/slow_table_test.go
+++ b/instance/slow_table_test.go
@@ -24,7 +24,7 @@
 	const limit = 600 * clock.Millis(1)
 	started := time.Now()
 	call := func() *http.Response {
-		return post(t, n.caller, "/services/bookings/bookings", testKey, `{"pod":4}`, "Idempotency-Key", "slow-table", "Request-Timeout-Ms", "600")
+		return post(t, n.caller, "/services/bookings/bookings", testKey, `{"room":4}`, "Idempotency-Key", "slow-table", "Request-Timeout-Ms", "600")
 	}
 	if r := call(); r.StatusCode != http.StatusOK {
 		t.Fatalf("status %d", r.StatusCode)
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -265,7 +265,12 @@
 // commit commits the manifest through the operator server of n and waits until the instances are ready.
 func (w *world) commit(n *node, text string, replaces int) {
 	w.t.Helper()
-	var last string
+	last := ""
+	defer func() {
+		if w.t.Failed() {
+			w.t.Log(last)
+		}
+	}()
 	w.eventually("the commit is accepted", func() bool {
 		request, _ := http.NewRequest(http.MethodPut, "http://"+n.operator+"/manifest", strings.NewReader(text))
 		request.Header.Set("Replaces", strconv.Itoa(replaces))
@@ -280,7 +285,6 @@
 		last = response.Status + " " + string(body)
 		return response.StatusCode == http.StatusOK
 	})
-	_ = last
 	for _, n := range w.nodes {
 		w.ready(n)
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -54,7 +54,7 @@
 
 func (f *fleet) observe(i int, s upstream.State, waiting poplarwinch.Tokens) {
 	f.manual.Advance(1)
-	adapters := []upstream.LoadedAdapter{{Name: "binder"}}
+	adapters := []upstream.LoadedAdapter{{Name: "letter"}}
 	if i%3 == 1 {
 		adapters = nil
 	}
@@ -75,7 +75,7 @@
 		f := newFleet(t, n, routing.WithFailureDomain("arima"))
 		eligible := map[poplarwinch.UpstreamID]bool{}
 		p := prompt(poplarwinch.Tokens(rapid.SampledFrom([]int{1, 8192, 20_000, 200_000}).Draw(t, "tokens")), 7, 8)
-		p.Adapter = rapid.SampledFrom([]poplarwinch.AdapterName{"", "binder"}).Draw(t, "adapter")
+		p.Adapter = rapid.SampledFrom([]poplarwinch.AdapterName{"", "letter"}).Draw(t, "adapter")
 		local := 0
 		for i := range n {
 			state := rapid.SampledFrom([]upstream.State{upstream.StateUp, upstream.StateUp, upstream.StateLeaving, upstream.StateDown}).Draw(t, "state")
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -16,7 +16,7 @@
 
 const start clock.Millis = 1_000_000
 
-var models = []Loaded{{Name: "drafting", Adapters: []LoadedAdapter{{Name: "binder"}}}}
+var models = []Loaded{{Name: "drafting", Adapters: []LoadedAdapter{{Name: "letter"}}}}
 
 func engineEntry(id poplarwinch.UpstreamID) Listed {
 	return Listed{ID: id, Kind: KindEngine, Pool: "drafting", Address: "127.0.0.1:1", FailureDomain: "arima", Ready: true}
@@ -74,7 +74,7 @@
 			if known != c.known || known && u.State() != c.want {
 				t.Fatalf("known %v, want %v, state %v, want %v", known, c.known, u, c.want)
 			}
-			if n := len(r.Snapshot().Engines("drafting", "binder").All); n > 0 && c.want != StateUp {
+			if n := len(r.Snapshot().Engines("drafting", "letter").All); n > 0 && c.want != StateUp {
 				t.Fatalf("%d engines are selectable in state %s", n, c.want)
 			}
 		})
