--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	go test $(PACKAGES)
 
 lint: tools
+	scripts/tracked-size
 	scripts/lint $(PACKAGES)
 
 race:
