Serve the users' platform: a thin whole path through a new core

dispatch runs a typed request with an opaque body; platform is its front door, upstream client and store client; fleet, assignment, gossip, replica and route hold what the core needs to know.

--- /dev/null
+++ b/assignment/choose.go
@@ -0,0 +1,158 @@
+package assignment
+
+import (
+	"math"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+const (
+	// pauseShare is the part of the limit between events that planned work may use up.
+	pauseShare = 0.85
+	// averageContext is the assumed context of a decoding request, in tokens.
+	averageContext = 6000
+	// packedRequests is the number of requests above which an engine is filled further only if all others are, too.
+	packedRequests = 13
+	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
+	openingMillis = 60.0
+	// crowdedMillis is the penalty of an engine with more than packedRequests.
+	crowdedMillis = 200.0
+	// distantMillis is the penalty of an engine in another failure domain.
+	distantMillis = 30.0
+	// rankMillis orders the engines of a failure domain that are equal otherwise.
+	rankMillis = 1.0
+)
+
+// Choose returns the plan for a prompt. It reports false if the prompt had better wait for a change of the fleet.
+func Choose(pool *route.Pool, engines []fleet.Candidate, p *Prompt) (Plan, bool) {
+	engines = sound(engines)
+	if len(engines) == 0 {
+		return Plan{}, false
+	}
+	c := &choice{pool: pool, engines: engines, prompt: p, read: pool.Read(p.Tokens)}
+	if c.short() {
+		return c.single()
+	}
+	return c.group()
+}
+
+// choice is one decision.
+type choice struct {
+	pool    *route.Pool
+	engines []fleet.Candidate
+	prompt  *Prompt
+	// read is the time in ms in which one engine reads the prompt.
+	read float64
+}
+
+// sound returns the engines that did not fail recently, or all if none is left.
+func sound(engines []fleet.Candidate) []fleet.Candidate {
+	list := make([]fleet.Candidate, 0, len(engines))
+	for _, e := range engines {
+		if !e.Avoid {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		return engines
+	}
+	return list
+}
+
+// pass returns the time of a scheduling pass of the engine with one more request.
+func (c *choice) pass(e *fleet.Candidate) float64 {
+	n := e.Load.Requests + 1
+	return c.pool.Pass(n, poplarwinch.Tokens(n*averageContext))
+}
+
+// short reports whether the prompt can be read between the events of other short prompts.
+func (c *choice) short() bool {
+	limit := float64(c.prompt.MaxPause)
+	if limit == 0 {
+		limit = math.Inf(1)
+	}
+	pass := c.pool.Pass(c.pool.Slots, poplarwinch.Tokens(c.pool.Slots*averageContext))
+	return c.read <= pauseShare*limit-pass
+}
+
+// room returns the reading time that the engine can take on without pausing its streams for too long.
+func (c *choice) room(e *fleet.Candidate) float64 {
+	if e.Load.MinPause == 0 {
+		return math.Inf(1)
+	}
+	return pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
+}
+
+// fits reports whether the engine has a slot and memory for the prompt.
+func (c *choice) fits(e *fleet.Candidate) bool {
+	return e.Load.Requests < c.pool.Slots && e.Load.Memory+c.prompt.Tokens+c.prompt.Answer <= c.pool.MemoryTokens
+}
+
+// firstEvent predicts the time to the first event of a prompt that the engine reads alone.
+func (c *choice) firstEvent(e *fleet.Candidate, read float64) float64 {
+	pass := c.pass(e)
+	wait := 0.0
+	if e.Load.Decoding > 0 {
+		wait = pass / 2
+	}
+	return wait + float64(e.Load.Read) + read + pass
+}
+
+// single chooses one engine for a short prompt. Engines that already serve short prompts come first, so that the others
+// stay free for long ones.
+func (c *choice) single() (Plan, bool) {
+	best, bestCost := -1, math.Inf(1)
+	for i := range c.engines {
+		e := &c.engines[i]
+		if !c.fits(e) {
+			continue
+		}
+		first := c.firstEvent(e, c.read)
+		if !c.prompt.Relaxed && (c.room(e) < c.read || first > float64(c.prompt.Target)) {
+			continue
+		}
+		if cost := first + c.penalty(e); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Plan{}, false
+	}
+	return c.plan(&c.engines[best]), true
+}
+
+// penalty returns what speaks against an engine besides its time to the first event, in ms.
+func (c *choice) penalty(e *fleet.Candidate) float64 {
+	cost := float64(e.Rank) * rankMillis
+	if e.Load.Requests == 0 {
+		cost += openingMillis
+	}
+	if e.Load.Requests > packedRequests {
+		cost += crowdedMillis
+	}
+	if e.Domain != c.prompt.Domain {
+		cost += distantMillis
+	}
+	if c.prompt.Relaxed && c.room(e) < c.read {
+		cost += crowdedMillis
+	}
+	return cost
+}
+
+func (c *choice) plan(e *fleet.Candidate) Plan {
+	reason := ReasonPacked
+	switch {
+	case c.prompt.Relaxed:
+		reason = ReasonLate
+	case e.Load.Requests == 0:
+		reason = ReasonOpened
+	}
+	return Plan{
+		First: e.ID, Read: ceil(c.read), FirstEvent: ceil(c.firstEvent(e, c.read)), Reason: reason,
+	}
+}
+
+func ceil(ms float64) clock.Millis { return clock.Millis(math.Ceil(ms)) }
--- /dev/null
+++ b/assignment/group.go
@@ -0,0 +1,118 @@
+package assignment
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/fleet"
+)
+
+const (
+	// maxHelpers is the largest number of engines that help the first one.
+	maxHelpers = 16
+	// minPartMillis is the smallest part of a prompt that is worth another engine.
+	minPartMillis = 40.0
+	// helperMillis is the gain in the time to the first event that another engine must bring.
+	helperMillis = 4.0
+	// targetShare is the part of the time to the target that a plan may use before the prompt waits instead.
+	targetShare = 0.9
+)
+
+// group chooses the engines that read a long prompt together, so that its first event comes earliest.
+func (c *choice) group() (Plan, bool) {
+	order := slices.Clone(c.engines)
+	slices.SortStableFunc(order, func(a, b fleet.Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.Load.Read, b.Load.Read),
+			cmp.Compare(a.Load.Requests, b.Load.Requests),
+			cmp.Compare(b.Rank, a.Rank),
+		)
+	})
+	best, found := Plan{}, false
+	bestCost := 0.0
+	for k := 1; k <= min(len(order), maxHelpers+1); k++ {
+		part := c.read / float64(k)
+		if k > 1 && part < minPartMillis {
+			break
+		}
+		plan, finish, ok := c.groupOf(order, k, part)
+		if cost := finish + helperMillis*float64(k); ok && (!found || cost < bestCost) {
+			best, bestCost, found = plan, cost, true
+		}
+	}
+	if !found {
+		return Plan{}, false
+	}
+	if !c.prompt.Relaxed && float64(best.FirstEvent) > targetShare*float64(c.prompt.Target) {
+		return Plan{}, false
+	}
+	if c.prompt.Relaxed {
+		best.Reason = ReasonLate
+	}
+	return best, true
+}
+
+// groupOf returns the plan with k engines and its time to the first event.
+func (c *choice) groupOf(order []fleet.Candidate, k int, part float64) (Plan, float64, bool) {
+	var chosen []*fleet.Candidate
+	for i := range order {
+		if e := &order[i]; c.room(e) >= part && e.Load.Parts < c.pool.Slots {
+			if chosen = append(chosen, e); len(chosen) == k {
+				break
+			}
+		}
+	}
+	if len(chosen) < k {
+		return Plan{}, 0, false
+	}
+	first := c.first(chosen)
+	if first < 0 {
+		return Plan{}, 0, false
+	}
+	finish := 0.0
+	for _, e := range chosen {
+		finish = max(finish, c.firstEvent(e, part))
+	}
+	plan := Plan{First: chosen[first].ID, Read: ceil(part), FirstEvent: ceil(finish), Reason: ReasonGroup}
+	if k == 1 {
+		plan.Reason = ReasonSingle
+	}
+	plan.Helpers = make([]poplarwinch.UpstreamID, 0, k-1)
+	for i, e := range chosen {
+		if i != first {
+			plan.Helpers = append(plan.Helpers, e.ID)
+		}
+	}
+	return plan, finish, true
+}
+
+// first returns the index of the engine that answers: one whose streams accept pauses as long as the prompt's own, with
+// the most free memory.
+func (c *choice) first(chosen []*fleet.Candidate) int {
+	best := -1
+	for i, e := range chosen {
+		if !c.fits(e) {
+			continue
+		}
+		if best < 0 || c.answersBefore(e, chosen[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *choice) answersBefore(a, b *fleet.Candidate) bool {
+	if x, y := c.disturbed(a), c.disturbed(b); x != y {
+		return y
+	}
+	if x, y := a.Domain == c.prompt.Domain, b.Domain == c.prompt.Domain; x != y && a.Load.Requests == b.Load.Requests {
+		return x
+	}
+	return a.Load.Memory < b.Load.Memory
+}
+
+// disturbed reports whether the engine has streams with tighter limits than the prompt's.
+func (c *choice) disturbed(e *fleet.Candidate) bool {
+	return e.Load.MinPause != 0 && e.Load.MinPause < c.prompt.MaxPause
+}
--- a/cmd/poplarwinch/arguments.go
+++ b/cmd/poplarwinch/arguments.go
@@ -5,6 +5,7 @@
 // arguments are the command line.
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry instance"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run an entry instance on the users' platform"`
 	Manifest *manifestCommand `arg:"subcommand:manifest" help:"check, commit or show a manifest"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the status of an instance"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file"`
@@ -39,6 +40,8 @@
 	switch {
 	case a.Serve != nil:
 		return a.Serve
+	case a.Platform != nil:
+		return a.Platform
 	case a.Status != nil:
 		return a.Status
 	case a.Manifest != nil && a.Manifest.Check != nil:
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/admission"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	clock     *clock.Clock
+	log       log.Interface
+	fleet     *fleet.Fleet
+	domain    poplarwinch.FailureDomain
+	active    func() *route.Table
+	send      func(ctx context.Context, c *Call) (*Answer, error)
+	reachable func(ctx context.Context, s fleet.Server) bool
+	newBudget func() *admission.SharedBudget
+	suspects  *quarantine.Register
+	metrics   *requestMetrics
+
+	// choosing makes a decision and the count of its work one step.
+	choosing sync.Mutex
+	budgets  sync.Map // poplarwinch.ServiceName to *admission.SharedBudget
+	inFlight atomic.Int64
+	// background is the work that goes on after a request has ended.
+	background sync.WaitGroup
+}
+
+// New returns a dispatcher; WithFleet, WithActive, WithSend, WithReachable, WithBudget and WithSuspects are required.
+func New(opts ...Option) *Dispatcher {
+	d := &Dispatcher{clock: clock.Monotonic(), log: log.Log, metrics: newMetrics()}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Now returns the time on the dispatcher's clock.
+func (d *Dispatcher) Now() clock.Millis { return d.clock.Now() }
+
+// InFlight returns the number of requests that run or wait.
+func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
+
+// Wait waits for work that goes on after requests have ended.
+func (d *Dispatcher) Wait() { d.background.Wait() }
+
+// Run serves one request until its answer was written to reply. The error is a *poplarwinch.Error; if reply has begun,
+// the answer must be broken off visibly.
+func (d *Dispatcher) Run(ctx context.Context, r *Request, reply Reply) error {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	d.budget(r.Service).Earn()
+	x := newRun(d, r, reply)
+	err := x.run(ctx)
+	x.record(err)
+	return err
+}
+
+func (d *Dispatcher) budget(service poplarwinch.ServiceName) *admission.SharedBudget {
+	if b, ok := d.budgets.Load(service); ok {
+		return b.(*admission.SharedBudget)
+	}
+	b, _ := d.budgets.LoadOrStore(service, d.newBudget())
+	return b.(*admission.SharedBudget)
+}
--- /dev/null
+++ b/dispatch/metrics.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// requestMetrics counts requests, attempts and their times.
+type requestMetrics struct {
+	set *metrics.Set
+}
+
+func newMetrics() *requestMetrics { return &requestMetrics{set: metrics.NewSet()} }
+
+// ended counts a request that ended.
+func (m *requestMetrics) ended(service poplarwinch.ServiceName, result string, first, total clock.Millis) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_requests_total{service=%q,result=%q}`, service, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`poplarwinch_request_seconds{service=%q}`, service)).Update(float64(total) / 1000)
+	if first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`poplarwinch_first_event_seconds{service=%q}`, service)).Update(float64(first) / 1000)
+	}
+}
+
+// attempt counts the end of an attempt.
+func (m *requestMetrics) attempt(service poplarwinch.ServiceName, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_attempts_total{service=%q,result=%q}`, service, result)).Inc()
+}
+
+// WriteMetrics writes the counters and histograms in the Prometheus text format.
+func (d *Dispatcher) WriteMetrics(w io.Writer) { d.metrics.set.WritePrometheus(w) }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const (
+	// minReadLeft is assumed while a prompt takes longer to read than was estimated.
+	minReadLeft clock.Millis = 10
+	// reportTimeout is the age at which a peer's report no longer counts.
+	reportTimeout = 3 * clock.Second
+)
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	clock *clock.Clock
+	// tell is called after own work changed; spread says that several servers are concerned.
+	tell func(spread bool)
+
+	mutex   sync.Mutex
+	servers map[poplarwinch.UpstreamID]*member
+	peers   map[poplarwinch.InstanceID]*peerReport
+	// notice is closed and replaced when work ends or servers change.
+	notice chan struct{}
+}
+
+// New returns an empty fleet.
+func New(opts ...Option) *Fleet {
+	f := &Fleet{
+		clock: clock.Monotonic(), tell: func(bool) {},
+		servers: map[poplarwinch.UpstreamID]*member{}, peers: map[poplarwinch.InstanceID]*peerReport{},
+		notice: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Apply installs the list of servers. Work and experience stay with servers that are the same process as before.
+func (f *Fleet) Apply(list []Server) {
+	f.mutex.Lock()
+	next := make(map[poplarwinch.UpstreamID]*member, len(list))
+	for _, s := range list {
+		m := f.servers[s.ID]
+		if m == nil || !m.server.same(s) {
+			m = newMember(s)
+		}
+		m.server = s
+		next[s.ID] = m
+	}
+	f.servers = next
+	f.mutex.Unlock()
+	f.wakeWaiters()
+}
+
+// Server returns the server with the id if it is on the list and not leaving.
+func (f *Fleet) Server(id poplarwinch.UpstreamID) (Server, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m := f.servers[id]
+	if m == nil || m.server.Leaving {
+		return Server{}, false
+	}
+	return m.server, true
+}
+
+// Candidate is a server that may get work, with the work that it has.
+type Candidate struct {
+	Server
+	Load Load
+	// Rank orders the servers of a failure domain in the same way in all instances.
+	Rank int
+	// Avoid says that the server recently failed.
+	Avoid bool
+}
+
+// Candidates returns the servers of a service that are not leaving, ordered by failure domain and rank.
+func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.clock.Now()
+	var list []Candidate
+	for _, m := range f.servers {
+		if m.server.Service == service && !m.server.Leaving {
+			list = append(list, Candidate{Server: m.server, Load: m.load(now), Avoid: m.health.avoided(now)})
+		}
+	}
+	for i := range list {
+		f.addPeers(&list[i], now)
+	}
+	rank(list)
+	return list
+}
+
+// rank orders the list and numbers the servers of each failure domain.
+func rank(list []Candidate) {
+	slices.SortFunc(list, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.Domain, b.Domain),
+			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
+		)
+	})
+	for i := range list {
+		if i > 0 && list[i].Domain == list[i-1].Domain {
+			list[i].Rank = list[i-1].Rank + 1
+		}
+	}
+}
+
+// Begin counts the work of an attempt until the ticket's End.
+func (f *Fleet) Begin(w Work) *Ticket {
+	t := &Ticket{fleet: f, work: w, reading: true}
+	f.mutex.Lock()
+	now := f.clock.Now()
+	if m := f.servers[w.First]; m != nil {
+		m.add(t)
+		m.startRead(now, w.Read)
+	}
+	for _, id := range w.Helpers {
+		if m := f.servers[id]; m != nil {
+			m.startRead(now, w.Read)
+			m.own.Parts++
+		}
+	}
+	f.mutex.Unlock()
+	f.tell(t.spread())
+	return t
+}
+
+// endRead records on all servers of the ticket that the prompt was read. The caller holds the lock.
+func (f *Fleet) endRead(t *Ticket) {
+	now := f.clock.Now()
+	if m := f.servers[t.work.First]; m != nil {
+		m.endRead(now)
+	}
+	for _, id := range t.work.Helpers {
+		if m := f.servers[id]; m != nil {
+			m.endRead(now)
+			m.own.Parts = max(m.own.Parts-1, 0)
+		}
+	}
+}
+
+// changed tells peers and waiting requests that own work changed.
+func (f *Fleet) changed(spread bool) {
+	f.tell(spread)
+	f.wakeWaiters()
+}
+
+func (f *Fleet) wakeWaiters() {
+	f.mutex.Lock()
+	close(f.notice)
+	f.notice = make(chan struct{})
+	f.mutex.Unlock()
+}
+
+// Notice returns a channel that is closed at the next change that may make room.
+func (f *Fleet) Notice() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.notice
+}
+
+// Succeeded records a complete answer of a server.
+func (f *Fleet) Succeeded(id poplarwinch.UpstreamID) {
+	f.learn(id, func(h *health, now clock.Millis) { h.succeeded(now) })
+}
+
+// Failed records an answer that failed or broke off.
+func (f *Fleet) Failed(id poplarwinch.UpstreamID) {
+	f.learn(id, func(h *health, now clock.Millis) { h.failed(now) })
+}
+
+// Unreachable records that a server accepted no connection.
+func (f *Fleet) Unreachable(id poplarwinch.UpstreamID) {
+	f.learn(id, func(h *health, now clock.Millis) { h.unreachable(now) })
+	f.tell(true)
+}
+
+func (f *Fleet) learn(id poplarwinch.UpstreamID, update func(*health, clock.Millis)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if m := f.servers[id]; m != nil {
+		update(&m.health, f.clock.Now())
+	}
+}
--- /dev/null
+++ b/fleet/option.go
@@ -0,0 +1,13 @@
+package fleet
+
+import "github.com/poplarwinch/poplarwinch/clock"
+
+// Option configures a Fleet.
+type Option func(*Fleet)
+
+// WithClock sets the clock; the default is monotonic.
+func WithClock(c *clock.Clock) Option { return func(f *Fleet) { f.clock = c } }
+
+// WithTell sets the function that is called after own work changed. Spread says that several servers are concerned, so
+// that distant peers need to know of it too.
+func WithTell(tell func(spread bool)) Option { return func(f *Fleet) { f.tell = tell } }
--- /dev/null
+++ b/fleet/ticket.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// Work is what one request puts on servers.
+type Work struct {
+	// First is the server that answers.
+	First poplarwinch.UpstreamID
+	// Helpers read parts of the prompt for the first server.
+	Helpers []poplarwinch.UpstreamID
+	// Read is the time that each of these servers needs for its part.
+	Read clock.Millis
+	// MaxPause is the longest pause between events that the request accepts; zero when there is no limit.
+	MaxPause clock.Millis
+	// Memory is the KV cache that the request occupies on the first server.
+	Memory poplarwinch.Tokens
+}
+
+// Ticket accounts for the work of one attempt until End.
+type Ticket struct {
+	fleet   *Fleet
+	work    Work
+	reading bool
+	ended   bool
+}
+
+// FirstEvent records that the prompt has been read.
+func (t *Ticket) FirstEvent() {
+	f := t.fleet
+	f.mutex.Lock()
+	if !t.reading {
+		f.mutex.Unlock()
+		return
+	}
+	t.reading = false
+	f.endRead(t)
+	if m := f.servers[t.work.First]; m != nil && m.has(t) {
+		m.own.Decoding++
+	}
+	f.mutex.Unlock()
+	f.changed(t.spread())
+}
+
+// End records that the request no longer runs.
+func (t *Ticket) End() {
+	f := t.fleet
+	f.mutex.Lock()
+	if t.ended {
+		f.mutex.Unlock()
+		return
+	}
+	t.ended = true
+	decoding := !t.reading
+	if t.reading {
+		t.reading = false
+		f.endRead(t)
+	}
+	if m := f.servers[t.work.First]; m != nil {
+		m.remove(t, decoding)
+	}
+	f.mutex.Unlock()
+	f.changed(t.spread())
+}
+
+// spread reports whether the work concerns more than one server, so that distant peers need to know of it at once.
+func (t *Ticket) spread() bool { return len(t.work.Helpers) > 0 }
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,241 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/internal/codec"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+const (
+	// nearDelay is the time in which changes are collected before the own failure domain is told.
+	nearDelay clock.Millis = 5
+	// farDelay is the same for other failure domains, if only one server is concerned.
+	farDelay clock.Millis = 250
+	// heartbeat is the longest time between two datagrams to a peer.
+	heartbeat clock.Millis = 1000
+	// aliveFor is the time after its last datagram for which a peer counts as alive.
+	aliveFor = 5 * clock.Second
+	// maxDatagram is the largest datagram that is read.
+	maxDatagram = 60000
+	// maxSuspects bounds the suspects in a datagram.
+	maxSuspects = 16
+	// newsDelay is the time that the own reading of a table may lag behind a peer's.
+	newsDelay clock.Millis = 300
+)
+
+// Gossip exchanges datagrams with all members. Its exported fields are set before Run.
+type Gossip struct {
+	Self     Member
+	Fleet    *fleet.Fleet
+	Suspects *quarantine.Register
+	// Replicas are the tables whose versions are compared, by name.
+	Replicas map[string]*replica.Replica
+	Clock    *clock.Clock
+	Log      log.Interface
+
+	codec codec.CBOR
+	boot  int64
+
+	mutex    sync.Mutex
+	peers    map[poplarwinch.InstanceID]*peerState
+	unnamed  map[netip.AddrPort]bool
+	sequence uint64
+	nearDue  clock.Millis
+	farDue   clock.Millis
+	wake     chan struct{}
+	// behind has the time since which a peer knows a newer version of a table.
+	behind map[string]clock.Millis
+	calls  callClients
+}
+
+// Init prepares the exchange; it must be called before any other method.
+func (g *Gossip) Init(boot int64) error {
+	c, err := codec.NewCBOR()
+	if err != nil {
+		return err
+	}
+	g.codec, g.boot = c, boot
+	g.peers = map[poplarwinch.InstanceID]*peerState{}
+	g.unnamed = map[netip.AddrPort]bool{}
+	g.behind = map[string]clock.Millis{}
+	g.wake = make(chan struct{}, 1)
+	return nil
+}
+
+// Add adds members that are known from elsewhere.
+func (g *Gossip) Add(members []Member) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, m := range members {
+		if m.ID == g.Self.ID || m.Address == g.Self.Address {
+			continue
+		}
+		if m.ID == "" {
+			g.unnamed[m.Address] = true
+			continue
+		}
+		if p := g.peers[m.ID]; p == nil || p.heardAt == 0 {
+			g.peers[m.ID] = &peerState{Member: m}
+		}
+	}
+}
+
+// Alive returns the number of instances that are alive, this one included.
+func (g *Gossip) Alive() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	n := 1
+	for _, p := range g.peers {
+		if g.alive(p) {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gossip) alive(p *peerState) bool {
+	return p.heardAt != 0 && g.Clock.Now()-p.heardAt < aliveFor
+}
+
+// Changed schedules datagrams after own work changed. Spread says that distant peers need to know at once.
+func (g *Gossip) Changed(spread bool) {
+	g.mutex.Lock()
+	now := g.Clock.Now()
+	earlier := false
+	set := func(due *clock.Millis, delay clock.Millis) {
+		if *due == 0 || now+delay < *due {
+			*due = now + delay
+			earlier = true
+		}
+	}
+	set(&g.nearDue, nearDelay)
+	if spread {
+		set(&g.farDue, nearDelay)
+	} else {
+		set(&g.farDue, farDelay)
+	}
+	g.mutex.Unlock()
+	if !earlier {
+		return
+	}
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives datagrams on the connection until ctx ends.
+func (g *Gossip) Run(ctx context.Context, connection *net.UDPConn) {
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	received := make(chan struct{})
+	go g.runReceive(ctx, connection, received)
+	g.Changed(true)
+	for ctx.Err() == nil {
+		g.sendDue(connection)
+		due, cancel := g.Clock.After(g.pause())
+		select {
+		case <-due:
+		case <-g.wake:
+		case <-ctx.Done():
+		}
+		cancel()
+	}
+	<-received
+}
+
+// Leave tells all peers that this instance has no more work.
+func (g *Gossip) Leave(connection *net.UDPConn) {
+	g.send(connection, func(*peerState) bool { return true }, true)
+}
+
+// pause returns the time until the next datagram is due.
+func (g *Gossip) pause() clock.Millis {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.Clock.Now()
+	wait := heartbeat
+	for _, due := range []clock.Millis{g.nearDue, g.farDue} {
+		if due != 0 {
+			wait = min(wait, max(due-now, 0))
+		}
+	}
+	return wait
+}
+
+// sendDue sends the datagrams whose time has come.
+func (g *Gossip) sendDue(connection *net.UDPConn) {
+	g.mutex.Lock()
+	now := g.Clock.Now()
+	near := g.nearDue != 0 && g.nearDue <= now
+	far := g.farDue != 0 && g.farDue <= now
+	if near {
+		g.nearDue = now + heartbeat
+	}
+	if far {
+		g.farDue = now + heartbeat
+	}
+	g.mutex.Unlock()
+	if !near && !far {
+		return
+	}
+	g.send(connection, func(p *peerState) bool {
+		if p.Domain == g.Self.Domain {
+			return near
+		}
+		return far
+	}, false)
+}
+
+// send writes the own state to the selected peers.
+func (g *Gossip) send(connection *net.UDPConn, selected func(*peerState) bool, leaving bool) {
+	m := &message{From: g.Self.ID, Domain: g.Self.Domain, Boot: g.boot, Versions: g.versions(), Leaving: leaving}
+	if !leaving {
+		m.Servers = encodeWork(g.Fleet.Report())
+		m.Suspects = encodeSuspects(g.Suspects.Suspects(), g.Clock.Now())
+	}
+	g.mutex.Lock()
+	g.sequence++
+	m.Sequence = g.sequence
+	var targets []netip.AddrPort
+	for _, p := range g.peers {
+		if selected(p) {
+			targets = append(targets, p.Address)
+		}
+	}
+	for address := range g.unnamed {
+		targets = append(targets, address)
+	}
+	g.mutex.Unlock()
+	data, err := g.codec.Marshal(m)
+	if err != nil {
+		g.Log.WithError(err).Error("datagram not encoded")
+		return
+	}
+	for _, to := range targets {
+		if _, err := connection.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
+			g.Log.WithField("peer", to.String()).WithError(err).Debug("datagram not sent")
+		}
+	}
+}
+
+func (g *Gossip) versions() map[string]replica.Version {
+	versions := map[string]replica.Version{}
+	for name, r := range g.Replicas {
+		if v, ok := r.Content(); ok {
+			versions[name] = v
+		}
+	}
+	return versions
+}
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+// message is a datagram.
+type message struct {
+	_        struct{} `cbor:",toarray"`
+	From     poplarwinch.InstanceID
+	Domain   poplarwinch.FailureDomain
+	Boot     int64
+	Sequence uint64
+	Versions map[string]replica.Version
+	Servers  []serverWork
+	Suspects []suspect
+	// Leaving says that the sender stops and has no more work.
+	Leaving bool
+}
+
+// serverWork is the sender's work on one server.
+type serverWork struct {
+	_        struct{} `cbor:",toarray"`
+	ID       poplarwinch.UpstreamID
+	Requests int
+	Decoding int
+	Read     clock.Millis
+	Parts    int
+	MinPause clock.Millis
+	Memory   poplarwinch.Tokens
+	Down     clock.Millis
+}
+
+// suspect is a request that ran on servers when they died.
+type suspect struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint []byte
+	Deaths      []death
+}
+
+// death is the end of a server; Age is the time since, as clocks of instances differ.
+type death struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream poplarwinch.UpstreamID
+	Age      clock.Millis
+}
+
+func encodeWork(r fleet.Report) []serverWork {
+	list := make([]serverWork, 0, len(r.Servers))
+	for _, s := range r.Servers {
+		l := s.Load
+		list = append(list, serverWork{
+			ID: s.ID, Requests: l.Requests, Decoding: l.Decoding, Read: l.Read, Parts: l.Parts, MinPause: l.MinPause,
+			Memory: l.Memory, Down: s.Down,
+		})
+	}
+	return list
+}
+
+func decodeWork(list []serverWork) fleet.Report {
+	var r fleet.Report
+	for _, s := range list {
+		r.Servers = append(r.Servers, fleet.ServerWork{ID: s.ID, Down: s.Down, Load: fleet.Load{
+			Requests: s.Requests, Decoding: s.Decoding, Read: s.Read, Parts: s.Parts, MinPause: s.MinPause, Memory: s.Memory,
+		}})
+	}
+	return r
+}
+
+func encodeSuspects(list []quarantine.Suspect, now clock.Millis) []suspect {
+	var suspects []suspect
+	for _, s := range list[max(0, len(list)-maxSuspects):] {
+		w := suspect{Fingerprint: s.Fingerprint[:]}
+		for _, d := range s.Deaths {
+			w.Deaths = append(w.Deaths, death{Upstream: d.Upstream, Age: now - d.At})
+		}
+		suspects = append(suspects, w)
+	}
+	return suspects
+}
+
+func decodeSuspects(list []suspect, now clock.Millis) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
+	for _, w := range list {
+		if len(w.Fingerprint) != len(quarantine.Fingerprint{}) {
+			continue
+		}
+		s := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(w.Fingerprint)}
+		for _, d := range w.Deaths {
+			s.Deaths = append(s.Deaths, quarantine.Death{Upstream: d.Upstream, At: now - d.Age})
+		}
+		suspects = append(suspects, s)
+	}
+	return suspects
+}
--- /dev/null
+++ b/gossip/receive.go
@@ -0,0 +1,94 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+func (g *Gossip) runReceive(ctx context.Context, connection *net.UDPConn, ended chan<- struct{}) {
+	defer close(ended)
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := connection.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			g.Log.WithError(err).Warn("datagram not received")
+			if g.Clock.Sleep(ctx, nearDelay) != nil {
+				return
+			}
+			continue
+		}
+		var m message
+		if err := g.codec.Unmarshal(buffer[:n], &m); err != nil {
+			g.Log.WithField("from", from.String()).WithError(err).Warn("datagram not understood")
+			continue
+		}
+		g.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &m)
+	}
+}
+
+// receive takes a datagram unless a newer one of the same process came first.
+func (g *Gossip) receive(from netip.AddrPort, m *message) {
+	if m.From == "" || m.From == g.Self.ID {
+		return
+	}
+	g.mutex.Lock()
+	p := g.peers[m.From]
+	if p == nil {
+		p = &peerState{}
+		g.peers[m.From] = p
+	}
+	if m.Boot < p.boot || m.Boot == p.boot && m.Sequence <= p.sequence {
+		g.mutex.Unlock()
+		return
+	}
+	known := g.alive(p)
+	p.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
+	p.boot, p.sequence = m.Boot, m.Sequence
+	p.heardAt = g.Clock.Now()
+	if m.Leaving {
+		p.heardAt = 0
+	}
+	delete(g.unnamed, from)
+	g.mutex.Unlock()
+	if !known && !m.Leaving {
+		g.Log.WithField("peer", string(m.From)).WithField("address", from.String()).Info("dependency regained: peer is alive")
+		g.Changed(true)
+	}
+	g.Fleet.Merge(m.From, decodeWork(m.Servers))
+	g.Suspects.Merge(decodeSuspects(m.Suspects, g.Clock.Now()))
+	g.compare(p.Member, m.Versions)
+}
+
+// compare checks the own tables against a peer's versions. One that stays behind may hang on a silent connection or be
+// refused by its source.
+func (g *Gossip) compare(from Member, versions map[string]replica.Version) {
+	now := g.Clock.Now()
+	for name, r := range g.Replicas {
+		own, loaded := r.Version()
+		if loaded && versions[name] <= own || versions[name] == 0 {
+			continue
+		}
+		g.mutex.Lock()
+		since, behind := g.behind[name]
+		if !behind || now-since > aliveFor {
+			g.behind[name] = now
+			since = now
+		}
+		late := loaded && now-since < newsDelay && !r.Failing()
+		if !late {
+			delete(g.behind, name)
+		}
+		g.mutex.Unlock()
+		if late {
+			continue
+		}
+		r.Suspect()
+		g.fetch(from, name)
+	}
+}
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -11,6 +11,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/codec"
 	"github.com/poplarwinch/poplarwinch/membership"
 )
 
@@ -36,7 +37,7 @@
 	accepted []string
 	tls      *tls.Config
 	members  *membership.Members
-	codec    codec
+	codec    codec.CBOR
 	handler  http.Handler
 	traffic  Traffic
 
@@ -79,7 +80,7 @@
 
 // New returns an endpoint.
 func New(opts ...Option) (*Endpoint, error) {
-	c, err := newCodec()
+	c, err := codec.NewCBOR()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,258 @@
+package replica
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// ErrHistoryLost means that the source no longer has the changes after the requested version.
+var ErrHistoryLost = errors.New("history is no longer available")
+
+const (
+	// retryMin and retryMax bound the pause after a failed read.
+	retryMin clock.Millis = 100
+	retryMax clock.Millis = 800
+	// returnGrace is the time after the source's return in which rows that lapsed during its absence come back.
+	returnGrace clock.Millis = 2200
+)
+
+// Replica follows one table. Its fields are set before Run.
+type Replica struct {
+	// Name is the table's name in logs.
+	Name string
+	// Read returns all rows.
+	Read func(ctx context.Context) (Batch, error)
+	// Changes waits for rows that changed after a version; an empty batch means that there were none for a while.
+	Changes func(ctx context.Context, after Version) (Batch, error)
+	// Changed is called with all rows that exist, in order of their keys, after each change.
+	Changed func(rows []Row)
+	// KeepLapsed says that rows which vanish while the source is away may come back, so they are kept for a while.
+	KeepLapsed bool
+	Clock      *clock.Clock
+	Log        log.Interface
+
+	mutex   sync.Mutex
+	rows    map[string]Row
+	version Version
+	// content is the newest version of a row that was seen.
+	content Version
+	loaded  bool
+	// failing says that the last read of the source failed.
+	failing bool
+	// lapsed has the time at which a kept row was first missing.
+	lapsed map[string]clock.Millis
+	wake   chan struct{}
+}
+
+// Init prepares an empty replica; it must be called before any other method.
+func (r *Replica) Init() {
+	r.rows = map[string]Row{}
+	r.lapsed = map[string]clock.Millis{}
+	r.wake = make(chan struct{}, 1)
+}
+
+// Version returns the version up to which changes are known, and whether the table was ever read.
+func (r *Replica) Version() (Version, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.version, r.loaded
+}
+
+// Content returns the version of the newest change that is known, and whether the table was ever read.
+func (r *Replica) Content() (Version, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.content, r.loaded
+}
+
+// Failing reports whether the source does not answer this process at present.
+func (r *Replica) Failing() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.failing
+}
+
+// Snapshot returns all known rows and the version up to which they are complete.
+func (r *Replica) Snapshot() Batch {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return Batch{Rows: r.list(), Version: r.version, Complete: true}
+}
+
+// Offer takes a complete copy that another process read from the same source. An older copy changes nothing.
+func (r *Replica) Offer(b Batch) {
+	r.mutex.Lock()
+	if b.Version <= r.version && r.loaded {
+		r.mutex.Unlock()
+		return
+	}
+	changed := r.apply(b, 0)
+	r.mutex.Unlock()
+	r.publish(changed)
+}
+
+// Suspect says that another process knows a newer version, so that a silent connection may hide it.
+func (r *Replica) Suspect() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the table until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	pause := retryMin
+	complete := true
+	for ctx.Err() == nil {
+		b, err := r.next(ctx, complete)
+		switch {
+		case err == nil:
+			r.recovered()
+			pause = retryMin
+			complete = r.take(b)
+		case errors.Is(err, ErrHistoryLost):
+			r.Log.WithField("table", r.Name).Warn("history lost; reading the whole table")
+			complete = true
+		default:
+			if ctx.Err() != nil {
+				return
+			}
+			r.failed(err)
+			_ = r.Clock.Sleep(ctx, pause)
+			pause = min(2*pause, retryMax)
+			complete = true
+		}
+	}
+}
+
+// next reads the whole table or waits for changes. A suspicion ends the wait.
+func (r *Replica) next(ctx context.Context, complete bool) (Batch, error) {
+	if complete {
+		return r.Read(ctx)
+	}
+	version, _ := r.Version()
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go r.runWake(stop, cancel)
+	return r.Changes(wait, version)
+}
+
+func (r *Replica) runWake(stop <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-stop:
+	case <-r.wake:
+		cancel()
+	}
+}
+
+// take applies a batch from the source and reports whether the whole table has to be read again.
+func (r *Replica) take(b Batch) bool {
+	r.mutex.Lock()
+	changed := r.apply(b, r.Clock.Now())
+	pending := len(r.lapsed) > 0
+	r.mutex.Unlock()
+	r.publish(changed)
+	if pending {
+		_ = r.Clock.Sleep(context.Background(), returnGrace/2)
+	}
+	return pending
+}
+
+// apply merges a batch and reports whether a row changed. A now of zero means that missing rows are gone for certain.
+func (r *Replica) apply(b Batch, now clock.Millis) bool {
+	changed := !r.loaded
+	seen := make(map[string]bool, len(b.Rows))
+	for _, row := range b.Rows {
+		seen[row.Key] = true
+		r.content = max(r.content, row.Version)
+		delete(r.lapsed, row.Key)
+		old, known := r.rows[row.Key]
+		switch {
+		case known && old.Version > row.Version:
+		case row.Deleted:
+			changed = changed || known
+			delete(r.rows, row.Key)
+		case !known || old.Version < row.Version:
+			changed = true
+			r.rows[row.Key] = row
+		}
+	}
+	if b.Complete {
+		changed = r.removeMissing(seen, now) || changed
+	}
+	r.version = max(r.version, b.Version)
+	r.loaded = true
+	return changed
+}
+
+// removeMissing drops the rows that a complete batch doesn't have. Rows that may come back are kept for a grace time.
+func (r *Replica) removeMissing(seen map[string]bool, now clock.Millis) bool {
+	removed := false
+	for key := range r.rows {
+		if seen[key] {
+			continue
+		}
+		if r.KeepLapsed && now != 0 {
+			since, ok := r.lapsed[key]
+			if !ok {
+				r.lapsed[key] = now
+				continue
+			}
+			if now-since < returnGrace {
+				continue
+			}
+		}
+		delete(r.lapsed, key)
+		delete(r.rows, key)
+		removed = true
+	}
+	return removed
+}
+
+func (r *Replica) publish(changed bool) {
+	if !changed {
+		return
+	}
+	r.mutex.Lock()
+	rows := r.list()
+	r.mutex.Unlock()
+	r.Changed(rows)
+}
+
+func (r *Replica) list() []Row {
+	rows := make([]Row, 0, len(r.rows))
+	for _, row := range r.rows {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows
+}
+
+func (r *Replica) failed(err error) {
+	r.mutex.Lock()
+	was := r.failing
+	r.failing = true
+	r.mutex.Unlock()
+	if !was {
+		r.Log.WithField("table", r.Name).WithError(err).Warn("dependency lost: the table can't be read")
+	}
+}
+
+func (r *Replica) recovered() {
+	r.mutex.Lock()
+	was := r.failing
+	r.failing = false
+	r.mutex.Unlock()
+	if was {
+		r.Log.WithField("table", r.Name).Info("dependency regained: the table is read again")
+	}
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+// Version orders configurations; a newer one has a larger version.
+type Version int64
+
+// Table is one version of the configuration. It must not be changed after Compile.
+type Table struct {
+	Version   Version
+	Routes    []Route
+	Customers []Customer
+	// Pools has the parameters of the services that are pools of engines.
+	Pools map[poplarwinch.ServiceName]Pool
+	// Services are the names of all services.
+	Services []poplarwinch.ServiceName
+	Limits   Limits
+
+	hosts map[string][]*Route
+	keys  map[string]*Customer
+}
+
+// Compile builds the indexes of the table and returns it.
+func (t *Table) Compile() *Table {
+	t.hosts = map[string][]*Route{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	t.keys = map[string]*Customer{}
+	for i := range t.Customers {
+		c := &t.Customers[i]
+		for _, key := range c.Keys {
+			t.keys[key] = c
+		}
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix of path.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Authenticate returns the customer that holds the key.
+func (t *Table) Authenticate(key string) (*Customer, bool) {
+	c, ok := t.keys[key]
+	return c, ok
+}
+
+// NeedsKeys reports whether requests carry keys under this configuration.
+func (t *Table) NeedsKeys() bool { return len(t.Customers) > 0 }
