--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -22,6 +22,8 @@
 	crowdedMillis = 200.0
 	// distantMillis is the penalty of an engine in another failure domain.
 	distantMillis = 30.0
+	// dueMargin is kept between the planned end of a prompt's reading and the time at which it is due, in ms.
+	dueMargin = 20.0
 	// rankMillis orders the engines of a failure domain that are equal otherwise.
 	rankMillis = 1.0
 )
@@ -78,12 +80,17 @@
 	return c.read <= pauseShare*limit-pass
 }
 
-// room returns the reading time that the engine can take on without pausing its streams for too long.
+// room returns the reading time that the engine can take on without pausing its streams for too long and without making
+// the prompts late that it reads already. Engines read parts of groups before anything else, the newest first.
 func (c *choice) room(e *fleet.Candidate) float64 {
-	if e.Load.MinPause == 0 {
-		return math.Inf(1)
+	room := math.Inf(1)
+	if e.Load.MinPause > 0 {
+		room = pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
 	}
-	return pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
+	if e.Load.Readers > 0 {
+		room = min(room, float64(e.Load.Due)-dueMargin-c.pass(e)-float64(e.Load.Read))
+	}
+	return room
 }
 
 // fits reports whether the engine has a slot and memory for the prompt.
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -57,7 +57,7 @@
 func (c *choice) groupOf(order []fleet.Candidate, k int, part float64) (Plan, float64, bool) {
 	var chosen []*fleet.Candidate
 	for i := range order {
-		if e := &order[i]; c.room(e) >= part && e.Load.Parts < c.pool.Slots {
+		if e := &order[i]; c.room(e) >= part && e.Load.Readers < c.pool.Slots {
 			if chosen = append(chosen, e); len(chosen) == k {
 				break
 			}
@@ -72,7 +72,7 @@
 	}
 	finish := 0.0
 	for _, e := range chosen {
-		finish = max(finish, c.firstEvent(e, part))
+		finish = max(finish, c.partEnd(e, part, k))
 	}
 	plan := Plan{First: chosen[first].ID, Read: ceil(part), FirstEvent: ceil(finish), Reason: ReasonGroup}
 	if k == 1 {
@@ -87,6 +87,16 @@
 	return plan, finish, true
 }
 
+// partEnd predicts the time to the first event as far as one engine of a group of k matters. A part of a group is read
+// before what the engine has to read already.
+func (c *choice) partEnd(e *fleet.Candidate, part float64, k int) float64 {
+	end := c.firstEvent(e, part)
+	if k > 1 {
+		end -= float64(e.Load.Read)
+	}
+	return end
+}
+
 // first returns the index of the engine that answers: one whose streams accept pauses as long as the prompt's own, with
 // the most free memory.
 func (c *choice) first(chosen []*fleet.Candidate) int {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -112,6 +112,7 @@
 	}
 	found.ticket = x.d.fleet.Begin(fleet.Work{
 		First: plan.First, Helpers: plan.Helpers, Read: plan.Read, MaxPause: x.Route.MaxPause, Memory: x.Prompt + x.Answer,
+		Due: x.Started + x.Route.Target,
 	})
 	load := byID[plan.First].Load
 	x.log.WithFields(log.Fields{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,8 @@
 const (
 	// minReadLeft is assumed while a prompt takes longer to read than was estimated.
 	minReadLeft clock.Millis = 10
+	// maxReadStep bounds what one report of a peer adds to the reading of a server.
+	maxReadStep = 20 * clock.Second
 	// reportTimeout is the age at which a peer's report no longer counts.
 	reportTimeout = 3 * clock.Second
 )
@@ -122,12 +124,11 @@
 	now := f.clock.Now()
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
-		m.startRead(now, w.Read)
+		m.startRead(t, now)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
-			m.startRead(now, w.Read)
-			m.own.Parts++
+			m.startRead(t, now)
 		}
 	}
 	f.mutex.Unlock()
@@ -137,14 +138,12 @@
 
 // endRead records on all servers of the ticket that the prompt was read. The caller holds the lock.
 func (f *Fleet) endRead(t *Ticket) {
-	now := f.clock.Now()
 	if m := f.servers[t.work.First]; m != nil {
-		m.endRead(now)
+		m.endRead(t)
 	}
 	for _, id := range t.work.Helpers {
 		if m := f.servers[id]; m != nil {
-			m.endRead(now)
-			m.own.Parts = max(m.own.Parts-1, 0)
+			m.endRead(t)
 		}
 	}
 }
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -11,22 +11,27 @@
 	Requests int
 	// Decoding is the number of those that have sent their first event.
 	Decoding int
-	// Read is the estimated time that the server still needs for the prompts that were sent to it.
+	// Readers is the number of prompts of which the server still reads something.
+	Readers int
+	// Read is the estimated time that the server still needs for these prompts.
 	Read clock.Millis
-	// Parts is the number of prompts that the server reads for another first engine.
-	Parts int
+	// Due is the time that is left until the first of these prompts should have been read; it counts only while there are
+	// readers, and may be negative.
+	Due clock.Millis
 	// MinPause is the tightest limit of pauses between events among the requests; zero when there is none.
 	MinPause clock.Millis
 	// Memory is the KV cache that the requests will occupy.
 	Memory poplarwinch.Tokens
 }
 
-// add sums two parts of a server's work.
+// add sums two parts of a server's work, apart from Read.
 func (l Load) add(o Load) Load {
+	if o.Readers > 0 && (l.Readers == 0 || o.Due < l.Due) {
+		l.Due = o.Due
+	}
 	l.Requests += o.Requests
 	l.Decoding += o.Decoding
-	l.Read += o.Read
-	l.Parts += o.Parts
+	l.Readers += o.Readers
 	l.Memory += o.Memory
 	l.MinPause = tighter(l.MinPause, o.MinPause)
 	return l
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -4,20 +4,22 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
-// member is a server with this instance's work and experience.
+// member is a server with the work that is known on it and this instance's experience.
 type member struct {
-	server  Server
+	server Server
+	// tickets are the own requests that the server answers; readers those whose prompt it still reads.
 	tickets map[*Ticket]struct{}
+	readers map[*Ticket]struct{}
 	own     Load
-	// readers counts the own tickets whose prompt the server still reads, as first server or helper.
-	readers int
-	// readUntil is the estimated end of these reads.
+	// submitted is the sum of the reading times that this instance ever gave the server.
+	submitted clock.Millis
+	// readUntil is the estimated end of all reading, that of peers included.
 	readUntil clock.Millis
 	health    health
 }
 
 func newMember(s Server) *member {
-	return &member{server: s, tickets: map[*Ticket]struct{}{}}
+	return &member{server: s, tickets: map[*Ticket]struct{}{}, readers: map[*Ticket]struct{}{}}
 }
 
 // add counts a ticket for which the server is the first engine.
@@ -28,6 +30,7 @@
 	m.own.MinPause = tighter(m.own.MinPause, t.work.MaxPause)
 }
 
+// has reports whether the server is the first engine of the ticket.
 func (m *member) has(t *Ticket) bool {
 	_, ok := m.tickets[t]
 	return ok
@@ -51,25 +54,29 @@
 }
 
 // startRead adds a prompt, or a part of one, to what the server reads.
-func (m *member) startRead(now, span clock.Millis) {
-	m.readers++
+func (m *member) startRead(t *Ticket, now clock.Millis) {
+	m.readers[t] = struct{}{}
+	m.submitted += t.work.Read
+	m.extend(now, t.work.Read)
+}
+
+// extend moves the estimated end of reading.
+func (m *member) extend(now, span clock.Millis) {
 	m.readUntil = max(m.readUntil, now) + span
 }
 
 // endRead records that a prompt was read.
-func (m *member) endRead(now clock.Millis) {
-	m.readers--
-	if m.readers <= 0 {
-		m.readers = 0
-		m.readUntil = now
-	}
-}
+func (m *member) endRead(t *Ticket) { delete(m.readers, t) }
 
-// load returns this instance's work on the server.
+// load returns this instance's work on the server, apart from Read.
 func (m *member) load(now clock.Millis) Load {
 	l := m.own
-	if m.readers > 0 {
-		l.Read = max(m.readUntil-now, minReadLeft)
+	l.Readers = len(m.readers)
+	first := true
+	for t := range m.readers {
+		if due := t.work.Due - now; first || due < l.Due {
+			l.Due, first = due, false
+		}
 	}
 	return l
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -14,6 +14,8 @@
 type ServerWork struct {
 	ID   poplarwinch.UpstreamID
 	Load Load
+	// Submitted is the sum of the reading times that the instance gave the server since it started.
+	Submitted clock.Millis
 	// Down says for how long the instance gives the server no work because it can't be reached.
 	Down clock.Millis
 }
@@ -24,14 +26,14 @@
 	servers map[poplarwinch.UpstreamID]ServerWork
 }
 
-// Report returns the work of this instance.
+// Report returns the work of this instance. Servers without any are left out.
 func (f *Fleet) Report() Report {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.clock.Now()
 	var r Report
 	for id, m := range f.servers {
-		w := ServerWork{ID: id, Load: m.load(now), Down: max(m.health.downUntil-now, 0)}
+		w := ServerWork{ID: id, Load: m.load(now), Submitted: m.submitted, Down: max(m.health.downUntil-now, 0)}
 		if w.Load != (Load{}) || w.Down > 0 {
 			r.Servers = append(r.Servers, w)
 		}
@@ -43,19 +45,45 @@
 func (f *Fleet) Merge(from poplarwinch.InstanceID, r Report) {
 	f.mutex.Lock()
 	now := f.clock.Now()
-	p := &peerReport{at: now, servers: make(map[poplarwinch.UpstreamID]ServerWork, len(r.Servers))}
+	p := f.peers[from]
+	if p == nil {
+		p = &peerReport{servers: map[poplarwinch.UpstreamID]ServerWork{}}
+		f.peers[from] = p
+	}
+	p.at = now
+	named := make(map[poplarwinch.UpstreamID]bool, len(r.Servers))
 	for _, w := range r.Servers {
+		named[w.ID] = true
+		if m := f.servers[w.ID]; m != nil {
+			m.learn(w, p.servers[w.ID].Submitted, now)
+		}
 		p.servers[w.ID] = w
-		if m := f.servers[w.ID]; m != nil && w.Down > 0 {
-			m.health.downUntil = max(m.health.downUntil, now+min(w.Down, downMax))
+	}
+	for id, w := range p.servers {
+		if !named[id] {
+			// The sum stays known for the next report that names the server.
+			p.servers[id] = ServerWork{ID: id, Submitted: w.Submitted}
 		}
 	}
-	f.peers[from] = p
 	f.mutex.Unlock()
 	f.wakeWaiters()
 }
 
-// addPeers adds the work of peers to a candidate. The caller holds the lock.
+// learn takes what a peer reports of the server. The reading that is new since its last report comes on top.
+func (m *member) learn(w ServerWork, before, now clock.Millis) {
+	if w.Down > 0 {
+		m.health.downUntil = max(m.health.downUntil, now+min(w.Down, downMax))
+	}
+	span := w.Submitted - before
+	if span < 0 {
+		span = w.Submitted
+	}
+	if w.Load.Readers > 0 && span > 0 {
+		m.extend(now, min(span, maxReadStep))
+	}
+}
+
+// addPeers adds the work of peers to a candidate and estimates the reading that is left. The caller holds the lock.
 func (f *Fleet) addPeers(c *Candidate, now clock.Millis) {
 	for id, p := range f.peers {
 		age := now - p.at
@@ -63,14 +91,14 @@
 			delete(f.peers, id)
 			continue
 		}
-		w, ok := p.servers[c.ID]
-		if !ok {
-			continue
-		}
-		l := w.Load
-		if l.Read > 0 {
-			l.Read = max(l.Read-age, minReadLeft)
-		}
+		l := p.servers[c.ID].Load
+		l.Due -= age
 		c.Load = c.Load.add(l)
 	}
+	m := f.servers[c.ID]
+	if c.Load.Readers == 0 {
+		m.readUntil = min(m.readUntil, now)
+		return
+	}
+	c.Load.Read = max(m.readUntil-now, minReadLeft)
 }
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -15,6 +15,8 @@
 	Read clock.Millis
 	// MaxPause is the longest pause between events that the request accepts; zero when there is no limit.
 	MaxPause clock.Millis
+	// Due is the time by which the prompt should have been read, on the fleet's clock.
+	Due clock.Millis
 	// Memory is the KV cache that the request occupies on the first server.
 	Memory poplarwinch.Tokens
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -24,15 +24,16 @@
 
 // serverWork is the sender's work on one server.
 type serverWork struct {
-	_        struct{} `cbor:",toarray"`
-	ID       poplarwinch.UpstreamID
-	Requests int
-	Decoding int
-	Read     clock.Millis
-	Parts    int
-	MinPause clock.Millis
-	Memory   poplarwinch.Tokens
-	Down     clock.Millis
+	_         struct{} `cbor:",toarray"`
+	ID        poplarwinch.UpstreamID
+	Requests  int
+	Decoding  int
+	Readers   int
+	Due       clock.Millis
+	MinPause  clock.Millis
+	Memory    poplarwinch.Tokens
+	Submitted clock.Millis
+	Down      clock.Millis
 }
 
 // suspect is a request that ran on servers when they died.
@@ -54,8 +55,8 @@
 	for _, s := range r.Servers {
 		l := s.Load
 		list = append(list, serverWork{
-			ID: s.ID, Requests: l.Requests, Decoding: l.Decoding, Read: l.Read, Parts: l.Parts, MinPause: l.MinPause,
-			Memory: l.Memory, Down: s.Down,
+			ID: s.ID, Requests: l.Requests, Decoding: l.Decoding, Readers: l.Readers, Due: l.Due, MinPause: l.MinPause,
+			Memory: l.Memory, Submitted: s.Submitted, Down: s.Down,
 		})
 	}
 	return list
@@ -64,8 +65,8 @@
 func decodeWork(list []serverWork) fleet.Report {
 	var r fleet.Report
 	for _, s := range list {
-		r.Servers = append(r.Servers, fleet.ServerWork{ID: s.ID, Down: s.Down, Load: fleet.Load{
-			Requests: s.Requests, Decoding: s.Decoding, Read: s.Read, Parts: s.Parts, MinPause: s.MinPause, Memory: s.Memory,
+		r.Servers = append(r.Servers, fleet.ServerWork{ID: s.ID, Submitted: s.Submitted, Down: s.Down, Load: fleet.Load{
+			Requests: s.Requests, Decoding: s.Decoding, Readers: s.Readers, Due: s.Due, MinPause: s.MinPause, Memory: s.Memory,
 		}})
 	}
 	return r
