--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -14,8 +14,12 @@
 	pauseShare = 0.85
 	// averageContext is the assumed context of a decoding request, in tokens.
 	averageContext = 6000
+	// singleMillis is the longest reading of a prompt that is left to one engine.
+	singleMillis = 150.0
 	// packedRequests is the number of requests above which an engine is filled further only if all others are, too.
-	packedRequests = 13
+	packedRequests = 14
+	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
+	packingMillis = 3.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
 	openingMillis = 60.0
 	// crowdedMillis is the penalty of an engine with more than packedRequests.
@@ -70,15 +74,8 @@
 	return c.pool.Pass(n, poplarwinch.Tokens(n*averageContext))
 }
 
-// short reports whether the prompt can be read between the events of other short prompts.
-func (c *choice) short() bool {
-	limit := float64(c.prompt.MaxPause)
-	if limit == 0 {
-		limit = math.Inf(1)
-	}
-	pass := c.pool.Pass(c.pool.Slots, poplarwinch.Tokens(c.pool.Slots*averageContext))
-	return c.read <= pauseShare*limit-pass
-}
+// short reports whether one engine reads the prompt alone, between the events of others.
+func (c *choice) short() bool { return c.read <= singleMillis }
 
 // room returns the reading time that the engine can take on without pausing its streams for too long and without making
 // the prompts late that it reads already. Engines read parts of groups before anything else, the newest first.
@@ -134,7 +131,9 @@
 // penalty returns what speaks against an engine besides its time to the first event, in ms.
 func (c *choice) penalty(e *fleet.Candidate) float64 {
 	cost := float64(e.Rank) * rankMillis
-	if e.Load.Requests == 0 {
+	if c.packed(e) {
+		cost -= packingMillis * float64(e.Load.Requests)
+	} else {
 		cost += openingMillis
 	}
 	if e.Load.Requests > packedRequests {
@@ -149,12 +148,18 @@
 	return cost
 }
 
+// packed reports whether the engine has streams that accept no longer pauses than the prompt's, so that one more does not
+// restrict what else it can read.
+func (c *choice) packed(e *fleet.Candidate) bool {
+	return e.Load.MinPause != 0 && e.Load.MinPause <= c.prompt.MaxPause
+}
+
 func (c *choice) plan(e *fleet.Candidate) Plan {
 	reason := ReasonPacked
 	switch {
 	case c.prompt.Relaxed:
 		reason = ReasonLate
-	case e.Load.Requests == 0:
+	case !c.packed(e):
 		reason = ReasonOpened
 	}
 	return Plan{
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -97,32 +97,33 @@
 	return end
 }
 
-// first returns the index of the engine that answers: one whose streams accept pauses as long as the prompt's own, with
-// the most free memory.
+// first returns the index of the engine that answers, or -1 if none can.
 func (c *choice) first(chosen []*fleet.Candidate) int {
 	best := -1
 	for i, e := range chosen {
-		if !c.fits(e) {
-			continue
-		}
-		if best < 0 || c.answersBefore(e, chosen[best]) {
+		if c.fits(e) && c.steady(e) && (best < 0 || c.answersBefore(e, chosen[best])) {
 			best = i
 		}
 	}
 	return best
 }
 
+// steady reports whether the engine's other reading leaves the prompt's own stream without long pauses.
+func (c *choice) steady(e *fleet.Candidate) bool {
+	if c.prompt.MaxPause == 0 {
+		return true
+	}
+	return float64(e.Load.Read)+c.pass(e) <= pauseShare*float64(c.prompt.MaxPause)
+}
+
+// answersBefore reports whether a is the better one to answer: an engine whose streams are no more patient than the
+// prompt's, so that no further engine is restricted; then a near one; then the one with the most free memory.
 func (c *choice) answersBefore(a, b *fleet.Candidate) bool {
-	if x, y := c.disturbed(a), c.disturbed(b); x != y {
-		return y
+	if x, y := c.packed(a), c.packed(b); x != y {
+		return x
 	}
-	if x, y := a.Domain == c.prompt.Domain, b.Domain == c.prompt.Domain; x != y && a.Load.Requests == b.Load.Requests {
+	if x, y := a.Domain == c.prompt.Domain, b.Domain == c.prompt.Domain; x != y {
 		return x
 	}
 	return a.Load.Memory < b.Load.Memory
 }
-
-// disturbed reports whether the engine has streams with tighter limits than the prompt's.
-func (c *choice) disturbed(e *fleet.Candidate) bool {
-	return e.Load.MinPause != 0 && e.Load.MinPause < c.prompt.MaxPause
-}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -22,8 +22,12 @@
 	// slowFactor and slowMargin bound the time to the first event by its prediction.
 	slowFactor              = 3
 	slowMargin clock.Millis = 1500
-	// pauseMargin is added to the limit between events before a silent stream is continued elsewhere.
-	pauseMargin clock.Millis = 900
+	// patience is the shortest time in which callers give up a silent stream; others wait for a multiple of the target or of
+	// the limit between events. A silent stream is continued elsewhere before that.
+	patience       clock.Millis = 2000
+	patienceTarget              = 4
+	patiencePause               = 8
+	patienceShare               = 0.6
 )
 
 // errSilent is the cause of a call that was ended because its server sent nothing.
@@ -180,7 +184,8 @@
 	if !x.Route.Resumable || x.ran+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
 		return 0
 	}
-	return x.Route.MaxPause + pauseMargin
+	longest := max(patience, patienceTarget*x.Route.Target, patiencePause*x.Route.MaxPause)
+	return clock.Millis(patienceShare * float64(longest))
 }
 
 // begin sends the status and headers of the first server that answers.
