--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -32,17 +32,36 @@
 	rankMillis = 1.0
 )
 
-// Choose returns the plan for a prompt. It reports false if the prompt had better wait for a change of the fleet.
-func Choose(pool *route.Pool, engines []fleet.Candidate, p *Prompt) (Plan, bool) {
+// Choose returns the plan for a prompt, if it is to run now.
+func Choose(pool *route.Pool, engines []fleet.Candidate, p *Prompt) (Plan, Verdict) {
 	engines = sound(engines)
 	if len(engines) == 0 {
-		return Plan{}, false
+		return Plan{}, VerdictWait
 	}
 	c := &choice{pool: pool, engines: engines, prompt: p, read: pool.Read(p.Tokens)}
+	if c.hopeless() {
+		return Plan{}, VerdictReject
+	}
+	plan, ok := Plan{}, false
 	if c.short() {
-		return c.single()
+		plan, ok = c.single()
+	} else {
+		plan, ok = c.group()
 	}
-	return c.group()
+	switch {
+	case !ok:
+		return Plan{}, VerdictWait
+	case plan.FirstEvent > p.Left:
+		return Plan{}, VerdictReject
+	}
+	return plan, VerdictRun
+}
+
+// hopeless reports whether all engines together can't read or hold the prompt in the time that is left.
+func (c *choice) hopeless() bool {
+	k := min(len(c.engines), maxHelpers+1)
+	memory := poplarwinch.Tokens(k) * c.pool.MemoryTokens
+	return c.read/float64(k) > float64(c.prompt.Left) || c.prompt.Tokens+c.prompt.Answer > memory
 }
 
 // choice is one decision.
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/route"
 )
 
 const (
@@ -15,6 +16,8 @@
 	minPartMillis = 40.0
 	// helperMillis is the gain in the time to the first event that another engine must bring.
 	helperMillis = 4.0
+	// usablePercent leaves part of an engine's free memory to requests that arrive meanwhile.
+	usablePercent = 80
 	// targetShare is the part of the time to the target that a plan may use before the prompt waits instead.
 	targetShare = 0.9
 )
@@ -67,14 +70,17 @@
 		return Plan{}, 0, false
 	}
 	first := c.first(chosen)
-	if first < 0 {
-		return Plan{}, 0, false
+	shared := first < 0
+	if shared {
+		if first = c.largest(chosen); c.free(chosen) < c.prompt.Tokens+c.prompt.Answer {
+			return Plan{}, 0, false
+		}
 	}
 	finish := 0.0
 	for _, e := range chosen {
 		finish = max(finish, c.partEnd(e, part, k))
 	}
-	plan := Plan{First: chosen[first].ID, Read: ceil(part), FirstEvent: ceil(finish), Reason: ReasonGroup}
+	plan := Plan{First: chosen[first].ID, Read: ceil(part), FirstEvent: ceil(finish), Reason: ReasonGroup, Shared: shared}
 	if k == 1 {
 		plan.Reason = ReasonSingle
 	}
@@ -108,6 +114,37 @@
 	return best
 }
 
+// Free returns the memory of an engine that a prompt may count on.
+func Free(pool *route.Pool, e *fleet.Candidate) poplarwinch.Tokens {
+	free := pool.MemoryTokens - e.Load.Memory
+	if e.Load.Requests >= pool.Slots {
+		return 0
+	}
+	return max(free*usablePercent/100, 0)
+}
+
+// free returns the memory of all chosen engines together.
+func (c *choice) free(chosen []*fleet.Candidate) poplarwinch.Tokens {
+	var sum poplarwinch.Tokens
+	for _, e := range chosen {
+		if c.steady(e) {
+			sum += Free(c.pool, e)
+		}
+	}
+	return sum
+}
+
+// largest returns the index of the engine with the most free memory.
+func (c *choice) largest(chosen []*fleet.Candidate) int {
+	best := 0
+	for i, e := range chosen {
+		if Free(c.pool, e) > Free(c.pool, chosen[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 // steady reports whether the engine's other reading leaves the prompt's own stream without long pauses.
 func (c *choice) steady(e *fleet.Candidate) bool {
 	if c.prompt.MaxPause == 0 {
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -51,5 +51,20 @@
 	Read clock.Millis
 	// FirstEvent is the predicted time to the first event.
 	FirstEvent clock.Millis
-	Reason     Reason
+	// Shared says that no engine alone has the memory for the prompt, so that it must be reserved on several.
+	Shared bool
+	Reason Reason
 }
+
+// Verdict says what becomes of a prompt now.
+type Verdict string
+
+// The verdicts.
+const (
+	// VerdictRun means that the plan is to be carried out.
+	VerdictRun Verdict = "run"
+	// VerdictWait means that the prompt had better wait for a change of the fleet.
+	VerdictWait Verdict = "wait"
+	// VerdictReject means that the prompt can't be answered in the time that is left.
+	VerdictReject Verdict = "reject"
+)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	defer found.ticket.End()
+	defer found.end(x.d)
 	x.sends++
 	x.last = found.first
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
@@ -26,7 +27,10 @@
 	reachable func(ctx context.Context, s fleet.Server) bool
 	newBudget func() *admission.SharedBudget
 	suspects  *quarantine.Register
-	metrics   *requestMetrics
+	// memory reserves KV cache on several engines for one prompt; holdSpan is how long a reservation lasts unrenewed.
+	memory   *reservation.Builder
+	holdSpan clock.Millis
+	metrics  *requestMetrics
 
 	// choosing makes a decision and the count of its work one step.
 	choosing sync.Mutex
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
@@ -50,3 +51,8 @@
 
 // WithSuspects sets the register of requests that crash engines.
 func WithSuspects(g *quarantine.Register) Option { return func(d *Dispatcher) { d.suspects = g } }
+
+// WithMemory sets the builder of groups of reservations and the time for which a reservation lasts unless it is renewed.
+func WithMemory(b *reservation.Builder, hold clock.Millis) Option {
+	return func(d *Dispatcher) { d.memory, d.holdSpan = b, hold }
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -9,12 +9,15 @@
 	"github.com/poplarwinch/poplarwinch/assignment"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
 const (
 	// pollInterval is the longest pause between two looks at the fleet while a request waits.
 	pollInterval clock.Millis = 50
+	// retryAfterReject is the hint for prompts that can't be answered in time.
+	retryAfterReject = clock.Second
 	// relaxShare is the part of the time to the target after which a waiting prompt may slow others down.
 	relaxShare = 0.6
 )
@@ -22,9 +25,25 @@
 // spot is where an attempt runs.
 type spot struct {
 	first   fleet.Server
-	helpers []fleet.Server
+	helpers []Helper
 	plan    assignment.Plan
-	ticket  *fleet.Ticket
+	// free has the memory of the plan's engines while it is not reserved yet.
+	free   []reservation.Candidate
+	load   fleet.Load
+	ticket *fleet.Ticket
+	// group is memory that is reserved on several engines.
+	group *reservation.Group
+	// renewals ends the renewal of that memory.
+	renewals context.CancelFunc
+}
+
+// end gives back what the attempt holds.
+func (s *spot) end(d *Dispatcher) {
+	s.ticket.End()
+	if s.group != nil {
+		s.renewals()
+		d.memory.Free(s.group)
+	}
 }
 
 // pick chooses the servers of the next attempt and counts its work on them. It waits while no engine has room.
@@ -34,6 +53,9 @@
 	for {
 		notice := x.d.fleet.Notice()
 		found, err := x.choose()
+		if found != nil && found.plan.Shared {
+			found, err = x.reserve(ctx, found)
+		}
 		if found != nil || err != nil {
 			return found, err
 		}
@@ -69,9 +91,15 @@
 	var plan assignment.Plan
 	pool, isPool := x.pool()
 	if isPool {
-		var ok bool
-		if plan, ok = assignment.Choose(&pool, candidates, x.prompt()); !ok {
+		var verdict assignment.Verdict
+		switch plan, verdict = assignment.Choose(&pool, candidates, x.prompt()); verdict {
+		case assignment.VerdictWait:
 			return nil, nil
+		case assignment.VerdictReject:
+			return nil, &poplarwinch.Error{
+				Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterReject,
+				Message: "the engines can't answer a prompt of this size in the time that is left", Remedy: "retry with more time",
+			}
 		}
 	} else {
 		plan = assignment.Server(candidates, d.domain)
@@ -100,7 +128,7 @@
 	}
 }
 
-// take counts the plan's work on its servers.
+// take counts the plan's work on its servers, unless memory has to be reserved first.
 func (x *run) take(candidates []fleet.Candidate, plan *assignment.Plan) *spot {
 	byID := map[poplarwinch.UpstreamID]*fleet.Candidate{}
 	for i := range candidates {
@@ -108,17 +136,32 @@
 	}
 	found := &spot{first: byID[plan.First].Server, plan: *plan}
 	for _, id := range plan.Helpers {
-		found.helpers = append(found.helpers, byID[id].Server)
+		found.helpers = append(found.helpers, Helper{Server: byID[id].Server})
+	}
+	if plan.Shared {
+		found.free = freeMemory(candidates, x.d.active().Pools[x.Service], plan)
+		return found
+	}
+	found.load = byID[plan.First].Load
+	x.occupy(found, x.Prompt+x.Answer, nil)
+	return found
+}
+
+// occupy counts the work of an attempt.
+func (x *run) occupy(found *spot, memory poplarwinch.Tokens, shares map[poplarwinch.UpstreamID]poplarwinch.Tokens) {
+	w := fleet.Work{
+		First: found.first.ID, Read: found.plan.Read, MaxPause: x.Route.MaxPause, Memory: memory,
+		Due: x.Started + x.Route.Target, Shares: shares,
 	}
-	found.ticket = x.d.fleet.Begin(fleet.Work{
-		First: plan.First, Helpers: plan.Helpers, Read: plan.Read, MaxPause: x.Route.MaxPause, Memory: x.Prompt + x.Answer,
-		Due: x.Started + x.Route.Target,
-	})
-	load := byID[plan.First].Load
+	for _, h := range found.helpers {
+		if h.ID != w.First {
+			w.Helpers = append(w.Helpers, h.ID)
+		}
+	}
+	found.ticket = x.d.fleet.Begin(w)
 	x.log.WithFields(log.Fields{
-		"upstream": plan.First, "helpers": len(plan.Helpers), "reason": plan.Reason, "predicted-ms": plan.FirstEvent,
-		"read-ms": plan.Read, "tokens": x.Prompt, "requests": load.Requests, "queued-read-ms": load.Read,
-		"age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
+		"upstream": w.First, "helpers": len(w.Helpers), "reserved": len(shares), "reason": found.plan.Reason,
+		"predicted-ms": found.plan.FirstEvent, "read-ms": w.Read, "tokens": x.Prompt, "requests": found.load.Requests,
+		"queued-read-ms": found.load.Read, "age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
 	}).Info("routing decision")
-	return found
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/route"
@@ -39,12 +40,20 @@
 	Fingerprint quarantine.Fingerprint
 }
 
+// Helper is an engine that reads a part of a prompt for another one.
+type Helper struct {
+	fleet.Server
+	// Reservation names the memory on the engine that keeps a part of the prompt; it may be empty.
+	Reservation engine.ReservationID
+}
+
 // Call is one attempt to run a request on a server.
 type Call struct {
 	*Request
 	Server fleet.Server
-	// Helpers are engines that read parts of the prompt for Server.
-	Helpers []fleet.Server
+	// Helpers are engines that read parts of the prompt for Server. Server itself is the first of them if memory is
+	// reserved on it.
+	Helpers []Helper
 	// Left is the time that the caller still waits.
 	Left time.Duration
 	// Resume is the id of the last event that was forwarded; empty when the answer starts from its beginning.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,6 +131,11 @@
 			m.startRead(t, now)
 		}
 	}
+	for id, tokens := range w.Shares {
+		if m := f.servers[id]; m != nil {
+			m.shares[t] = tokens
+		}
+	}
 	f.mutex.Unlock()
 	f.tell(t.spread())
 	return t
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
@@ -10,7 +11,9 @@
 	// tickets are the own requests that the server answers; readers those whose prompt it still reads.
 	tickets map[*Ticket]struct{}
 	readers map[*Ticket]struct{}
-	own     Load
+	// shares is the memory that is reserved for own requests which other servers answer.
+	shares map[*Ticket]poplarwinch.Tokens
+	own    Load
 	// submitted is the sum of the reading times that this instance ever gave the server.
 	submitted clock.Millis
 	// readUntil is the estimated end of all reading, that of peers included.
@@ -19,7 +22,7 @@
 }
 
 func newMember(s Server) *member {
-	return &member{server: s, tickets: map[*Ticket]struct{}{}, readers: map[*Ticket]struct{}{}}
+	return &member{server: s, tickets: map[*Ticket]struct{}{}, readers: map[*Ticket]struct{}{}, shares: map[*Ticket]poplarwinch.Tokens{}}
 }
 
 // add counts a ticket for which the server is the first engine.
@@ -72,6 +75,9 @@
 func (m *member) load(now clock.Millis) Load {
 	l := m.own
 	l.Readers = len(m.readers)
+	for _, tokens := range m.shares {
+		l.Memory += tokens
+	}
 	first := true
 	for t := range m.readers {
 		if due := t.work.Due - now; first || due < l.Due {
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -19,6 +19,8 @@
 	Due clock.Millis
 	// Memory is the KV cache that the request occupies on the first server.
 	Memory poplarwinch.Tokens
+	// Shares is the KV cache that is reserved for the request on other servers.
+	Shares map[poplarwinch.UpstreamID]poplarwinch.Tokens
 }
 
 // Ticket accounts for the work of one attempt until End.
@@ -63,6 +65,11 @@
 	if m := f.servers[t.work.First]; m != nil {
 		m.remove(t, decoding)
 	}
+	for id := range t.work.Shares {
+		if m := f.servers[id]; m != nil {
+			delete(m.shares, t)
+		}
+	}
 	f.mutex.Unlock()
 	f.changed(t.spread())
 }
