--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -16,6 +16,9 @@
 	averageContext = 6000
 	// singleMillis is the longest reading of a prompt that is left to one engine.
 	singleMillis = 150.0
+	// cellEngines is the number of engines from which a failure domain plans for itself. What other domains have in work is
+	// known late there, and is needed only when the own engines have no room.
+	cellEngines = 10
 	// packedRequests is the number of requests above which an engine is filled further only if all others are, too.
 	packedRequests = 14
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
@@ -42,6 +45,29 @@
 	if c.hopeless() {
 		return Plan{}, VerdictReject
 	}
+	if near := c.near(); len(near) >= cellEngines {
+		local := *c
+		local.engines = near
+		if plan, verdict := local.decide(); verdict == VerdictRun || !p.Relaxed {
+			return plan, verdict
+		}
+	}
+	return c.decide()
+}
+
+// near returns the engines of the own failure domain.
+func (c *choice) near() []fleet.Candidate {
+	var list []fleet.Candidate
+	for _, e := range c.engines {
+		if e.Domain == c.prompt.Domain {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// decide chooses among the engines.
+func (c *choice) decide() (Plan, Verdict) {
 	plan, ok := Plan{}, false
 	if c.short() {
 		plan, ok = c.single()
@@ -51,7 +77,7 @@
 	switch {
 	case !ok:
 		return Plan{}, VerdictWait
-	case plan.FirstEvent > p.Left:
+	case plan.FirstEvent > c.prompt.Left:
 		return Plan{}, VerdictReject
 	}
 	return plan, VerdictRun
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,7 +22,8 @@
 
 // Fleet is safe for concurrent use.
 type Fleet struct {
-	clock *clock.Clock
+	clock  *clock.Clock
+	domain poplarwinch.FailureDomain
 	// tell is called after own work changed; spread says that several servers are concerned.
 	tell func(spread bool)
 
@@ -125,10 +126,12 @@
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
 		m.startRead(t, now)
+		t.distant = m.server.Domain != f.domain
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
 			m.startRead(t, now)
+			t.distant = t.distant || m.server.Domain != f.domain
 		}
 	}
 	for id, tokens := range w.Shares {
--- a/fleet/option.go
+++ b/fleet/option.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "github.com/poplarwinch/poplarwinch/clock"
+import (
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
 
 // Option configures a Fleet.
 type Option func(*Fleet)
@@ -11,3 +14,8 @@
 // WithTell sets the function that is called after own work changed. Spread says that several servers are concerned, so
 // that distant peers need to know of it too.
 func WithTell(tell func(spread bool)) Option { return func(f *Fleet) { f.tell = tell } }
+
+// WithDomain sets the failure domain of this instance.
+func WithDomain(name poplarwinch.FailureDomain) Option {
+	return func(f *Fleet) { f.domain = name }
+}
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -29,6 +29,8 @@
 	work    Work
 	reading bool
 	ended   bool
+	// distant says that some of the work is in another failure domain.
+	distant bool
 }
 
 // FirstEvent records that the prompt has been read.
@@ -74,5 +76,5 @@
 	f.changed(t.spread())
 }
 
-// spread reports whether the work concerns more than one server, so that distant peers need to know of it at once.
-func (t *Ticket) spread() bool { return len(t.work.Helpers) > 0 }
+// spread reports whether the work concerns servers of other failure domains, whose instances need to know of it at once.
+func (t *Ticket) spread() bool { return t.distant }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -22,10 +22,13 @@
 	nearDelay clock.Millis = 5
 	// farDelay is the same for other failure domains, if only one server is concerned.
 	farDelay clock.Millis = 250
-	// heartbeat is the longest time between two datagrams to a peer.
+	// heartbeat is the longest time between two datagrams to a peer of the own failure domain, and to any peer from an
+	// instance that follows the tables.
 	heartbeat clock.Millis = 1000
-	// aliveFor is the time after its last datagram for which a peer counts as alive.
-	aliveFor = 5 * clock.Second
+	// missedBeats is the number of missing heartbeats after which a peer counts as dead.
+	missedBeats = 3
+	// fewDistant is the number of peers in other failure domains up to which they get all changes and every heartbeat.
+	fewDistant = 16
 	// maxDatagram is the largest datagram that is read.
 	maxDatagram = 60000
 	// maxSuspects bounds the suspects in a datagram.
@@ -46,10 +49,13 @@
 
 	codec codec.CBOR
 	boot  int64
+	// startedAt is the time of Init.
+	startedAt clock.Millis
 
 	mutex    sync.Mutex
 	peers    map[poplarwinch.InstanceID]*peerState
 	unnamed  map[netip.AddrPort]bool
+	distant  int
 	sequence uint64
 	nearDue  clock.Millis
 	farDue   clock.Millis
@@ -65,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	g.codec, g.boot = c, boot
+	g.codec, g.boot, g.startedAt = c, boot, g.Clock.Now()
 	g.peers = map[poplarwinch.InstanceID]*peerState{}
 	g.unnamed = map[netip.AddrPort]bool{}
 	g.behind = map[string]clock.Millis{}
@@ -89,6 +95,7 @@
 			g.peers[m.ID] = &peerState{Member: m}
 		}
 	}
+	g.countDistant()
 }
 
 // Alive returns the number of instances that are alive, this one included.
@@ -105,7 +112,26 @@
 }
 
 func (g *Gossip) alive(p *peerState) bool {
-	return p.heardAt != 0 && g.Clock.Now()-p.heardAt < aliveFor
+	return p.heardAt != 0 && g.Clock.Now()-p.heardAt < missedBeats*g.beat(p.Domain)
+}
+
+// beat returns the longest time between datagrams between this failure domain and another. With many distant peers it
+// grows, so that the traffic between failure domains does not grow with the square of the instances.
+func (g *Gossip) beat(domain poplarwinch.FailureDomain) clock.Millis {
+	if domain == g.Self.Domain {
+		return heartbeat
+	}
+	return heartbeat * clock.Millis(max(1, g.distant/fewDistant))
+}
+
+// countDistant counts the peers in other failure domains. The caller holds the lock.
+func (g *Gossip) countDistant() {
+	g.distant = 0
+	for _, p := range g.peers {
+		if p.Domain != g.Self.Domain {
+			g.distant++
+		}
+	}
 }
 
 // Changed schedules datagrams after own work changed. Spread says that distant peers need to know at once.
@@ -122,7 +148,7 @@
 	set(&g.nearDue, nearDelay)
 	if spread {
 		set(&g.farDue, nearDelay)
-	} else {
+	} else if g.distant <= fewDistant {
 		set(&g.farDue, farDelay)
 	}
 	g.mutex.Unlock()
@@ -143,6 +169,7 @@
 	go g.runReceive(ctx, connection, received)
 	g.Changed(true)
 	for ctx.Err() == nil {
+		g.follow()
 		g.sendDue(connection)
 		due, cancel := g.Clock.After(g.pause())
 		select {
@@ -184,7 +211,7 @@
 		g.nearDue = now + heartbeat
 	}
 	if far {
-		g.farDue = now + heartbeat
+		g.farDue = now + g.farBeat()
 	}
 	g.mutex.Unlock()
 	if !near && !far {
@@ -198,9 +225,23 @@
 	}, false)
 }
 
+// farBeat returns the time until the next datagram to distant peers. Those of instances that follow the tables tell the
+// versions, so they come often. The caller holds the lock.
+func (g *Gossip) farBeat() clock.Millis {
+	for _, r := range g.Replicas {
+		if r.Following() {
+			return heartbeat
+		}
+	}
+	return heartbeat * clock.Millis(max(1, g.distant/fewDistant))
+}
+
 // send writes the own state to the selected peers.
 func (g *Gossip) send(connection *net.UDPConn, selected func(*peerState) bool, leaving bool) {
 	m := &message{From: g.Self.ID, Domain: g.Self.Domain, Boot: g.boot, Versions: g.versions(), Leaving: leaving}
+	for _, r := range g.Replicas {
+		m.Failing = m.Failing || r.Failing()
+	}
 	if !leaving {
 		m.Servers = encodeWork(g.Fleet.Report())
 		m.Suspects = encodeSuspects(g.Suspects.Suspects(), g.Clock.Now())
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -28,4 +28,6 @@
 	sequence uint64
 	// heardAt is the time of the last datagram; zero when there was none.
 	heardAt clock.Millis
+	// failing says that the peer can't read the platform's tables.
+	failing bool
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -18,6 +18,8 @@
 	Versions map[string]replica.Version
 	Servers  []serverWork
 	Suspects []suspect
+	// Failing says that the sender can't read the tables itself.
+	Failing bool
 	// Leaving says that the sender stops and has no more work.
 	Leaving bool
 }
--- a/gossip/news.go
+++ b/gossip/news.go
@@ -24,12 +24,15 @@
 // newsRequest asks for the rows of a table.
 type newsRequest struct {
 	Table string `cbor:"table"`
+	// After is the version that the asking instance has; zero if it has none.
+	After replica.Version `cbor:"after"`
 }
 
-// newsReply is a complete copy of a table.
+// newsReply has the changes of a table, or all its rows.
 type newsReply struct {
-	Rows    []replica.Row   `cbor:"rows"`
-	Version replica.Version `cbor:"version"`
+	Rows     []replica.Row   `cbor:"rows"`
+	Version  replica.Version `cbor:"version"`
+	Complete bool            `cbor:"complete"`
 }
 
 // callClients holds the calls in progress, one for each table.
@@ -75,13 +78,14 @@
 		connect.WithCodec(g.codec), connect.WithReadMaxBytes(newsLimit),
 	)
 	entry := g.Log.WithField("table", table).WithField("peer", string(from.ID))
-	reply, err := client.CallUnary(ctx, connect.NewRequest(&newsRequest{Table: table}))
+	after, _ := g.Replicas[table].Version()
+	reply, err := client.CallUnary(ctx, connect.NewRequest(&newsRequest{Table: table, After: after}))
 	if err != nil {
 		entry.WithError(err).Warn("table not read from peer")
 		return
 	}
 	entry.WithField("version", reply.Msg.Version).Info("table read from peer")
-	g.Replicas[table].Offer(replica.Batch{Rows: reply.Msg.Rows, Version: reply.Msg.Version, Complete: true})
+	g.Replicas[table].Offer(replica.Batch{Rows: reply.Msg.Rows, Version: reply.Msg.Version, Complete: reply.Msg.Complete})
 }
 
 // Handler returns the handler of calls from peers.
@@ -94,8 +98,8 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no table %q", r.Msg.Table))
 	}
-	b := table.Snapshot()
-	return connect.NewResponse(&newsReply{Rows: b.Rows, Version: b.Version}), nil
+	b := table.Since(r.Msg.After)
+	return connect.NewResponse(&newsReply{Rows: b.Rows, Version: b.Version, Complete: b.Complete}), nil
 }
 
 // Serve answers calls from peers until the listener is closed.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -40,8 +40,9 @@
 	g.mutex.Lock()
 	p := g.peers[m.From]
 	if p == nil {
-		p = &peerState{}
+		p = &peerState{Member: Member{ID: m.From, Domain: m.Domain, Address: from}}
 		g.peers[m.From] = p
+		g.countDistant()
 	}
 	if m.Boot < p.boot || m.Boot == p.boot && m.Sequence <= p.sequence {
 		g.mutex.Unlock()
@@ -50,7 +51,7 @@
 	known := g.alive(p)
 	p.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
 	p.boot, p.sequence = m.Boot, m.Sequence
-	p.heardAt = g.Clock.Now()
+	p.heardAt, p.failing = g.Clock.Now(), m.Failing
 	if m.Leaving {
 		p.heardAt = 0
 	}
@@ -63,6 +64,7 @@
 	g.Fleet.Merge(m.From, decodeWork(m.Servers))
 	g.Suspects.Merge(decodeSuspects(m.Suspects, g.Clock.Now()))
 	g.compare(p.Member, m.Versions)
+	g.follow()
 }
 
 // compare checks the own tables against a peer's versions. One that stays behind may hang on a silent connection or be
@@ -76,19 +78,21 @@
 		}
 		g.mutex.Lock()
 		since, behind := g.behind[name]
-		if !behind || now-since > aliveFor {
+		if !behind || now-since > missedBeats*heartbeat {
 			g.behind[name] = now
 			since = now
 		}
-		late := loaded && now-since < newsDelay && !r.Failing()
-		if !late {
+		wait := loaded && now-since < newsDelay && (from.Domain != g.Self.Domain || r.Following() && !r.Failing())
+		if !wait {
 			delete(g.behind, name)
 		}
 		g.mutex.Unlock()
-		if late {
+		if wait {
 			continue
 		}
-		r.Suspect()
+		if r.Following() {
+			r.Suspect()
+		}
 		g.fetch(from, name)
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -46,6 +46,11 @@
 	loaded  bool
 	// failing says that the last read of the source failed.
 	failing bool
+	// deleted has the rows that were removed after floor, so that changes since a version from floor on can be told.
+	deleted map[string]Row
+	floor   Version
+	// idle says that changes come from other processes.
+	idle bool
 	// lapsed has the time at which a kept row was first missing.
 	lapsed map[string]clock.Millis
 	wake   chan struct{}
@@ -55,6 +60,7 @@
 func (r *Replica) Init() {
 	r.rows = map[string]Row{}
 	r.lapsed = map[string]clock.Millis{}
+	r.deleted = map[string]Row{}
 	r.wake = make(chan struct{}, 1)
 }
 
@@ -86,10 +92,47 @@
 	return Batch{Rows: r.list(), Version: r.version, Complete: true}
 }
 
-// Offer takes a complete copy that another process read from the same source. An older copy changes nothing.
+// Since returns the changes after a version, or all rows if these changes are not known any more.
+func (r *Replica) Since(after Version) Batch {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	b := Batch{Version: r.version, Complete: after == 0 || after < r.floor}
+	for _, row := range r.list() {
+		if b.Complete || row.Version > after {
+			b.Rows = append(b.Rows, row)
+		}
+	}
+	for _, row := range r.deleted {
+		if !b.Complete && row.Version > after {
+			b.Rows = append(b.Rows, row)
+		}
+	}
+	return b
+}
+
+// Follow says whether the source is to be followed. Otherwise changes come from other processes, by Offer.
+func (r *Replica) Follow(on bool) {
+	r.mutex.Lock()
+	was := !r.idle
+	r.idle = !on
+	r.mutex.Unlock()
+	if on && !was {
+		r.Suspect()
+	}
+}
+
+// Following reports whether the source is followed.
+func (r *Replica) Following() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.idle
+}
+
+// Offer takes rows that another process read from the same source: all of them, or the changes after a version that this
+// replica had. Older ones change nothing.
 func (r *Replica) Offer(b Batch) {
 	r.mutex.Lock()
-	if b.Version <= r.version && r.loaded {
+	if r.loaded && b.Version <= r.version || !r.loaded && !b.Complete {
 		r.mutex.Unlock()
 		return
 	}
@@ -110,7 +153,7 @@
 func (r *Replica) Run(ctx context.Context) {
 	pause := retryMin
 	complete := true
-	for ctx.Err() == nil {
+	for r.awaitFollow(ctx) {
 		b, err := r.next(ctx, complete)
 		switch {
 		case err == nil:
@@ -132,6 +175,23 @@
 	}
 }
 
+// awaitFollow waits until the source is to be followed, and reports false when ctx has ended.
+func (r *Replica) awaitFollow(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if r.Following() {
+			return true
+		}
+		r.mutex.Lock()
+		r.failing = false
+		r.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		}
+	}
+	return false
+}
+
 // next reads the whole table or waits for changes. A suspicion ends the wait.
 func (r *Replica) next(ctx context.Context, complete bool) (Batch, error) {
 	if complete {
@@ -181,13 +241,15 @@
 		case row.Deleted:
 			changed = changed || known
 			delete(r.rows, row.Key)
+			r.deleted[row.Key] = row
 		case !known || old.Version < row.Version:
 			changed = true
 			r.rows[row.Key] = row
+			delete(r.deleted, row.Key)
 		}
 	}
 	if b.Complete {
-		changed = r.removeMissing(seen, now) || changed
+		changed = r.removeMissing(seen, now, b.Version) || changed
 	}
 	r.version = max(r.version, b.Version)
 	r.loaded = true
@@ -195,8 +257,12 @@
 }
 
 // removeMissing drops the rows that a complete batch doesn't have. Rows that may come back are kept for a grace time.
-func (r *Replica) removeMissing(seen map[string]bool, now clock.Millis) bool {
-	removed := false
+// The version at which a row was removed is not known, so that of the batch takes its place.
+func (r *Replica) removeMissing(seen map[string]bool, now clock.Millis, version Version) bool {
+	removed := !r.loaded
+	if !r.loaded {
+		r.floor = version
+	}
 	for key := range r.rows {
 		if seen[key] {
 			continue
@@ -213,6 +279,8 @@
 		}
 		delete(r.lapsed, key)
 		delete(r.rows, key)
+		r.deleted[key] = Row{Key: key, Version: version, Deleted: true}
+		r.content = max(r.content, version)
 		removed = true
 	}
 	return removed
