Queue plain reads behind each other; spread out instances that wait for the same engine

Cause: only parts of groups are read first, but every prompt in reading kept short ones away; and when an engine had room, all waiting instances took it.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -122,17 +122,12 @@
 // short reports whether one engine reads the prompt alone, between the events of others.
 func (c *choice) short() bool { return c.read <= singleMillis }
 
-// room returns the reading time that the engine can take on without pausing its streams for too long and without making
-// the prompts late that it reads already. Engines read parts of groups before anything else, the newest first.
+// room returns the reading time that the engine can take on without pausing its streams for too long.
 func (c *choice) room(e *fleet.Candidate) float64 {
-	room := math.Inf(1)
-	if e.Load.MinPause > 0 {
-		room = pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
+	if e.Load.MinPause == 0 {
+		return math.Inf(1)
 	}
-	if e.Load.Readers > 0 {
-		room = min(room, float64(e.Load.Due)-dueMargin-c.pass(e)-float64(e.Load.Read))
-	}
-	return room
+	return pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
 }
 
 // fits reports whether the engine has a slot and memory for the prompt.
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -60,7 +60,7 @@
 func (c *choice) groupOf(order []fleet.Candidate, k int, part float64) (Plan, float64, bool) {
 	var chosen []*fleet.Candidate
 	for i := range order {
-		if e := &order[i]; c.room(e) >= part && e.Load.Readers < c.pool.Slots {
+		if e := &order[i]; c.partRoom(e) >= part && e.Load.Readers < c.pool.Slots {
 			if chosen = append(chosen, e); len(chosen) == k {
 				break
 			}
@@ -93,6 +93,16 @@
 	return plan, finish, true
 }
 
+// partRoom returns the reading time that the engine can take on as a part of a group. It reads the newest part before
+// everything else, so what it reads already must not become late.
+func (c *choice) partRoom(e *fleet.Candidate) float64 {
+	room := c.room(e)
+	if e.Load.Readers > 0 {
+		room = min(room, float64(e.Load.Due)-dueMargin-c.pass(e)-float64(e.Load.Read))
+	}
+	return room
+}
+
 // partEnd predicts the time to the first event as far as one engine of a group of k matters. A part of a group is read
 // before what the engine has to read already.
 func (c *choice) partEnd(e *fleet.Candidate, part float64, k int) float64 {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	reachable func(ctx context.Context, s fleet.Server) bool
 	newBudget func() *admission.SharedBudget
 	suspects  *quarantine.Register
+	// spread is the span over which instances that wait for the same engine spread out.
+	spread func() clock.Millis
 	// memory reserves KV cache on several engines for one prompt; holdSpan is how long a reservation lasts unrenewed.
 	memory   *reservation.Builder
 	holdSpan clock.Millis
@@ -42,7 +44,7 @@
 
 // New returns a dispatcher; WithFleet, WithActive, WithSend, WithReachable, WithBudget and WithSuspects are required.
 func New(opts ...Option) *Dispatcher {
-	d := &Dispatcher{clock: clock.Monotonic(), log: log.Log, metrics: newMetrics()}
+	d := &Dispatcher{clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(), spread: func() clock.Millis { return 0 }}
 	for _, opt := range opts {
 		opt(d)
 	}
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -56,3 +56,6 @@
 func WithMemory(b *reservation.Builder, hold clock.Millis) Option {
 	return func(d *Dispatcher) { d.memory, d.holdSpan = b, hold }
 }
+
+// WithSpread sets the function that returns the span over which instances that wait for the same engine spread out.
+func WithSpread(spread func() clock.Millis) Option { return func(d *Dispatcher) { d.spread = spread } }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/apex/log"
 
@@ -62,6 +63,8 @@
 		due, stop := x.d.clock.After(pollInterval)
 		select {
 		case <-notice:
+			// All instances that wait see the same change; they must not all take the same engine.
+			_ = x.d.clock.Sleep(ctx, clock.Millis(rand.Int64N(int64(x.d.spread())+1)))
 		case <-due:
 		case <-ctx.Done():
 			stop()
