--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -19,13 +19,14 @@
 	// cellEngines is the number of engines from which a failure domain plans for itself. What other domains have in work is
 	// known late there, and is needed only when the own engines have no room.
 	cellEngines = 10
-	// packedRequests is the number of requests above which an engine is filled further only if all others are, too.
-	packedRequests = 14
+	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too. The rest
+	// is for requests of which other instances decide at the same time.
+	packedShare = 0.8
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
 	packingMillis = 3.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
 	openingMillis = 60.0
-	// crowdedMillis is the penalty of an engine with more than packedRequests.
+	// crowdedMillis is the penalty of an engine above packedShare.
 	crowdedMillis = 200.0
 	// distantMillis is the penalty of an engine in another failure domain.
 	distantMillis = 30.0
@@ -176,7 +177,7 @@
 	} else {
 		cost += openingMillis
 	}
-	if e.Load.Requests > packedRequests {
+	if float64(e.Load.Requests+1) > packedShare*float64(c.pool.Slots) {
 		cost += crowdedMillis
 	}
 	if e.Domain != c.prompt.Domain {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// minReadLeft is assumed while a prompt takes longer to read than was estimated.
+	// minReadLeft and maxOverdue bound what is assumed while a prompt takes longer to read than was estimated.
 	minReadLeft clock.Millis = 10
+	maxOverdue  clock.Millis = 1000
 	// maxReadStep bounds what one report of a peer adds to the reading of a server.
 	maxReadStep = 20 * clock.Second
 	// reportTimeout is the age at which a peer's report no longer counts.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -100,5 +100,10 @@
 		m.readUntil = min(m.readUntil, now)
 		return
 	}
-	c.Load.Read = max(m.readUntil-now, minReadLeft)
+	left := m.readUntil - now
+	if left < 0 {
+		// The longer the reading is overdue, the longer it may still take.
+		left = min(-left, maxOverdue)
+	}
+	c.Load.Read = max(left, minReadLeft)
 }
