--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -19,17 +19,22 @@
 	// cellEngines is the number of engines from which a failure domain plans for itself. What other domains have in work is
 	// known late there, and is needed only when the own engines have no room.
 	cellEngines = 10
-	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too. The rest
-	// is for requests of which other instances decide at the same time.
+	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too.
 	packedShare = 0.8
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
-	packingMillis = 3.0
+	packingMillis = 4.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
-	openingMillis = 60.0
+	openingMillis = 80.0
+	// shortPatience and longPatience are the parts of the time to the first event that short and long prompts wait for an
+	// engine on which they disturb nobody.
+	shortPatience = 0.3
+	longPatience  = 0.6
+	// fullShare is the share of an engine's slots above which it gets no prompt that can still wait.
+	fullShare = 0.9
 	// crowdedMillis is the penalty of an engine above packedShare.
 	crowdedMillis = 200.0
 	// distantMillis is the penalty of an engine in another failure domain.
-	distantMillis = 30.0
+	distantMillis = 15.0
 	// dueMargin is kept between the planned end of a prompt's reading and the time at which it is due, in ms.
 	dueMargin = 20.0
 	// rankMillis orders the engines of a failure domain that are equal otherwise.
@@ -49,7 +54,7 @@
 	if near := c.near(); len(near) >= cellEngines {
 		local := *c
 		local.engines = near
-		if plan, verdict := local.decide(); verdict == VerdictRun || !p.Relaxed {
+		if plan, verdict := local.decide(); verdict == VerdictRun || !c.relaxed() {
 			return plan, verdict
 		}
 	}
@@ -120,6 +125,15 @@
 	return c.pool.Pass(n, poplarwinch.Tokens(n*averageContext))
 }
 
+// relaxed reports whether the request has waited long enough, so that it may slow others down.
+func (c *choice) relaxed() bool {
+	share := longPatience
+	if c.short() {
+		share = shortPatience
+	}
+	return float64(c.prompt.Target) < (1-share)*float64(c.prompt.FullTarget)
+}
+
 // short reports whether one engine reads the prompt alone, between the events of others.
 func (c *choice) short() bool { return c.read <= singleMillis }
 
@@ -131,9 +145,14 @@
 	return pauseShare*float64(e.Load.MinPause) - c.pass(e) - float64(e.Load.Read)
 }
 
-// fits reports whether the engine has a slot and memory for the prompt.
+// fits reports whether the engine has a slot and memory for the prompt. Some slots are left to requests of which other
+// instances decide at the same time.
 func (c *choice) fits(e *fleet.Candidate) bool {
-	return e.Load.Requests < c.pool.Slots && e.Load.Memory+c.prompt.Tokens+c.prompt.Answer <= c.pool.MemoryTokens
+	limit := float64(c.pool.Slots)
+	if !c.relaxed() {
+		limit *= fullShare
+	}
+	return float64(e.Load.Requests+1) <= limit && e.Load.Memory+c.prompt.Tokens+c.prompt.Answer <= c.pool.MemoryTokens
 }
 
 // firstEvent predicts the time to the first event of a prompt that the engine reads alone.
@@ -156,7 +175,7 @@
 			continue
 		}
 		first := c.firstEvent(e, c.read)
-		if !c.prompt.Relaxed && (c.room(e) < c.read || first > float64(c.prompt.Target)) {
+		if !c.relaxed() && (c.room(e) < c.read || first > float64(c.prompt.Target)) {
 			continue
 		}
 		if cost := first + c.penalty(e); cost < bestCost {
@@ -183,7 +202,7 @@
 	if e.Domain != c.prompt.Domain {
 		cost += distantMillis
 	}
-	if c.prompt.Relaxed && c.room(e) < c.read {
+	if c.relaxed() && c.room(e) < c.read {
 		cost += crowdedMillis
 	}
 	return cost
@@ -198,7 +217,7 @@
 func (c *choice) plan(e *fleet.Candidate) Plan {
 	reason := ReasonPacked
 	switch {
-	case c.prompt.Relaxed:
+	case c.relaxed():
 		reason = ReasonLate
 	case !c.packed(e):
 		reason = ReasonOpened
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -47,10 +47,10 @@
 	if !found {
 		return Plan{}, false
 	}
-	if !c.prompt.Relaxed && float64(best.FirstEvent) > targetShare*float64(c.prompt.Target) {
+	if !c.relaxed() && float64(best.FirstEvent) > targetShare*float64(c.prompt.Target) {
 		return Plan{}, false
 	}
-	if c.prompt.Relaxed {
+	if c.relaxed() {
 		best.Reason = ReasonLate
 	}
 	return best, true
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -12,16 +12,16 @@
 	Tokens poplarwinch.Tokens
 	// Answer is the expected number of tokens of the answer.
 	Answer poplarwinch.Tokens
-	// Target is the time that is left until the first event is expected; it may be negative.
-	Target clock.Millis
+	// Target is the time that is left until the first event is expected; it may be negative. FullTarget is the time that
+	// there was when the request arrived.
+	Target     clock.Millis
+	FullTarget clock.Millis
 	// Left is the time that is left until the request's deadline.
 	Left clock.Millis
 	// MaxPause is the longest pause between events that the caller accepts; zero when there is no limit.
 	MaxPause clock.Millis
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
-	// Relaxed says that the request has waited long enough, so that it may slow others down.
-	Relaxed bool
 }
 
 // Reason says why a plan was chosen.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -104,13 +104,16 @@
 		if h.Address == failed.AtFault {
 			x.avoid[h.ID] = true
 			x.d.fleet.Failed(h.ID)
+			x.d.doubt(h.Server, func(bool) {})
 			return
 		}
 	}
 	x.avoid[found.first.ID] = true
 	switch failed.Failure {
-	case FailureNotSent, FailureReplaced:
-		x.d.fleet.Unreachable(found.first.ID)
+	case FailureNotSent:
+		x.d.lost(found.first)
+	case FailureReplaced:
+		x.d.fleet.Failed(found.first.ID)
 	case FailureBroken:
 		x.d.fleet.Failed(found.first.ID)
 		x.suspect(found.first)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -19,8 +19,6 @@
 	pollInterval clock.Millis = 50
 	// retryAfterReject is the hint for prompts that can't be answered in time.
 	retryAfterReject = clock.Second
-	// relaxShare is the part of the time to the target after which a waiting prompt may slow others down.
-	relaxShare = 0.6
 )
 
 // spot is where an attempt runs.
@@ -123,11 +121,9 @@
 // prompt describes the request for a decision.
 func (x *run) prompt() *assignment.Prompt {
 	now := x.d.clock.Now()
-	target := x.Started + x.Route.Target - now
 	return &assignment.Prompt{
-		Tokens: x.Prompt, Answer: x.Answer, Target: target, Left: x.Deadline - now,
-		MaxPause: x.Route.MaxPause, Domain: x.d.domain,
-		Relaxed: float64(target) < (1-relaxShare)*float64(x.Route.Target),
+		Tokens: x.Prompt, Answer: x.Answer, Left: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
+		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
 	}
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/apex/log"
 
@@ -103,21 +102,16 @@
 
 // suspect counts the death of a server, if it died, against the request that it ran.
 func (x *run) suspect(s fleet.Server) {
-	x.d.background.Go(func() { x.runSuspect(s) })
-}
-
-func (x *run) runSuspect(s fleet.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if x.d.reachable(ctx, s) {
-		return
-	}
-	x.d.fleet.Unreachable(s.ID)
-	death := quarantine.Death{Upstream: s.ID, At: x.d.clock.Now()}
-	x.d.suspects.Merge([]quarantine.Suspect{{Fingerprint: x.Fingerprint, Deaths: []quarantine.Death{death}}})
-	x.log.WithFields(log.Fields{
-		"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint),
-	}).Warn("a server died while it ran the request")
+	x.d.doubt(s, func(alive bool) {
+		if alive {
+			return
+		}
+		death := quarantine.Death{Upstream: s.ID, At: x.d.clock.Now()}
+		x.d.suspects.Merge([]quarantine.Suspect{{Fingerprint: x.Fingerprint, Deaths: []quarantine.Death{death}}})
+		x.log.WithFields(log.Fields{
+			"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint),
+		}).Warn("a server died while it ran the request")
+	})
 }
 
 // record logs and counts the end of the request.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -187,10 +187,47 @@
 	f.learn(id, func(h *health, now clock.Millis) { h.failed(now) })
 }
 
-// Unreachable records that a server accepted no connection.
-func (f *Fleet) Unreachable(id poplarwinch.UpstreamID) {
-	f.learn(id, func(h *health, now clock.Millis) { h.unreachable(now) })
-	f.tell(true)
+// Unreachable records that a server accepts no connection. It returns false if that was known. The server gets no work
+// until Reachable is called for it.
+func (f *Fleet) Unreachable(id poplarwinch.UpstreamID) bool {
+	f.mutex.Lock()
+	m := f.servers[id]
+	news := m != nil && !m.health.down
+	if news {
+		m.health.down = true
+	}
+	f.mutex.Unlock()
+	if news {
+		f.tell(false)
+	}
+	return news
+}
+
+// Reachable records that a server accepts connections again.
+func (f *Fleet) Reachable(id poplarwinch.UpstreamID) {
+	f.learn(id, func(h *health, _ clock.Millis) { h.down, h.peersDownUntil = false, 0 })
+	f.changed(false)
+}
+
+// Neighbours returns the servers of the failure domain of a server, apart from itself and those that are known to be down.
+func (f *Fleet) Neighbours(s Server) []Server {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var list []Server
+	for _, m := range f.servers {
+		if m.server.Domain == s.Domain && m.server.ID != s.ID && !m.health.down {
+			list = append(list, m.server)
+		}
+	}
+	return list
+}
+
+// Known reports whether the server is still on the list as the same process.
+func (f *Fleet) Known(s Server) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m := f.servers[s.ID]
+	return m != nil && m.server.same(s)
 }
 
 func (f *Fleet) learn(id poplarwinch.UpstreamID, update func(*health, clock.Millis)) {
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -7,9 +7,8 @@
 	failureWeight = 0.25
 	// suspiciousRate is the failure rate above which a server gets work only now and then.
 	suspiciousRate = 0.3
-	// downMin and downMax bound the time for which an unreachable server gets no work.
-	downMin clock.Millis = 500
-	downMax clock.Millis = 2 * clock.Second
+	// peerDown is the time for which a peer's word that a server can't be reached counts.
+	peerDown clock.Millis = 1500
 	// trialPause is the time between two requests to a suspicious server.
 	trialPause clock.Millis = 1500
 	// forgetAfter is the time after which old failures no longer count.
@@ -20,15 +19,16 @@
 type health struct {
 	rate      float64
 	changedAt clock.Millis
-	downUntil clock.Millis
-	downSpan  clock.Millis
-	trialAt   clock.Millis
+	// down says that this instance could not reach the server; peers say so until peersDownUntil.
+	down           bool
+	peersDownUntil clock.Millis
+	trialAt        clock.Millis
 }
 
 // succeeded records a complete answer.
 func (h *health) succeeded(now clock.Millis) {
 	h.rate *= 1 - failureWeight
-	h.changedAt, h.downSpan, h.downUntil = now, 0, 0
+	h.changedAt, h.down, h.peersDownUntil = now, false, 0
 }
 
 // failed records an answer that failed or broke off.
@@ -37,15 +37,9 @@
 	h.changedAt, h.trialAt = now, now+trialPause
 }
 
-// unreachable records that no connection could be opened.
-func (h *health) unreachable(now clock.Millis) {
-	h.downSpan = min(max(2*h.downSpan, downMin), downMax)
-	h.downUntil = max(h.downUntil, now+h.downSpan)
-}
-
 // avoided reports whether the server should get no work now.
 func (h *health) avoided(now clock.Millis) bool {
-	if now < h.downUntil {
+	if h.down || now < h.peersDownUntil {
 		return true
 	}
 	return h.rate > suspiciousRate && now-h.changedAt < forgetAfter && now < h.trialAt
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -16,8 +16,8 @@
 	Load Load
 	// Submitted is the sum of the reading times that the instance gave the server since it started.
 	Submitted clock.Millis
-	// Down says for how long the instance gives the server no work because it can't be reached.
-	Down clock.Millis
+	// Down says that the instance can't reach the server.
+	Down bool
 }
 
 // peerReport is a peer's report with the time of its arrival.
@@ -33,8 +33,8 @@
 	now := f.clock.Now()
 	var r Report
 	for id, m := range f.servers {
-		w := ServerWork{ID: id, Load: m.load(now), Submitted: m.submitted, Down: max(m.health.downUntil-now, 0)}
-		if w.Load != (Load{}) || w.Down > 0 {
+		w := ServerWork{ID: id, Load: m.load(now), Submitted: m.submitted, Down: m.health.down}
+		if w.Load != (Load{}) || w.Down {
 			r.Servers = append(r.Servers, w)
 		}
 	}
@@ -71,8 +71,8 @@
 
 // learn takes what a peer reports of the server. The reading that is new since its last report comes on top.
 func (m *member) learn(w ServerWork, before, now clock.Millis) {
-	if w.Down > 0 {
-		m.health.downUntil = max(m.health.downUntil, now+min(w.Down, downMax))
+	if w.Down {
+		m.health.peersDownUntil = now + peerDown
 	}
 	span := w.Submitted - before
 	if span < 0 {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -35,7 +35,7 @@
 	MinPause  clock.Millis
 	Memory    poplarwinch.Tokens
 	Submitted clock.Millis
-	Down      clock.Millis
+	Down      bool
 }
 
 // suspect is a request that ran on servers when they died.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -61,6 +61,12 @@
 		g.Log.WithField("peer", string(m.From)).WithField("address", from.String()).Info("dependency regained: peer is alive")
 		g.Changed(true)
 	}
+	if m.Domain != g.Self.Domain {
+		// What another failure domain can't reach may well be reached from here.
+		for i := range m.Servers {
+			m.Servers[i].Down = false
+		}
+	}
 	g.Fleet.Merge(m.From, decodeWork(m.Servers))
 	g.Suspects.Merge(decodeSuspects(m.Suspects, g.Clock.Now()))
 	g.compare(p.Member, m.Versions)
