--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,8 @@
 	// minReadLeft and maxOverdue bound what is assumed while a prompt takes longer to read than was estimated.
 	minReadLeft clock.Millis = 10
 	maxOverdue  clock.Millis = 1000
+	// crowdedShare is the share of a server's slots from which all instances are told of its work at once.
+	crowdedShare = 0.6
 	// maxReadStep bounds what one report of a peer adds to the reading of a server.
 	maxReadStep = 20 * clock.Second
 	// reportTimeout is the age at which a peer's report no longer counts.
@@ -128,6 +130,7 @@
 		m.add(t)
 		m.startRead(t, now)
 		t.distant = m.server.Domain != f.domain
+		t.crowded = float64(m.own.Requests+f.peerRequests(w.First)) > crowdedShare*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// peerRequests returns the requests that peers have on a server. The caller holds the lock.
+func (f *Fleet) peerRequests(id poplarwinch.UpstreamID) int {
+	n := 0
+	for _, p := range f.peers {
+		n += p.servers[id].Load.Requests
+	}
+	return n
+}
+
 // addPeers adds the work of peers to a candidate and estimates the reading that is left. The caller holds the lock.
 func (f *Fleet) addPeers(c *Candidate, now clock.Millis) {
 	for id, p := range f.peers {
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -31,6 +31,8 @@
 	ended   bool
 	// distant says that some of the work is in another failure domain.
 	distant bool
+	// crowded says that the first server has few free slots.
+	crowded bool
 }
 
 // FirstEvent records that the prompt has been read.
@@ -76,5 +78,6 @@
 	f.changed(t.spread())
 }
 
-// spread reports whether the work concerns servers of other failure domains, whose instances need to know of it at once.
-func (t *Ticket) spread() bool { return t.distant }
+// spread reports whether all instances need to know of the work at once: if some of it is in another failure domain, or if
+// the first server is nearly full.
+func (t *Ticket) spread() bool { return t.distant || t.crowded }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -19,9 +19,9 @@
 
 const (
 	// nearDelay is the time in which changes are collected before the own failure domain is told.
-	nearDelay clock.Millis = 5
+	nearDelay clock.Millis = 2
 	// farDelay is the same for other failure domains, if only one server is concerned.
-	farDelay clock.Millis = 60
+	farDelay clock.Millis = 150
 	// heartbeat is the longest time between two datagrams to a peer of the own failure domain, and to any peer from an
 	// instance that follows the tables.
 	heartbeat clock.Millis = 1000
