--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -11,7 +11,7 @@
 
 const (
 	// pauseShare is the part of the limit between events that planned work may use up.
-	pauseShare = 0.85
+	pauseShare = 0.9
 	// averageContext is the assumed context of a decoding request, in tokens.
 	averageContext = 6000
 	// singleMillis is the longest reading of a prompt that is left to one engine.
@@ -22,15 +22,13 @@
 	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too.
 	packedShare = 0.8
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
-	packingMillis = 4.0
+	packingMillis = 7.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
-	openingMillis = 80.0
-	// shortPatience and longPatience are the parts of the time to the first event that short and long prompts wait for an
-	// engine on which they disturb nobody.
-	shortPatience = 0.3
-	longPatience  = 0.6
-	// fullShare is the share of an engine's slots above which it gets no prompt that can still wait.
-	fullShare = 0.9
+	openingMillis = 130.0
+	// fullShare is the share of an engine's slots above which it gets no prompt that can still wait, and quietShare the one
+	// above which it gets none that is late anyway.
+	fullShare  = 0.9
+	quietShare = 0.7
 	// crowdedMillis is the penalty of an engine above packedShare.
 	crowdedMillis = 200.0
 	// distantMillis is the penalty of an engine in another failure domain.
@@ -54,7 +52,7 @@
 	if near := c.near(); len(near) >= cellEngines {
 		local := *c
 		local.engines = near
-		if plan, verdict := local.decide(); verdict == VerdictRun || !c.relaxed() {
+		if plan, verdict := local.decide(); verdict == VerdictRun || c.stage() == stageEarly {
 			return plan, verdict
 		}
 	}
@@ -125,15 +123,6 @@
 	return c.pool.Pass(n, poplarwinch.Tokens(n*averageContext))
 }
 
-// relaxed reports whether the request has waited long enough, so that it may slow others down.
-func (c *choice) relaxed() bool {
-	share := longPatience
-	if c.short() {
-		share = shortPatience
-	}
-	return float64(c.prompt.Target) < (1-share)*float64(c.prompt.FullTarget)
-}
-
 // short reports whether one engine reads the prompt alone, between the events of others.
 func (c *choice) short() bool { return c.read <= singleMillis }
 
@@ -149,7 +138,11 @@
 // instances decide at the same time.
 func (c *choice) fits(e *fleet.Candidate) bool {
 	limit := float64(c.pool.Slots)
-	if !c.relaxed() {
+	switch c.stage() {
+	case stageUrgent:
+	case stageMissed:
+		limit *= quietShare
+	default:
 		limit *= fullShare
 	}
 	return float64(e.Load.Requests+1) <= limit && e.Load.Memory+c.prompt.Tokens+c.prompt.Answer <= c.pool.MemoryTokens
@@ -168,14 +161,12 @@
 // single chooses one engine for a short prompt. Engines that already serve short prompts come first, so that the others
 // stay free for long ones.
 func (c *choice) single() (Plan, bool) {
+	stage := c.stage()
 	best, bestCost := -1, math.Inf(1)
 	for i := range c.engines {
 		e := &c.engines[i]
-		if !c.fits(e) {
-			continue
-		}
 		first := c.firstEvent(e, c.read)
-		if !c.relaxed() && (c.room(e) < c.read || first > float64(c.prompt.Target)) {
+		if !c.fits(e) || !c.suits(e, stage, first) {
 			continue
 		}
 		if cost := first + c.penalty(e); cost < bestCost {
@@ -185,7 +176,20 @@
 	if best < 0 {
 		return Plan{}, false
 	}
-	return c.plan(&c.engines[best]), true
+	return c.plan(&c.engines[best], stage), true
+}
+
+// suits reports whether a prompt of a stage may run on the engine, given its predicted time to the first event.
+func (c *choice) suits(e *fleet.Candidate, stage stage, first float64) bool {
+	switch stage {
+	case stageUrgent:
+		return true
+	case stageMissed:
+		return c.room(e) >= c.read && first <= float64(c.prompt.Patience)
+	case stagePressed:
+		return first <= float64(c.prompt.Target)
+	}
+	return c.room(e) >= c.read && first <= float64(c.prompt.Target)
 }
 
 // penalty returns what speaks against an engine besides its time to the first event, in ms.
@@ -202,7 +206,7 @@
 	if e.Domain != c.prompt.Domain {
 		cost += distantMillis
 	}
-	if c.relaxed() && c.room(e) < c.read {
+	if c.room(e) < c.read {
 		cost += crowdedMillis
 	}
 	return cost
@@ -214,10 +218,10 @@
 	return e.Load.MinPause != 0 && e.Load.MinPause <= c.prompt.MaxPause
 }
 
-func (c *choice) plan(e *fleet.Candidate) Plan {
+func (c *choice) plan(e *fleet.Candidate, stage stage) Plan {
 	reason := ReasonPacked
 	switch {
-	case c.relaxed():
+	case stage == stageMissed || stage == stageUrgent:
 		reason = ReasonLate
 	case !c.packed(e):
 		reason = ReasonOpened
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -16,10 +16,14 @@
 	minPartMillis = 40.0
 	// helperMillis is the gain in the time to the first event that another engine must bring.
 	helperMillis = 4.0
+	// tightMillis is the gain that an engine with short prompts must bring besides.
+	tightMillis = 15.0
 	// usablePercent leaves part of an engine's free memory to requests that arrive meanwhile.
 	usablePercent = 80
-	// targetShare is the part of the time to the target that a plan may use before the prompt waits instead.
+	// targetShare is the part of the time to the target that a plan may use before the prompt waits instead, and missedShare
+	// the part of the caller's patience that it may use when the target is missed.
 	targetShare = 0.9
+	missedShare = 0.5
 )
 
 // group chooses the engines that read a long prompt together, so that its first event comes earliest.
@@ -40,22 +44,48 @@
 			break
 		}
 		plan, finish, ok := c.groupOf(order, k, part)
-		if cost := finish + helperMillis*float64(k); ok && (!found || cost < bestCost) {
+		if cost := finish + helperMillis*float64(k) + tightMillis*float64(c.tight(order, &plan)); ok && (!found || cost < bestCost) {
 			best, bestCost, found = plan, cost, true
 		}
 	}
 	if !found {
 		return Plan{}, false
 	}
-	if !c.relaxed() && float64(best.FirstEvent) > targetShare*float64(c.prompt.Target) {
+	stage := c.stage()
+	if float64(best.FirstEvent) > c.longest(stage) {
 		return Plan{}, false
 	}
-	if c.relaxed() {
+	if stage == stageMissed || stage == stageUrgent {
 		best.Reason = ReasonLate
 	}
 	return best, true
 }
 
+// tight returns the number of engines of the plan that serve short prompts.
+func (c *choice) tight(order []fleet.Candidate, plan *Plan) int {
+	n := 0
+	for i := range order {
+		e := &order[i]
+		if e.Load.MinPause != 0 && e.Load.MinPause < c.prompt.MaxPause && (e.ID == plan.First || slices.Contains(plan.Helpers, e.ID)) {
+			n++
+		}
+	}
+	return n
+}
+
+// longest returns the predicted time to the first event above which a prompt of a stage waits instead, in ms.
+func (c *choice) longest(stage stage) float64 {
+	switch stage {
+	case stageUrgent:
+		return float64(c.prompt.Left)
+	case stageMissed:
+		return missedShare * float64(c.prompt.Patience)
+	case stagePressed:
+		return float64(c.prompt.Target)
+	}
+	return targetShare * float64(c.prompt.Target)
+}
+
 // groupOf returns the plan with k engines and its time to the first event.
 func (c *choice) groupOf(order []fleet.Candidate, k int, part float64) (Plan, float64, bool) {
 	var chosen []*fleet.Candidate
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -187,8 +187,12 @@
 	if !x.Route.Resumable || x.ran+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
 		return 0
 	}
-	longest := max(patience, patienceTarget*x.Route.Target, patiencePause*x.Route.MaxPause)
-	return clock.Millis(patienceShare * float64(longest))
+	return clock.Millis(patienceShare * float64(x.patience()))
+}
+
+// patience returns the time in which the caller gives up unless an event comes.
+func (x *run) patience() clock.Millis {
+	return max(patience, patienceTarget*x.Route.Target, patiencePause*x.Route.MaxPause)
 }
 
 // begin sends the status and headers of the first server that answers.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -124,6 +124,7 @@
 	return &assignment.Prompt{
 		Tokens: x.Prompt, Answer: x.Answer, Left: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
+		Patience: min(x.Deadline, x.Started+x.patience()) - now,
 	}
 }
 
@@ -150,7 +151,7 @@
 func (x *run) occupy(found *spot, memory poplarwinch.Tokens, shares map[poplarwinch.UpstreamID]poplarwinch.Tokens) {
 	w := fleet.Work{
 		First: found.first.ID, Read: found.plan.Read, MaxPause: x.Route.MaxPause, Memory: memory,
-		Due: x.Started + x.Route.Target, Shares: shares,
+		Due: x.due(found.plan.Reason), Shares: shares,
 	}
 	for _, h := range found.helpers {
 		if h.ID != w.First {
@@ -164,3 +165,12 @@
 		"queued-read-ms": found.load.Read, "age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
 	}).Info("routing decision")
 }
+
+// due returns the time by which the prompt should be read: the target, or what the caller's patience allows if that is
+// missed anyway.
+func (x *run) due(reason assignment.Reason) clock.Millis {
+	if reason == assignment.ReasonLate {
+		return min(x.Deadline, x.Started+x.patience())
+	}
+	return x.Started + x.Route.Target
+}
