--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,207 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+)
+
+// world is a fleet of two engines in one failure domain and one in another, on a manual clock.
+type world struct {
+	*fleet.Fleet
+	time *clock.Manual
+	told []bool
+}
+
+func servers() []fleet.Server {
+	return []fleet.Server{
+		{ID: "e1", Address: "10.0.0.1:80", Domain: "north", Service: "pool", Slots: 4},
+		{ID: "e2", Address: "10.0.0.2:80", Domain: "north", Service: "pool", Slots: 4},
+		{ID: "e3", Address: "10.0.0.3:80", Domain: "south", Service: "pool", Slots: 4},
+	}
+}
+
+func newWorld() *world {
+	w := &world{time: clock.NewManual(1000)}
+	w.Fleet = fleet.New(
+		fleet.WithClock(w.time.Clock()), fleet.WithDomain("north"), fleet.WithTell(func(spread bool) { w.told = append(w.told, spread) }),
+	)
+	w.Apply(servers())
+	return w
+}
+
+func (w *world) candidate(t *testing.T, id poplarwinch.UpstreamID) fleet.Candidate {
+	t.Helper()
+	for _, c := range w.Candidates("pool") {
+		if c.ID == id {
+			return c
+		}
+	}
+	t.Fatalf("%s is no candidate", id)
+	return fleet.Candidate{}
+}
+
+// Guards against decisions that overlook work: own and peers' requests, reading and limits add up.
+func TestLoad(t *testing.T) {
+	w := newWorld()
+	own := w.Begin(fleet.Work{First: "e1", Helpers: []poplarwinch.UpstreamID{"e2"}, Read: 300, MaxPause: 600, Memory: 1000, Due: 3000})
+	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{
+		ID: "e1", Submitted: 200, Load: fleet.Load{Requests: 2, Decoding: 1, Readers: 1, Due: 500, MinPause: 250, Memory: 70},
+	}}})
+	got := w.candidate(t, "e1").Load
+	want := fleet.Load{Requests: 3, Decoding: 1, Readers: 2, Read: 500, Due: 500, MinPause: 250, Memory: 1070}
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if helper := w.candidate(t, "e2").Load; helper.Readers != 1 || helper.Read != 300 || helper.Requests != 0 {
+		t.Errorf("helper: got %+v", helper)
+	}
+	own.FirstEvent()
+	own.FirstEvent()
+	if got := w.candidate(t, "e2").Load; got != (fleet.Load{}) {
+		t.Errorf("after the first event the helper still has %+v", got)
+	}
+	own.End()
+	own.End()
+	if got := w.candidate(t, "e1").Load; got.Requests != 2 || got.Decoding != 1 {
+		t.Errorf("after the end: got %+v", got)
+	}
+}
+
+// Guards against reading that vanishes from the estimate or is counted twice when reports are lost, repeated or late.
+func TestReports(t *testing.T) {
+	w := newWorld()
+	report := func(submitted clock.Millis, readers int) {
+		w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{
+			ID: "e1", Submitted: submitted, Load: fleet.Load{Requests: readers, Readers: readers, Due: 4000},
+		}}})
+	}
+	report(100, 1)
+	report(100, 1)
+	if got := w.candidate(t, "e1").Load.Read; got != 100 {
+		t.Errorf("a repeated report: got %d ms of reading, want 100", got)
+	}
+	w.time.Advance(40)
+	report(250, 2)
+	if got := w.candidate(t, "e1").Load.Read; got != 210 {
+		t.Errorf("more work: got %d ms, want 210", got)
+	}
+	w.time.Advance(500)
+	if got := w.candidate(t, "e1").Load.Read; got != 290 {
+		t.Errorf("overdue reading: got %d ms, want the time that it is overdue, 290", got)
+	}
+	report(250, 0)
+	if got := w.candidate(t, "e1").Load; got.Read != 0 {
+		t.Errorf("after the end: got %+v", got)
+	}
+}
+
+// Guards against work of instances that died: their last report expires.
+func TestSilentPeer(t *testing.T) {
+	w := newWorld()
+	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Load: fleet.Load{Requests: 3}}}})
+	w.time.Advance(3001)
+	if got := w.candidate(t, "e1").Load.Requests; got != 0 {
+		t.Errorf("got %d requests of a silent peer", got)
+	}
+}
+
+// Guards against work for servers that leave, and against counters that outlive a restart under the same id.
+func TestServersChange(t *testing.T) {
+	w := newWorld()
+	ticket := w.Begin(fleet.Work{First: "e1", Read: 100})
+	list := servers()
+	list[0].Boot = 2
+	list[1].Leaving = true
+	w.Apply(list)
+	if got := w.candidate(t, "e1").Load; got != (fleet.Load{}) {
+		t.Errorf("a restarted server has %+v", got)
+	}
+	for _, c := range w.Candidates("pool") {
+		if c.ID == "e2" {
+			t.Error("a leaving server is a candidate")
+		}
+	}
+	if _, ok := w.Server("e2"); ok {
+		t.Error("a leaving server is usable")
+	}
+	ticket.FirstEvent()
+	ticket.End()
+	if got := w.candidate(t, "e1").Load; got != (fleet.Load{}) {
+		t.Errorf("the end of work on the old process left %+v", got)
+	}
+}
+
+// Guards against requests that try a server again and again which can't be reached or fails half of the time.
+func TestHealth(t *testing.T) {
+	w := newWorld()
+	if !w.Unreachable("e1") || w.Unreachable("e1") {
+		t.Error("only the first loss is news")
+	}
+	if !w.candidate(t, "e1").Avoid {
+		t.Error("a lost server is not avoided")
+	}
+	w.Reachable("e1")
+	if w.candidate(t, "e1").Avoid {
+		t.Error("a server that is back is avoided")
+	}
+	w.Failed("e2")
+	if w.candidate(t, "e2").Avoid {
+		t.Error("one failure is enough to avoid a server")
+	}
+	w.Failed("e2")
+	if !w.candidate(t, "e2").Avoid {
+		t.Error("a failing server is not avoided")
+	}
+	w.time.Advance(1501)
+	if w.candidate(t, "e2").Avoid {
+		t.Error("a failing server is never tried again")
+	}
+}
+
+// Guards against a peer's lasting belief: its word that a server is down counts for a short time.
+func TestPeersDown(t *testing.T) {
+	w := newWorld()
+	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Down: true}}})
+	if !w.candidate(t, "e1").Avoid {
+		t.Error("a server that a peer can't reach is not avoided")
+	}
+	w.time.Advance(1501)
+	if w.candidate(t, "e1").Avoid {
+		t.Error("a peer's word counts for ever")
+	}
+}
+
+// Guards against distant instances that learn too late of work on engines that they may choose too.
+func TestTell(t *testing.T) {
+	w := newWorld()
+	w.Begin(fleet.Work{First: "e1"})
+	w.Begin(fleet.Work{First: "e3"})
+	w.Begin(fleet.Work{First: "e2", Helpers: []poplarwinch.UpstreamID{"e3"}})
+	w.Begin(fleet.Work{First: "e1"})
+	w.Begin(fleet.Work{First: "e1"})
+	want := []bool{false, true, true, false, true}
+	if len(w.told) != len(want) {
+		t.Fatalf("told %v, want %v", w.told, want)
+	}
+	for i := range want {
+		if w.told[i] != want[i] {
+			t.Errorf("work %d: spread %t, want %t", i, w.told[i], want[i])
+		}
+	}
+}
+
+// Guards against waiting requests that sleep on while an engine becomes free.
+func TestNotice(t *testing.T) {
+	w := newWorld()
+	ticket := w.Begin(fleet.Work{First: "e1"})
+	notice := w.Notice()
+	ticket.End()
+	select {
+	case <-notice:
+	default:
+		t.Error("the end of work woke nobody")
+	}
+}
