--- /dev/null
+++ b/admission/sharedbudget_test.go
@@ -0,0 +1,48 @@
+package admission_test
+
+import (
+	"testing"
+
+	"github.com/poplarwinch/poplarwinch/admission"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// Guards against retry storms: all instances together stay within the ratio and the slack in every window.
+func TestSharedBudget(t *testing.T) {
+	const instances, span, slack, ratio, steps = 9, 10 * clock.Second, 106.0, 0.2, 600
+	now := clock.NewManual(100_000)
+	var budgets []*admission.SharedBudget
+	for range instances {
+		budgets = append(budgets, admission.NewSharedBudget(now.Clock(), ratio, slack, span, func() int { return instances }))
+	}
+	requests, retries := make([]int, steps), make([]int, steps)
+	const step clock.Millis = 100
+	for i := range steps {
+		now.Advance(step)
+		for n, b := range budgets {
+			if (i+n)%3 == 0 {
+				b.Earn()
+				requests[i]++
+			}
+			for range 3 {
+				if b.Take() {
+					retries[i]++
+				}
+			}
+		}
+	}
+	window := int(span / step)
+	for i := window; i < steps; i++ {
+		asked, taken := 0, 0
+		for j := i - window; j < i; j++ {
+			asked += requests[j]
+			taken += retries[j]
+		}
+		if limit := ratio*float64(asked) + slack; float64(taken) > limit {
+			t.Fatalf("window that ends at step %d: %d retries, at most %.0f allowed", i, taken, limit)
+		}
+		if taken == 0 {
+			t.Fatalf("window that ends at step %d: no retry at all", i)
+		}
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -77,7 +77,9 @@
 // Guards against retries without end when every server refuses.
 func TestAllRefuse(t *testing.T) {
 	virtual(t, func(t *testing.T, w *world) {
-		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) { return failure(dispatch.FailureRefused) }
+		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return failure(dispatch.FailureRefused)
+		}
 		o := w.run(t.Context(), w.request(route.KindNonIdempotent))
 		if o.err == nil || o.err.Outcome != poplarwinch.OutcomeNotRun || o.err.Kind.Status() != http.StatusServiceUnavailable || o.err.RetryAfter <= 0 {
 			t.Errorf("got %+v, want a refusal with a hint", o.err)
@@ -114,7 +116,9 @@
 // Guards against a stream that ends early and looks complete.
 func TestBrokenStreamsEndInError(t *testing.T) {
 	virtual(t, func(t *testing.T, w *world) {
-		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) { return broken("id: 1\ndata: a\n\n") }
+		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return broken("id: 1\ndata: a\n\n")
+		}
 		r := w.request(route.KindStreaming)
 		r.Route.Resumable = false
 		if o := w.run(t.Context(), r); o.err == nil || len(w.calls) != 1 {
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,175 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/gossip"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+// instance is one member on loopback with a source of tables of its own.
+type instance struct {
+	gossip  *gossip.Gossip
+	fleet   *fleet.Fleet
+	table   *replica.Replica
+	stop    context.CancelFunc
+	address netip.AddrPort
+}
+
+// start runs an instance; read is its source of the table "servers", and nil if the source does not answer it.
+func start(t *testing.T, id poplarwinch.InstanceID, domain poplarwinch.FailureDomain, read func() replica.Batch) *instance {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := &log.Logger{Handler: discard.New()}
+	i := &instance{table: &replica.Replica{}, address: address}
+	i.gossip = &gossip.Gossip{Clock: clock.Monotonic(), Log: logger, Suspects: quarantine.New()}
+	i.fleet = fleet.New(fleet.WithDomain(domain), fleet.WithTell(i.gossip.Changed))
+	i.fleet.Apply([]fleet.Server{{ID: "e1", Service: "pool", Domain: "north", Slots: 16}})
+	i.gossip.Fleet = i.fleet
+	i.gossip.Self = gossip.Member{ID: id, Domain: domain, Address: address}
+	r := i.table
+	r.Name, r.Clock, r.Log = "servers", clock.Monotonic(), logger
+	r.Changed = func([]replica.Row) { i.gossip.Changed(true) }
+	r.Read = func(context.Context) (replica.Batch, error) {
+		if read == nil {
+			return replica.Batch{}, fmt.Errorf("the source refuses %s", id)
+		}
+		return read(), nil
+	}
+	r.Changes = func(ctx context.Context, _ replica.Version) (replica.Batch, error) {
+		<-ctx.Done()
+		return replica.Batch{}, ctx.Err()
+	}
+	r.Init()
+	i.gossip.Replicas = map[string]*replica.Replica{"servers": r}
+	if err := i.gossip.Init(time.Now().UnixNano()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go i.gossip.Run(ctx, udp)
+	go r.Run(ctx)
+	go func() { _ = i.gossip.Serve(l) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+	})
+	return i
+}
+
+// eventually waits for a condition that news from another instance brings about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func rows(version replica.Version) func() replica.Batch {
+	return func() replica.Batch {
+		return replica.Batch{Rows: []replica.Row{{Key: "e1", Value: []byte("x"), Version: version}}, Version: version, Complete: true}
+	}
+}
+
+// Guards against decisions without the work of others: what one instance begins and ends, another one sees.
+func TestWorkIsTold(t *testing.T) {
+	a := start(t, "a", "north", rows(3))
+	b := start(t, "b", "north", rows(3))
+	b.gossip.Add([]gossip.Member{a.gossip.Self})
+	eventually(t, "both know each other", func() bool { return a.gossip.Alive() == 2 && b.gossip.Alive() == 2 })
+	requests := func() int { return b.fleet.Candidates("pool")[0].Load.Requests }
+	ticket := a.fleet.Begin(fleet.Work{First: "e1", Read: 100})
+	eventually(t, "b sees the request of a", func() bool { return requests() == 1 })
+	ticket.End()
+	eventually(t, "b sees its end", func() bool { return requests() == 0 })
+	a.stop()
+	eventually(t, "b counts a as dead", func() bool { return b.gossip.Alive() == 1 })
+}
+
+// Guards against an instance without configuration and servers because the store turns it away: peers tell it.
+func TestNewsForRefusedInstance(t *testing.T) {
+	a := start(t, "a", "north", rows(5))
+	b := start(t, "b", "south", nil)
+	b.gossip.Add([]gossip.Member{{Address: a.address}})
+	eventually(t, "b has the table", func() bool {
+		v, ok := b.table.Version()
+		return ok && v == 5
+	})
+}
+
+// Guards against every instance of a large deployment reading the tables: two of a failure domain do, and others take over
+// when they are gone.
+func TestTwoFollow(t *testing.T) {
+	var all []*instance
+	var members []gossip.Member
+	for n := range 5 {
+		i := start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), "north", rows(2))
+		all = append(all, i)
+		members = append(members, i.gossip.Self)
+	}
+	for _, i := range all {
+		i.gossip.Add(members)
+	}
+	following := func() int {
+		n := 0
+		for _, i := range all {
+			if i.table.Following() {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "two of five follow", func() bool { return all[0].gossip.Alive() == 5 && following() == 2 })
+	var left []*instance
+	for _, i := range all {
+		if i.table.Following() {
+			i.stop()
+		} else {
+			left = append(left, i)
+		}
+	}
+	all = left
+	eventually(t, "two others take over", func() bool { return following() == 2 })
+}
+
+// Guards against a crash or a wrong belief by datagrams that are no messages.
+func TestMalformedDatagrams(t *testing.T) {
+	a := start(t, "a", "north", rows(1))
+	connection, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(a.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	for _, data := range []string{"", "x", "\xff\xff\xff", "\x89\x61a\x61b\x01\x01\xa0\x80\x80\xf4\xf4", string(make([]byte, 2000))} {
+		if _, err := connection.Write([]byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := start(t, "b", "north", rows(1))
+	b.gossip.Add([]gossip.Member{a.gossip.Self})
+	eventually(t, "a still listens", func() bool { return b.gossip.Alive() == 2 })
+}
