--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -291,7 +291,9 @@
 		renewed := map[engine.ReservationID]int{}
 		reserve := w.builder.Reserve
 		w.builder.Reserve = func(ctx context.Context, address string, r engine.Reservation) error {
+			w.mutex.Lock()
 			renewed[r.ID]++
+			w.mutex.Unlock()
 			return reserve(ctx, address, r)
 		}
 		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
@@ -301,6 +303,8 @@
 		r := w.request(route.KindStreaming)
 		r.Prompt, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
 		w.run(t.Context(), r)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
 		for id, n := range renewed {
 			if n < 4 {
 				t.Errorf("%s was reserved %d times in 4.5 s, want every second", id, n)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,24 @@
 
 // source is a table whose answers a test sets.
 type source struct {
+	mutex   sync.Mutex
 	read    func() (replica.Batch, error)
 	changes chan answer
 }
 
+// set replaces what reading the whole table returns.
+func (s *source) set(read func() (replica.Batch, error)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.read = read
+}
+
+func (s *source) readAll(context.Context) (replica.Batch, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.read()
+}
+
 type answer struct {
 	batch replica.Batch
 	err   error
@@ -38,7 +53,7 @@
 	r := &w.replica
 	r.Name, r.KeepLapsed, r.Clock = "servers", keepLapsed, clock.System()
 	r.Log = &log.Logger{Handler: discard.New()}
-	r.Read = func(context.Context) (replica.Batch, error) { return w.source.read() }
+	r.Read = w.source.readAll
 	r.Changes = func(ctx context.Context, _ replica.Version) (replica.Batch, error) {
 		select {
 		case a := <-w.source.changes:
@@ -47,11 +62,15 @@
 			return replica.Batch{}, ctx.Err()
 		}
 	}
-	r.Changed = func(rows []replica.Row) { w.seen = append(w.seen, rows) }
+	r.Changed = func(rows []replica.Row) {
+		w.source.mutex.Lock()
+		defer w.source.mutex.Unlock()
+		w.seen = append(w.seen, rows)
+	}
 	r.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	w.source.read = func() (replica.Batch, error) { return complete(1, row("a", 1), row("b", 1)), nil }
+	w.source.set(func() (replica.Batch, error) { return complete(1, row("a", 1), row("b", 1)), nil })
 	go r.Run(ctx)
 	synctest.Wait()
 	return w
@@ -100,7 +119,7 @@
 func TestHistoryLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, false)
-		w.source.read = func() (replica.Batch, error) { return complete(9, row("b", 1), row("d", 8)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(9, row("b", 1), row("d", 8)), nil })
 		w.source.changes <- answer{err: replica.ErrHistoryLost}
 		w.expect(t, "b", "d")
 		for _, rows := range w.seen {
@@ -115,11 +134,11 @@
 func TestLapsedRowsComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, true)
-		w.source.read = func() (replica.Batch, error) { return complete(5, row("b", 1)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(5, row("b", 1)), nil })
 		w.source.changes <- answer{err: errors.New("store away")}
 		time.Sleep(200 * time.Millisecond)
 		w.expect(t, "a", "b")
-		w.source.read = func() (replica.Batch, error) { return complete(6, row("a", 6), row("b", 1)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(6, row("a", 6), row("b", 1)), nil })
 		time.Sleep(10 * time.Second)
 		w.expect(t, "a", "b")
 	})
@@ -130,7 +149,7 @@
 func TestLapsedRowsGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, true)
-		w.source.read = func() (replica.Batch, error) { return complete(5, row("b", 1)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(5, row("b", 1)), nil })
 		w.source.changes <- answer{err: errors.New("store away")}
 		time.Sleep(4 * time.Second)
 		w.expect(t, "b")
@@ -144,7 +163,7 @@
 func TestSuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, false)
-		w.source.read = func() (replica.Batch, error) { return complete(4, row("z", 4)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(4, row("z", 4)), nil })
 		w.replica.Suspect()
 		time.Sleep(time.Second)
 		w.expect(t, "z")
@@ -176,7 +195,7 @@
 			t.Error("an instance that does not follow asked for changes")
 		default:
 		}
-		w.source.read = func() (replica.Batch, error) { return complete(7, row("later", 7)), nil }
+		w.source.set(func() (replica.Batch, error) { return complete(7, row("later", 7)), nil })
 		w.replica.Follow(true)
 		w.source.changes <- answer{batch: replica.Batch{Version: 8, Rows: []replica.Row{row("c", 8)}}}
 		w.expect(t, "a", "b", "c")
