--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
 	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -27,6 +28,8 @@
 	reachable func(ctx context.Context, s fleet.Server) bool
 	newBudget func() *admission.SharedBudget
 	suspects  *quarantine.Register
+	// listVersion returns the version of the list of servers.
+	listVersion func() replica.Version
 	// spread is the span over which instances that wait for the same engine spread out.
 	spread func() clock.Millis
 	// memory reserves KV cache on several engines for one prompt; holdSpan is how long a reservation lasts unrenewed.
@@ -44,13 +47,24 @@
 
 // New returns a dispatcher; WithFleet, WithActive, WithSend, WithReachable, WithBudget and WithSuspects are required.
 func New(opts ...Option) *Dispatcher {
-	d := &Dispatcher{clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(), spread: func() clock.Millis { return 0 }}
+	d := &Dispatcher{
+		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(), spread: func() clock.Millis { return 0 },
+		listVersion: func() replica.Version { return 0 },
+	}
 	for _, opt := range opts {
 		opt(d)
 	}
 	return d
 }
 
+// version returns the version of the configuration in force; zero if there is none.
+func (d *Dispatcher) version() route.Version {
+	if t := d.active(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // Now returns the time on the dispatcher's clock.
 func (d *Dispatcher) Now() clock.Millis { return d.clock.Now() }
 
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
 	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -59,3 +60,8 @@
 
 // WithSpread sets the function that returns the span over which instances that wait for the same engine spread out.
 func WithSpread(spread func() clock.Millis) Option { return func(d *Dispatcher) { d.spread = spread } }
+
+// WithListVersion sets the function that returns the version of the list of servers, for the log.
+func WithListVersion(version func() replica.Version) Option {
+	return func(d *Dispatcher) { d.listVersion = version }
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -163,6 +163,7 @@
 		"upstream": w.First, "helpers": len(w.Helpers), "reserved": len(shares), "reason": found.plan.Reason,
 		"predicted-ms": found.plan.FirstEvent, "read-ms": w.Read, "tokens": x.Prompt, "requests": found.load.Requests,
 		"queued-read-ms": found.load.Read, "age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
+		"configuration": x.d.version(), "servers-version": x.d.listVersion(),
 	}).Info("routing decision")
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,8 +27,8 @@
 type Fleet struct {
 	clock  *clock.Clock
 	domain poplarwinch.FailureDomain
-	// tell is called after own work changed; spread says that several servers are concerned.
-	tell func(spread bool)
+	// tell is called after own work changed.
+	tell func(r Reach)
 
 	mutex   sync.Mutex
 	servers map[poplarwinch.UpstreamID]*member
@@ -40,7 +40,7 @@
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
 	f := &Fleet{
-		clock: clock.Monotonic(), tell: func(bool) {},
+		clock: clock.Monotonic(), tell: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*member{}, peers: map[poplarwinch.InstanceID]*peerReport{},
 		notice: make(chan struct{}),
 	}
@@ -144,7 +144,7 @@
 		}
 	}
 	f.mutex.Unlock()
-	f.tell(t.spread())
+	f.tell(t.reach())
 	return t
 }
 
@@ -161,8 +161,8 @@
 }
 
 // changed tells peers and waiting requests that own work changed.
-func (f *Fleet) changed(spread bool) {
-	f.tell(spread)
+func (f *Fleet) changed(r Reach) {
+	f.tell(r)
 	f.wakeWaiters()
 }
 
@@ -201,7 +201,7 @@
 	}
 	f.mutex.Unlock()
 	if news {
-		f.tell(false)
+		f.tell(ReachNear)
 	}
 	return news
 }
@@ -209,7 +209,7 @@
 // Reachable records that a server accepts connections again.
 func (f *Fleet) Reachable(id poplarwinch.UpstreamID) {
 	f.learn(id, func(h *health, _ clock.Millis) { h.down, h.peersDownUntil = false, 0 })
-	f.changed(false)
+	f.changed(ReachNear)
 }
 
 // Neighbours returns the servers of the failure domain of a server, apart from itself and those that are known to be down.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,7 +12,7 @@
 type world struct {
 	*fleet.Fleet
 	time *clock.Manual
-	told []bool
+	told []fleet.Reach
 }
 
 func servers() []fleet.Server {
@@ -26,7 +26,7 @@
 func newWorld() *world {
 	w := &world{time: clock.NewManual(1000)}
 	w.Fleet = fleet.New(
-		fleet.WithClock(w.time.Clock()), fleet.WithDomain("north"), fleet.WithTell(func(spread bool) { w.told = append(w.told, spread) }),
+		fleet.WithClock(w.time.Clock()), fleet.WithDomain("north"), fleet.WithTell(func(r fleet.Reach) { w.told = append(w.told, r) }),
 	)
 	w.Apply(servers())
 	return w
@@ -182,13 +182,13 @@
 	w.Begin(fleet.Work{First: "e2", Helpers: []poplarwinch.UpstreamID{"e3"}})
 	w.Begin(fleet.Work{First: "e1"})
 	w.Begin(fleet.Work{First: "e1"})
-	want := []bool{false, true, true, false, true}
+	want := []fleet.Reach{fleet.ReachNear, fleet.ReachDistant, fleet.ReachDistant, fleet.ReachNear, fleet.ReachCrowded}
 	if len(w.told) != len(want) {
 		t.Fatalf("told %v, want %v", w.told, want)
 	}
 	for i := range want {
 		if w.told[i] != want[i] {
-			t.Errorf("work %d: spread %t, want %t", i, w.told[i], want[i])
+			t.Errorf("work %d: reach %s, want %s", i, w.told[i], want[i])
 		}
 	}
 }
--- a/fleet/option.go
+++ b/fleet/option.go
@@ -11,9 +11,8 @@
 // WithClock sets the clock; the default is monotonic.
 func WithClock(c *clock.Clock) Option { return func(f *Fleet) { f.clock = c } }
 
-// WithTell sets the function that is called after own work changed. Spread says that several servers are concerned, so
-// that distant peers need to know of it too.
-func WithTell(tell func(spread bool)) Option { return func(f *Fleet) { f.tell = tell } }
+// WithTell sets the function that is called after own work changed.
+func WithTell(tell func(r Reach)) Option { return func(f *Fleet) { f.tell = tell } }
 
 // WithDomain sets the failure domain of this instance.
 func WithDomain(name poplarwinch.FailureDomain) Option {
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -49,7 +49,7 @@
 		m.own.Decoding++
 	}
 	f.mutex.Unlock()
-	f.changed(t.spread())
+	f.changed(t.reach())
 }
 
 // End records that the request no longer runs.
@@ -75,9 +75,16 @@
 		}
 	}
 	f.mutex.Unlock()
-	f.changed(t.spread())
+	f.changed(t.reach())
 }
 
-// spread reports whether all instances need to know of the work at once: if some of it is in another failure domain, or if
-// the first server is nearly full.
-func (t *Ticket) spread() bool { return t.distant || t.crowded }
+// reach returns who needs to know of the work.
+func (t *Ticket) reach() Reach {
+	switch {
+	case t.distant:
+		return ReachDistant
+	case t.crowded:
+		return ReachCrowded
+	}
+	return ReachNear
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// Changed schedules datagrams after own work changed. Spread says that distant peers need to know at once.
-func (g *Gossip) Changed(spread bool) {
+// Changed schedules datagrams after own work or a table changed.
+func (g *Gossip) Changed(reach fleet.Reach) {
 	g.mutex.Lock()
 	now := g.Clock.Now()
 	earlier := false
@@ -146,9 +146,11 @@
 		}
 	}
 	set(&g.nearDue, nearDelay)
-	if spread {
+	few := g.distant <= fewDistant
+	switch {
+	case reach == fleet.ReachDistant, reach == fleet.ReachCrowded && few:
 		set(&g.farDue, nearDelay)
-	} else if g.distant <= fewDistant {
+	case few:
 		set(&g.farDue, farDelay)
 	}
 	g.mutex.Unlock()
@@ -167,7 +169,7 @@
 	defer stop()
 	received := make(chan struct{})
 	go g.runReceive(ctx, connection, received)
-	g.Changed(true)
+	g.Changed(fleet.ReachDistant)
 	for ctx.Err() == nil {
 		g.follow()
 		g.sendDue(connection)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -49,7 +49,7 @@
 	i.gossip.Self = gossip.Member{ID: id, Domain: domain, Address: address}
 	r := i.table
 	r.Name, r.Clock, r.Log = "servers", clock.Monotonic(), logger
-	r.Changed = func([]replica.Row) { i.gossip.Changed(true) }
+	r.Changed = func([]replica.Row) { i.gossip.Changed(fleet.ReachDistant) }
 	r.Read = func(context.Context) (replica.Batch, error) {
 		if read == nil {
 			return replica.Batch{}, fmt.Errorf("the source refuses %s", id)
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 
+	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/replica"
 )
 
@@ -59,7 +60,7 @@
 	g.mutex.Unlock()
 	if !known && !m.Leaving {
 		g.Log.WithField("peer", string(m.From)).WithField("address", from.String()).Info("dependency regained: peer is alive")
-		g.Changed(true)
+		g.Changed(fleet.ReachDistant)
 	}
 	if m.Domain != g.Self.Domain {
 		// What another failure domain can't reach may well be reached from here.
