--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -119,7 +119,7 @@
 	total := x.d.clock.Now() - x.Started
 	fields := log.Fields{
 		"upstream": x.last.ID, "attempts": x.sends, "ran": x.ran, "first-event-ms": x.firstEvent, "total-ms": total,
-		"waited-ms": x.waited,
+		"waited-ms": x.waited, "tokens": x.Prompt,
 	}
 	result := "completed"
 	if err != nil {
