--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -49,6 +49,9 @@
 	if c.hopeless() {
 		return Plan{}, VerdictReject
 	}
+	if c.short() && c.late() && c.saturated() {
+		return Plan{}, VerdictYield
+	}
 	if near := c.near(); len(near) >= cellEngines {
 		local := *c
 		local.engines = near
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -67,6 +67,8 @@
 	VerdictRun Verdict = "run"
 	// VerdictWait means that the prompt had better wait for a change of the fleet.
 	VerdictWait Verdict = "wait"
+	// VerdictYield means that the prompt is late while the engines are nearly full, so that it had better come back later.
+	VerdictYield Verdict = "yield"
 	// VerdictReject means that the prompt can't be answered in the time that is left.
 	VerdictReject Verdict = "reject"
 )
--- a/assignment/stage.go
+++ b/assignment/stage.go
@@ -21,6 +21,8 @@
 	// engines on which they disturb nobody.
 	shortPatience = 0.3
 	longPatience  = 0.6
+	// saturatedShare is the share of all slots in use from which late prompts are turned away.
+	saturatedShare = 0.8
 	// urgentMillis is the time before a caller gives up in which a prompt has to run, besides its reading.
 	urgentMillis = 800.0
 	// urgentEngines is the number of engines that an urgent prompt can count on.
@@ -56,3 +58,23 @@
 
 // emptyPass returns the time of a pass of an engine with one request, in ms.
 func (c *choice) emptyPass() float64 { return c.pool.Pass(1, averageContext) }
+
+// late reports whether the prompt can't come in time any more.
+func (c *choice) late() bool {
+	stage := c.stage()
+	return stage == stageMissed || stage == stageUrgent
+}
+
+// saturated reports whether so few slots are free that a late prompt would make fresh ones late. Without that check one
+// crest makes all prompts late until long after it, though the engines could serve most of them in time.
+func (c *choice) saturated() bool {
+	engines := c.engines
+	if near := c.near(); len(near) >= cellEngines {
+		engines = near
+	}
+	used := 0
+	for i := range engines {
+		used += engines[i].Load.Requests
+	}
+	return float64(used) >= saturatedShare*float64(len(engines)*c.pool.Slots)
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -17,6 +17,8 @@
 const (
 	// pollInterval is the longest pause between two looks at the fleet while a request waits.
 	pollInterval clock.Millis = 50
+	// retryAfterCrest is the shortest hint for prompts that came at a crest; it is spread over half as much again.
+	retryAfterCrest = 2 * clock.Second
 	// retryAfterReject is the hint for prompts that can't be answered in time.
 	retryAfterReject = clock.Second
 )
@@ -96,6 +98,12 @@
 		switch plan, verdict = assignment.Choose(&pool, candidates, x.prompt()); verdict {
 		case assignment.VerdictWait:
 			return nil, nil
+		case assignment.VerdictYield:
+			return nil, &poplarwinch.Error{
+				Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
+				RetryAfter: retryAfterCrest + clock.Millis(rand.Int64N(int64(retryAfterCrest/2))),
+				Message:    "the engines are full", Remedy: "retry later",
+			}
 		case assignment.VerdictReject:
 			return nil, &poplarwinch.Error{
 				Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterReject,
