Plan within large failure domains always; turn waiting prompts away while their callers can come back

Cause: instances of grown sites sent pressed prompts to distant engines whose work they did not know, and held long prompts to the end.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -17,7 +17,7 @@
 	// singleMillis is the longest reading of a prompt that is left to one engine.
 	singleMillis = 150.0
 	// cellEngines is the number of engines from which a failure domain plans for itself. What other domains have in work is
-	// known late there, and is needed only when the own engines have no room.
+	// known too late for decisions.
 	cellEngines = 10
 	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too.
 	packedShare = 0.8
@@ -25,6 +25,9 @@
 	packingMillis = 7.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
 	openingMillis = 130.0
+	// giveUpShare is the part of the caller's patience that is left when a prompt that still waits is turned away, so that
+	// its caller can come back in time.
+	giveUpShare = 0.5
 	// fullShare is the share of an engine's slots above which it gets no prompt that can still wait, and quietShare the one
 	// above which it gets none that is late anyway.
 	fullShare  = 0.9
@@ -49,16 +52,12 @@
 	if c.hopeless() {
 		return Plan{}, VerdictReject
 	}
+	if near := c.near(); len(near) >= cellEngines {
+		c.engines = near
+	}
 	if c.short() && c.late() && c.saturated() {
 		return Plan{}, VerdictYield
 	}
-	if near := c.near(); len(near) >= cellEngines {
-		local := *c
-		local.engines = near
-		if plan, verdict := local.decide(); verdict == VerdictRun || c.stage() == stageEarly {
-			return plan, verdict
-		}
-	}
 	return c.decide()
 }
 
@@ -82,6 +81,8 @@
 		plan, ok = c.group()
 	}
 	switch {
+	case !ok && float64(c.prompt.Patience) < giveUpShare*float64(c.prompt.FullPatience):
+		return Plan{}, VerdictYield
 	case !ok:
 		return Plan{}, VerdictWait
 	case plan.FirstEvent > c.prompt.Left:
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -18,8 +18,10 @@
 	FullTarget clock.Millis
 	// Left is the time that is left until the request's deadline.
 	Left clock.Millis
-	// Patience is the time that is left until the caller gives up unless an event has come.
-	Patience clock.Millis
+	// Patience is the time that is left until the caller gives up unless an event has come, and FullPatience the time that
+	// there was when the request arrived.
+	Patience     clock.Millis
+	FullPatience clock.Millis
 	// MaxPause is the longest pause between events that the caller accepts; zero when there is no limit.
 	MaxPause clock.Millis
 	// Domain is the failure domain whose engines are preferred.
--- a/assignment/stage.go
+++ b/assignment/stage.go
@@ -68,13 +68,9 @@
 // saturated reports whether so few slots are free that a late prompt would make fresh ones late. Without that check one
 // crest makes all prompts late until long after it, though the engines could serve most of them in time.
 func (c *choice) saturated() bool {
-	engines := c.engines
-	if near := c.near(); len(near) >= cellEngines {
-		engines = near
-	}
 	used := 0
-	for i := range engines {
-		used += engines[i].Load.Requests
+	for i := range c.engines {
+		used += c.engines[i].Load.Requests
 	}
-	return float64(used) >= saturatedShare*float64(len(engines)*c.pool.Slots)
+	return float64(used) >= saturatedShare*float64(len(c.engines)*c.pool.Slots)
 }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -132,7 +132,7 @@
 	return &assignment.Prompt{
 		Tokens: x.Prompt, Answer: x.Answer, Left: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
-		Patience: min(x.Deadline, x.Started+x.patience()) - now,
+		Patience: min(x.Deadline, x.Started+x.patience()) - now, FullPatience: min(x.Deadline-x.Started, x.patience()),
 	}
 }
 
