--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -22,15 +22,17 @@
 	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too.
 	packedShare = 0.8
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
-	packingMillis = 7.0
+	packingMillis = 5.0
 	// openingMillis is the delay that a short prompt accepts before it takes an engine without short prompts.
 	openingMillis = 130.0
+	// shortShare is the part of the time to the target that a prediction for a short prompt may use.
+	shortShare = 0.5
 	// giveUpShare is the part of the caller's patience that is left when a prompt that still waits is turned away, so that
 	// its caller can come back in time.
 	giveUpShare = 0.5
 	// fullShare is the share of an engine's slots above which it gets no prompt that can still wait, and quietShare the one
 	// above which it gets none that is late anyway.
-	fullShare  = 0.9
+	fullShare  = 0.95
 	quietShare = 0.7
 	// crowdedMillis is the penalty of an engine above packedShare.
 	crowdedMillis = 200.0
@@ -55,7 +57,7 @@
 	if near := c.near(); len(near) >= cellEngines {
 		c.engines = near
 	}
-	if c.short() && c.late() && c.saturated() {
+	if c.short() && c.stage() != stageEarly && c.saturated() {
 		return Plan{}, VerdictYield
 	}
 	return c.decide()
@@ -193,7 +195,7 @@
 	case stagePressed:
 		return first <= float64(c.prompt.Target)
 	}
-	return c.room(e) >= c.read && first <= float64(c.prompt.Target)
+	return c.room(e) >= c.read && first <= shortShare*float64(c.prompt.Target)
 }
 
 // penalty returns what speaks against an engine besides its time to the first event, in ms.
--- a/assignment/stage.go
+++ b/assignment/stage.go
@@ -19,7 +19,7 @@
 const (
 	// shortPatience and longPatience are the parts of the time to the first event that short and long prompts wait for
 	// engines on which they disturb nobody.
-	shortPatience = 0.3
+	shortPatience = 0.15
 	longPatience  = 0.6
 	// saturatedShare is the share of all slots in use from which late prompts are turned away.
 	saturatedShare = 0.8
