--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -102,7 +102,7 @@
 // it is recorded no other copy runs.
 func (p *promptRun) releasePermit(permit *quarantine.Permit, died bool) {
 	if permit != nil {
-		p.server.abandoned.running.Go(func() { p.runRelease(permit, died) })
+		p.server.background.Go(func() { p.runRelease(permit, died) })
 	}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -51,6 +51,8 @@
 	inFlight  atomic.Int64
 	idle      chan struct{}
 	abandoned canceller
+	// background is the work that goes on after its request has ended.
+	background sync.WaitGroup
 }
 
 // New returns a server that is not ready until SetReady.
@@ -118,6 +120,7 @@
 		}
 	}
 	s.abandoned.flush()
+	s.background.Wait()
 	return nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -198,7 +198,6 @@
 	i.loop(ctx, i.claims.Run)
 	i.loop(ctx, i.groups.Run)
 	i.loop(ctx, i.sweeper.Run)
-	i.loop(ctx, i.watcher.Run)
 	i.loop(ctx, i.runPlacement)
 	i.loop(ctx, i.follower.Run)
 	i.loop(ctx, i.watcher.Run)
--- a/peer/endpoint_test.go
+++ b/peer/endpoint_test.go
@@ -189,7 +189,7 @@
 			ID: poplarwinch.InstanceID(fmt.Sprintf("silent-%d", i)), Address: silent.Addr().String(), FailureDomain: "arima", State: membership.StateAlive,
 		}})
 	}
-	suspect := peer.Suspect{Fingerprint: [16]byte{1}, Crashes: []peer.Crash{{Upstream: "engine-1", BootID: "b", At: 5, Isolated: true}}, RejectedUntil: 9}
+	suspect := peer.Suspect{Fingerprint: [16]byte{1}, Crashes: []peer.Crash{{Upstream: "engine-1", At: 5}, {Upstream: "engine-2", At: 6}}}
 	err := x.Notify(context.Background(), peer.Notice{
 		Observations: []peer.Observation{{ID: "engine-1", At: 7, State: "leaving"}}, Suspects: []peer.Suspect{suspect}, ManifestVersion: 3,
 	})
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -63,7 +63,7 @@
 	for i := range 50 {
 		x.mergeObservations([]peer.Observation{observation(i, 1e12, random)})
 	}
-	suspect := peer.Suspect{Fingerprint: [16]byte{9}, ForgetAt: 5}
+	suspect := peer.Suspect{Fingerprint: [16]byte{9}, Crashes: []peer.Crash{{Upstream: "engine-1", At: 5}}}
 	x.mergeSuspects([]peer.Suspect{suspect})
 	x.members.Merge([]membership.Member{{ID: "z", Address: "127.0.0.1:1", FailureDomain: "arima", Incarnation: 1, State: membership.StateAlive}})
 	x.exchange(t, y)
--- a/peer/wiresuspect.go
+++ b/peer/wiresuspect.go
@@ -6,23 +6,19 @@
 )
 
 type wireSuspect struct {
-	Fingerprint   []byte       `cbor:"1,keyasint"`
-	Crashes       []wireCrash  `cbor:"2,keyasint,omitempty"`
-	RejectedUntil clock.Millis `cbor:"3,keyasint,omitempty"`
-	ForgetAt      clock.Millis `cbor:"4,keyasint,omitempty"`
+	Fingerprint []byte      `cbor:"1,keyasint"`
+	Crashes     []wireCrash `cbor:"2,keyasint,omitempty"`
 }
 
 type wireCrash struct {
 	Upstream poplarwinch.UpstreamID `cbor:"1,keyasint"`
-	BootID   string                 `cbor:"2,keyasint,omitempty"`
 	At       clock.Millis           `cbor:"3,keyasint"`
-	Isolated bool                   `cbor:"4,keyasint,omitempty"`
 }
 
 func encodeSuspects(suspects []Suspect) []wireSuspect {
 	var list []wireSuspect
 	for _, s := range suspects {
-		w := wireSuspect{Fingerprint: s.Fingerprint[:], RejectedUntil: s.RejectedUntil, ForgetAt: s.ForgetAt}
+		w := wireSuspect{Fingerprint: s.Fingerprint[:]}
 		for _, c := range s.Crashes {
 			w.Crashes = append(w.Crashes, wireCrash(c))
 		}
@@ -35,7 +31,7 @@
 func decodeSuspects(list []wireSuspect) []Suspect {
 	var suspects []Suspect
 	for _, w := range list {
-		s := Suspect{RejectedUntil: w.RejectedUntil, ForgetAt: w.ForgetAt}
+		var s Suspect
 		if copy(s.Fingerprint[:], w.Fingerprint) != len(s.Fingerprint) || len(w.Fingerprint) != len(s.Fingerprint) {
 			continue
 		}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -104,12 +104,6 @@
 	}
 }
 
-// Refused records that a connection to the upstream was refused, so that the router stops selecting it at once and
-// not only after the next probe.
-func (r *Registry) Refused(id poplarwinch.UpstreamID) {
-	r.Merge([]Observation{{ID: id, At: r.clock.Now(), State: StateDown, Refused: true}})
-}
-
 // merge adds observations and returns the upstreams whose death they reveal and what to tell of those that began to
 // leave.
 func (r *Registry) merge(observations []Observation) (died []poplarwinch.UpstreamID, left []Observation) {
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -166,7 +166,7 @@
 			t.Fatalf("step %d: %d deaths, want %d", i, deaths, c.want)
 		}
 	}
-	r.Refused("e")
+	r.Merge([]Observation{{ID: "e", At: m.Now(), State: StateDown, Refused: true}})
 	if u, _ := r.Snapshot().Lookup("e"); u.State() != StateDown || deaths != 3 {
 		t.Fatalf("after a refused call the state is %s with %d deaths", u.State(), deaths)
 	}
