--- a/assignment/simulation_test.go
+++ b/assignment/simulation_test.go
@@ -243,9 +243,9 @@
 func flips(seed uint64) []*job {
 	r := rand.New(rand.NewPCG(seed, 1))
 	var jobs []*job
-	add := func(perSecond float64, make func() (*assignment.Prompt, float64, int), from, until float64) {
+	add := func(perSecond float64, fresh func() (*assignment.Prompt, float64, int), from, until float64) {
 		for at := from + r.ExpFloat64()*1000/perSecond; at < until; at += r.ExpFloat64() * 1000 / perSecond {
-			p, worth, events := make()
+			p, worth, events := fresh()
 			p.Domain = poplarwinch.FailureDomain(string(rune('a' + r.IntN(3))))
 			jobs = append(jobs, &job{prompt: p, arrived: at, worth: worth, events: events})
 		}
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -22,9 +22,9 @@
 func (g *Gossip) follow() {
 	g.mutex.Lock()
 	on := g.follows()
-	waited := g.Clock.Now() - g.startedAt
+	waited := g.clock.Now() - g.startedAt
 	g.mutex.Unlock()
-	for _, r := range g.Replicas {
+	for _, r := range g.replicas {
 		_, loaded := r.Version()
 		r.Follow(on || !loaded && waited > firstNews)
 	}
@@ -32,16 +32,16 @@
 
 // follows reports whether this instance is one of the first. The caller holds the lock.
 func (g *Gossip) follows() bool {
-	order := []poplarwinch.InstanceID{g.Self.ID}
+	order := []poplarwinch.InstanceID{g.self.ID}
 	for _, p := range g.peers {
 		// Right after the start, peers that are only known from the store count as alive.
-		expected := p.heardAt == 0 && g.Clock.Now()-g.startedAt < firstNews
-		if p.Domain == g.Self.Domain && !p.failing && (expected || g.alive(p)) {
+		expected := p.heardAt == 0 && g.clock.Now()-g.startedAt < firstNews
+		if p.Domain == g.self.Domain && !p.failing && (expected || g.alive(p)) {
 			order = append(order, p.ID)
 		}
 	}
 	slices.SortFunc(order, func(a, b poplarwinch.InstanceID) int {
 		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
 	})
-	return slices.Index(order, g.Self.ID) < followers
+	return slices.Index(order, g.self.ID) < followers
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 
@@ -37,19 +38,19 @@
 	newsDelay clock.Millis = 300
 )
 
-// Gossip exchanges datagrams with all members. Its exported fields are set before Run.
+// Gossip exchanges datagrams with all members. It is safe for concurrent use.
 type Gossip struct {
-	Self     Member
-	Fleet    *fleet.Fleet
-	Suspects *quarantine.Register
-	// Replicas are the tables whose versions are compared, by name.
-	Replicas map[string]*replica.Replica
-	Clock    *clock.Clock
-	Log      log.Interface
-
-	codec codec.CBOR
-	boot  int64
-	// startedAt is the time of Init.
+	self     Member
+	fleet    *fleet.Fleet
+	suspects *quarantine.Register
+	// replicas are the tables whose versions are compared, by name.
+	replicas map[string]*replica.Replica
+	clock    *clock.Clock
+	log      log.Interface
+	codec    codec.CBOR
+	// boot distinguishes processes of the same instance; a later one has a larger value.
+	boot int64
+	// startedAt is the time of New.
 	startedAt clock.Millis
 
 	mutex    sync.Mutex
@@ -65,26 +66,33 @@
 	calls  callClients
 }
 
-// Init prepares the exchange; it must be called before any other method.
-func (g *Gossip) Init(boot int64) error {
+// New returns an exchange of the instance self; WithFleet and WithSuspects are required.
+func New(self Member, opts ...Option) (*Gossip, error) {
 	c, err := codec.NewCBOR()
 	if err != nil {
-		return err
+		return nil, err
+	}
+	g := &Gossip{
+		self: self, clock: clock.Monotonic(), log: log.Log, codec: c, boot: time.Now().UnixNano(),
+		peers: map[poplarwinch.InstanceID]*peerState{}, unnamed: map[netip.AddrPort]bool{},
+		behind: map[string]clock.Millis{}, wake: make(chan struct{}, 1),
 	}
-	g.codec, g.boot, g.startedAt = c, boot, g.Clock.Now()
-	g.peers = map[poplarwinch.InstanceID]*peerState{}
-	g.unnamed = map[netip.AddrPort]bool{}
-	g.behind = map[string]clock.Millis{}
-	g.wake = make(chan struct{}, 1)
-	return nil
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.startedAt = g.clock.Now()
+	return g, nil
 }
 
+// Self returns the member that this instance is.
+func (g *Gossip) Self() Member { return g.self }
+
 // Add adds members that are known from elsewhere.
 func (g *Gossip) Add(members []Member) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, m := range members {
-		if m.ID == g.Self.ID || m.Address == g.Self.Address {
+		if m.ID == g.self.ID || m.Address == g.self.Address {
 			continue
 		}
 		if m.ID == "" {
@@ -112,13 +120,13 @@
 }
 
 func (g *Gossip) alive(p *peerState) bool {
-	return p.heardAt != 0 && g.Clock.Now()-p.heardAt < missedBeats*g.beat(p.Domain)
+	return p.heardAt != 0 && g.clock.Now()-p.heardAt < missedBeats*g.beat(p.Domain)
 }
 
 // beat returns the longest time between datagrams between this failure domain and another. With many distant peers it
 // grows, so that the traffic between failure domains does not grow with the square of the instances.
 func (g *Gossip) beat(domain poplarwinch.FailureDomain) clock.Millis {
-	if domain == g.Self.Domain {
+	if domain == g.self.Domain {
 		return heartbeat
 	}
 	return heartbeat * clock.Millis(max(1, g.distant/fewDistant))
@@ -128,7 +136,7 @@
 func (g *Gossip) countDistant() {
 	g.distant = 0
 	for _, p := range g.peers {
-		if p.Domain != g.Self.Domain {
+		if p.Domain != g.self.Domain {
 			g.distant++
 		}
 	}
@@ -137,7 +145,7 @@
 // Changed schedules datagrams after own work or a table changed.
 func (g *Gossip) Changed(reach fleet.Reach) {
 	g.mutex.Lock()
-	now := g.Clock.Now()
+	now := g.clock.Now()
 	earlier := false
 	set := func(due *clock.Millis, delay clock.Millis) {
 		if *due == 0 || now+delay < *due {
@@ -173,7 +181,7 @@
 	for ctx.Err() == nil {
 		g.follow()
 		g.sendDue(connection)
-		due, cancel := g.Clock.After(g.pause())
+		due, cancel := g.clock.After(g.pause())
 		select {
 		case <-due:
 		case <-g.wake:
@@ -193,7 +201,7 @@
 func (g *Gossip) pause() clock.Millis {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := g.Clock.Now()
+	now := g.clock.Now()
 	wait := heartbeat
 	for _, due := range []clock.Millis{g.nearDue, g.farDue} {
 		if due != 0 {
@@ -206,7 +214,7 @@
 // sendDue sends the datagrams whose time has come.
 func (g *Gossip) sendDue(connection *net.UDPConn) {
 	g.mutex.Lock()
-	now := g.Clock.Now()
+	now := g.clock.Now()
 	near := g.nearDue != 0 && g.nearDue <= now
 	far := g.farDue != 0 && g.farDue <= now
 	if near {
@@ -220,7 +228,7 @@
 		return
 	}
 	g.send(connection, func(p *peerState) bool {
-		if p.Domain == g.Self.Domain {
+		if p.Domain == g.self.Domain {
 			return near
 		}
 		return far
@@ -238,16 +246,16 @@
 
 // send writes the own state to the selected peers.
 func (g *Gossip) send(connection *net.UDPConn, selected func(*peerState) bool, leaving bool) {
-	m := &message{From: g.Self.ID, Domain: g.Self.Domain, Boot: g.boot, Versions: g.versions(), Leaving: leaving}
-	for _, r := range g.Replicas {
+	m := &message{From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), Leaving: leaving}
+	for _, r := range g.replicas {
 		m.Failing = m.Failing || r.Failing()
 	}
 	if !leaving {
-		m.Servers = encodeWork(g.Fleet.Report())
-		m.Suspects = encodeSuspects(g.Suspects.Suspects(), g.Clock.Now())
+		m.Servers = encodeWork(g.fleet.Report())
+		m.Suspects = encodeSuspects(g.suspects.Suspects(), g.clock.Now())
 	}
 	if !leaving && g.summarizes() {
-		m.Summary = encodeWork(g.Fleet.Summary())
+		m.Summary = encodeWork(g.fleet.Summary())
 	}
 	g.mutex.Lock()
 	g.sequence++
@@ -264,12 +272,12 @@
 	g.mutex.Unlock()
 	data, err := g.codec.Marshal(m)
 	if err != nil {
-		g.Log.WithError(err).Error("datagram not encoded")
+		g.log.WithError(err).Error("datagram not encoded")
 		return
 	}
 	for _, to := range targets {
 		if _, err := connection.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
-			g.Log.WithField("peer", to.String()).WithError(err).Debug("datagram not sent")
+			g.log.WithField("peer", to.String()).WithError(err).Debug("datagram not sent")
 		}
 	}
 }
@@ -284,7 +292,7 @@
 
 // followsNow reports whether this instance follows a table.
 func (g *Gossip) followsNow() bool {
-	for _, r := range g.Replicas {
+	for _, r := range g.replicas {
 		if r.Following() {
 			return true
 		}
@@ -294,7 +302,7 @@
 
 func (g *Gossip) versions() map[string]replica.Version {
 	versions := map[string]replica.Version{}
-	for name, r := range g.Replicas {
+	for name, r := range g.replicas {
 		if v, ok := r.Content(); ok {
 			versions[name] = v
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -12,7 +12,6 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/poplarwinch/poplarwinch"
-	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/gossip"
 	"github.com/poplarwinch/poplarwinch/quarantine"
@@ -41,34 +40,30 @@
 		t.Fatal(err)
 	}
 	logger := &log.Logger{Handler: discard.New()}
-	i := &instance{table: &replica.Replica{}, address: address}
-	i.gossip = &gossip.Gossip{Clock: clock.Monotonic(), Log: logger, Suspects: quarantine.New()}
-	i.fleet = fleet.New(fleet.WithDomain(domain), fleet.WithTell(i.gossip.Changed))
-	i.fleet.Apply([]fleet.Server{{ID: "e1", Service: "pool", Domain: "north", Slots: 16}})
-	i.gossip.Fleet = i.fleet
-	i.gossip.Self = gossip.Member{ID: id, Domain: domain, Address: address}
-	r := i.table
-	r.Name, r.Clock, r.Log = "servers", clock.Monotonic(), logger
-	r.Changed = func([]replica.Row) { i.gossip.Changed(fleet.ReachDistant) }
-	r.Read = func(context.Context) (replica.Batch, error) {
+	i := &instance{address: address}
+	i.fleet = fleet.New(fleet.WithDomain(domain), fleet.WithTell(func(r fleet.Reach) { i.gossip.Changed(r) }))
+	readAll := func(context.Context) (replica.Batch, error) {
 		if read == nil {
 			return replica.Batch{}, fmt.Errorf("the source refuses %s", id)
 		}
 		return read(), nil
 	}
-	r.Changes = func(ctx context.Context, _ replica.Version) (replica.Batch, error) {
+	changes := func(ctx context.Context, _ replica.Version) (replica.Batch, error) {
 		<-ctx.Done()
 		return replica.Batch{}, ctx.Err()
 	}
-	r.Init()
-	i.gossip.Replicas = map[string]*replica.Replica{"servers": r}
-	if err := i.gossip.Init(time.Now().UnixNano()); err != nil {
+	i.table = replica.New("servers", replica.WithSource(readAll, changes), replica.WithLog(logger),
+		replica.WithChanged(func([]replica.Row) { i.gossip.Changed(fleet.ReachDistant) }))
+	i.gossip, err = gossip.New(gossip.Member{ID: id, Domain: domain, Address: address}, gossip.WithFleet(i.fleet), gossip.WithLog(logger),
+		gossip.WithSuspects(quarantine.New()), gossip.WithReplicas(map[string]*replica.Replica{"servers": i.table}))
+	if err != nil {
 		t.Fatal(err)
 	}
+	i.fleet.Apply([]fleet.Server{{ID: "e1", Service: "pool", Domain: "north", Slots: 16}})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go i.gossip.Run(ctx, udp)
-	go r.Run(ctx)
+	go i.table.Run(ctx)
 	go func() { _ = i.gossip.Serve(l) }()
 	t.Cleanup(func() {
 		cancel()
@@ -99,7 +94,7 @@
 func TestWorkIsTold(t *testing.T) {
 	a := start(t, "a", "north", rows(3))
 	b := start(t, "b", "north", rows(3))
-	b.gossip.Add([]gossip.Member{a.gossip.Self})
+	b.gossip.Add([]gossip.Member{a.gossip.Self()})
 	eventually(t, "both know each other", func() bool { return a.gossip.Alive() == 2 && b.gossip.Alive() == 2 })
 	requests := func() int { return b.fleet.Candidates("pool")[0].Load.Requests }
 	ticket := a.fleet.Begin(fleet.Work{First: "e1", Read: 100})
@@ -129,7 +124,7 @@
 	for n := range 5 {
 		i := start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), "north", rows(2))
 		all = append(all, i)
-		members = append(members, i.gossip.Self)
+		members = append(members, i.gossip.Self())
 	}
 	for _, i := range all {
 		i.gossip.Add(members)
@@ -170,6 +165,6 @@
 		}
 	}
 	b := start(t, "b", "north", rows(1))
-	b.gossip.Add([]gossip.Member{a.gossip.Self})
+	b.gossip.Add([]gossip.Member{a.gossip.Self()})
 	eventually(t, "a still listens", func() bool { return b.gossip.Alive() == 2 })
 }
--- a/gossip/news.go
+++ b/gossip/news.go
@@ -77,15 +77,15 @@
 		&http.Client{Transport: transport}, "http://"+from.Address.String()+newsProcedure,
 		connect.WithCodec(g.codec), connect.WithReadMaxBytes(newsLimit),
 	)
-	entry := g.Log.WithField("table", table).WithField("peer", string(from.ID))
-	after, _ := g.Replicas[table].Version()
+	entry := g.log.WithField("table", table).WithField("peer", string(from.ID))
+	after, _ := g.replicas[table].Version()
 	reply, err := client.CallUnary(ctx, connect.NewRequest(&newsRequest{Table: table, After: after}))
 	if err != nil {
 		entry.WithError(err).Warn("table not read from peer")
 		return
 	}
 	entry.WithField("version", reply.Msg.Version).Info("table read from peer")
-	g.Replicas[table].Offer(replica.Batch{Rows: reply.Msg.Rows, Version: reply.Msg.Version, Complete: reply.Msg.Complete})
+	g.replicas[table].Offer(replica.Batch{Rows: reply.Msg.Rows, Version: reply.Msg.Version, Complete: reply.Msg.Complete})
 }
 
 // Handler returns the handler of calls from peers.
@@ -94,7 +94,7 @@
 }
 
 func (g *Gossip) handleNews(_ context.Context, r *connect.Request[newsRequest]) (*connect.Response[newsReply], error) {
-	table, ok := g.Replicas[r.Msg.Table]
+	table, ok := g.replicas[r.Msg.Table]
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no table %q", r.Msg.Table))
 	}
--- /dev/null
+++ b/gossip/option.go
@@ -0,0 +1,30 @@
+package gossip
+
+import (
+	"github.com/apex/log"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+// Option configures a Gossip.
+type Option func(*Gossip)
+
+// WithFleet sets the work that is told and learned.
+func WithFleet(f *fleet.Fleet) Option { return func(g *Gossip) { g.fleet = f } }
+
+// WithSuspects sets the requests that crash servers, which are told and learned.
+func WithSuspects(r *quarantine.Register) Option { return func(g *Gossip) { g.suspects = r } }
+
+// WithReplicas sets the tables whose versions are compared, by name.
+func WithReplicas(replicas map[string]*replica.Replica) Option {
+	return func(g *Gossip) { g.replicas = replicas }
+}
+
+// WithClock sets the clock; the default is monotonic.
+func WithClock(c *clock.Clock) Option { return func(g *Gossip) { g.clock = c } }
+
+// WithLog sets the log; the default is apex/log's own.
+func WithLog(l log.Interface) Option { return func(g *Gossip) { g.log = l } }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -18,15 +18,15 @@
 			return
 		}
 		if err != nil {
-			g.Log.WithError(err).Warn("datagram not received")
-			if g.Clock.Sleep(ctx, nearDelay) != nil {
+			g.log.WithError(err).Warn("datagram not received")
+			if g.clock.Sleep(ctx, nearDelay) != nil {
 				return
 			}
 			continue
 		}
 		var m message
 		if err := g.codec.Unmarshal(buffer[:n], &m); err != nil {
-			g.Log.WithField("from", from.String()).WithError(err).Warn("datagram not understood")
+			g.log.WithField("from", from.String()).WithError(err).Warn("datagram not understood")
 			continue
 		}
 		g.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &m)
@@ -35,7 +35,7 @@
 
 // receive takes a datagram unless a newer one of the same process came first.
 func (g *Gossip) receive(from netip.AddrPort, m *message) {
-	if m.From == "" || m.From == g.Self.ID {
+	if m.From == "" || m.From == g.self.ID {
 		return
 	}
 	g.mutex.Lock()
@@ -52,27 +52,27 @@
 	known := g.alive(p)
 	p.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
 	p.boot, p.sequence = m.Boot, m.Sequence
-	p.heardAt, p.failing = g.Clock.Now(), m.Failing
+	p.heardAt, p.failing = g.clock.Now(), m.Failing
 	if m.Leaving {
 		p.heardAt = 0
 	}
 	delete(g.unnamed, from)
 	g.mutex.Unlock()
 	if !known && !m.Leaving {
-		g.Log.WithField("peer", string(m.From)).WithField("address", from.String()).Info("dependency regained: peer is alive")
+		g.log.WithField("peer", string(m.From)).WithField("address", from.String()).Info("dependency regained: peer is alive")
 		g.Changed(fleet.ReachDistant)
 	}
-	if m.Domain != g.Self.Domain {
+	if m.Domain != g.self.Domain {
 		// What another failure domain can't reach may well be reached from here.
 		for i := range m.Servers {
 			m.Servers[i].Down = false
 		}
 	}
-	g.Fleet.Merge(m.From, decodeWork(m.Servers))
-	if len(m.Summary) > 0 && m.Domain != g.Self.Domain {
-		g.Fleet.MergeSummary(m.Domain, decodeWork(m.Summary))
+	g.fleet.Merge(m.From, decodeWork(m.Servers))
+	if len(m.Summary) > 0 && m.Domain != g.self.Domain {
+		g.fleet.MergeSummary(m.Domain, decodeWork(m.Summary))
 	}
-	g.Suspects.Merge(decodeSuspects(m.Suspects, g.Clock.Now()))
+	g.suspects.Merge(decodeSuspects(m.Suspects, g.clock.Now()))
 	g.compare(p.Member, m.Versions)
 	g.follow()
 }
@@ -80,8 +80,8 @@
 // compare checks the own tables against a peer's versions. One that stays behind may hang on a silent connection or be
 // refused by its source.
 func (g *Gossip) compare(from Member, versions map[string]replica.Version) {
-	now := g.Clock.Now()
-	for name, r := range g.Replicas {
+	now := g.clock.Now()
+	for name, r := range g.replicas {
 		own, loaded := r.Version()
 		if loaded && versions[name] <= own || versions[name] == 0 {
 			continue
@@ -92,7 +92,7 @@
 			g.behind[name] = now
 			since = now
 		}
-		wait := loaded && now-since < newsDelay && (from.Domain != g.Self.Domain || r.Following() && !r.Failing())
+		wait := loaded && now-since < newsDelay && (from.Domain != g.self.Domain || r.Following() && !r.Failing())
 		if !wait {
 			delete(g.behind, name)
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,20 +23,15 @@
 	returnGrace clock.Millis = 2200
 )
 
-// Replica follows one table. Its fields are set before Run.
+// Replica follows one table. It is safe for concurrent use.
 type Replica struct {
-	// Name is the table's name in logs.
-	Name string
-	// Read returns all rows.
-	Read func(ctx context.Context) (Batch, error)
-	// Changes waits for rows that changed after a version; an empty batch means that there were none for a while.
-	Changes func(ctx context.Context, after Version) (Batch, error)
-	// Changed is called with all rows that exist, in order of their keys, after each change.
-	Changed func(rows []Row)
-	// KeepLapsed says that rows which vanish while the source is away may come back, so they are kept for a while.
-	KeepLapsed bool
-	Clock      *clock.Clock
-	Log        log.Interface
+	name       string
+	read       func(ctx context.Context) (Batch, error)
+	changes    func(ctx context.Context, after Version) (Batch, error)
+	changed    func(rows []Row)
+	keepLapsed bool
+	clock      *clock.Clock
+	log        log.Interface
 
 	mutex   sync.Mutex
 	rows    map[string]Row
@@ -56,12 +51,16 @@
 	wake   chan struct{}
 }
 
-// Init prepares an empty replica; it must be called before any other method.
-func (r *Replica) Init() {
-	r.rows = map[string]Row{}
-	r.lapsed = map[string]clock.Millis{}
-	r.deleted = map[string]Row{}
-	r.wake = make(chan struct{}, 1)
+// New returns an empty replica of the table with the name; WithSource is required.
+func New(name string, opts ...Option) *Replica {
+	r := &Replica{
+		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
+		rows: map[string]Row{}, lapsed: map[string]clock.Millis{}, deleted: map[string]Row{}, wake: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Version returns the version up to which changes are known, and whether the table was ever read.
@@ -161,14 +160,14 @@
 			pause = retryMin
 			complete = r.take(b)
 		case errors.Is(err, ErrHistoryLost):
-			r.Log.WithField("table", r.Name).Warn("history lost; reading the whole table")
+			r.log.WithField("table", r.name).Warn("history lost; reading the whole table")
 			complete = true
 		default:
 			if ctx.Err() != nil {
 				return
 			}
 			r.failed(err)
-			_ = r.Clock.Sleep(ctx, pause)
+			_ = r.clock.Sleep(ctx, pause)
 			pause = min(2*pause, retryMax)
 			complete = true
 		}
@@ -195,7 +194,7 @@
 // next reads the whole table or waits for changes. A suspicion ends the wait.
 func (r *Replica) next(ctx context.Context, complete bool) (Batch, error) {
 	if complete {
-		return r.Read(ctx)
+		return r.read(ctx)
 	}
 	version, _ := r.Version()
 	wait, cancel := context.WithCancel(ctx)
@@ -203,7 +202,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.runWake(stop, cancel)
-	return r.Changes(wait, version)
+	return r.changes(wait, version)
 }
 
 func (r *Replica) runWake(stop <-chan struct{}, cancel context.CancelFunc) {
@@ -217,12 +216,12 @@
 // take applies a batch from the source and reports whether the whole table has to be read again.
 func (r *Replica) take(b Batch) bool {
 	r.mutex.Lock()
-	changed := r.apply(b, r.Clock.Now())
+	changed := r.apply(b, r.clock.Now())
 	pending := len(r.lapsed) > 0
 	r.mutex.Unlock()
 	r.publish(changed)
 	if pending {
-		_ = r.Clock.Sleep(context.Background(), returnGrace/2)
+		_ = r.clock.Sleep(context.Background(), returnGrace/2)
 	}
 	return pending
 }
@@ -267,7 +266,7 @@
 		if seen[key] {
 			continue
 		}
-		if r.KeepLapsed && now != 0 {
+		if r.keepLapsed && now != 0 {
 			since, ok := r.lapsed[key]
 			if !ok {
 				r.lapsed[key] = now
@@ -293,7 +292,7 @@
 	r.mutex.Lock()
 	rows := r.list()
 	r.mutex.Unlock()
-	r.Changed(rows)
+	r.changed(rows)
 }
 
 func (r *Replica) list() []Row {
@@ -311,7 +310,7 @@
 	r.failing = true
 	r.mutex.Unlock()
 	if !was {
-		r.Log.WithField("table", r.Name).WithError(err).Warn("dependency lost: the table can't be read")
+		r.log.WithField("table", r.name).WithError(err).Warn("dependency lost: the table can't be read")
 	}
 }
 
@@ -321,6 +320,6 @@
 	r.failing = false
 	r.mutex.Unlock()
 	if was {
-		r.Log.WithField("table", r.Name).Info("dependency regained: the table is read again")
+		r.log.WithField("table", r.name).Info("dependency regained: the table is read again")
 	}
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -36,6 +36,15 @@
 	return s.read()
 }
 
+func (s *source) await(ctx context.Context, _ replica.Version) (replica.Batch, error) {
+	select {
+	case a := <-s.changes:
+		return a.batch, a.err
+	case <-ctx.Done():
+		return replica.Batch{}, ctx.Err()
+	}
+}
+
 type answer struct {
 	batch replica.Batch
 	err   error
@@ -43,35 +52,30 @@
 
 // world is a replica that follows a source.
 type world struct {
-	replica replica.Replica
+	replica *replica.Replica
 	source  source
 	seen    [][]replica.Row
 }
 
 func newWorld(t *testing.T, keepLapsed bool) *world {
 	w := &world{source: source{changes: make(chan answer)}}
-	r := &w.replica
-	r.Name, r.KeepLapsed, r.Clock = "servers", keepLapsed, clock.System()
-	r.Log = &log.Logger{Handler: discard.New()}
-	r.Read = w.source.readAll
-	r.Changes = func(ctx context.Context, _ replica.Version) (replica.Batch, error) {
-		select {
-		case a := <-w.source.changes:
-			return a.batch, a.err
-		case <-ctx.Done():
-			return replica.Batch{}, ctx.Err()
-		}
+	opts := []replica.Option{
+		replica.WithSource(w.source.readAll, w.source.await), replica.WithClock(clock.System()),
+		replica.WithLog(&log.Logger{Handler: discard.New()}),
+		replica.WithChanged(func(rows []replica.Row) {
+			w.source.mutex.Lock()
+			defer w.source.mutex.Unlock()
+			w.seen = append(w.seen, rows)
+		}),
 	}
-	r.Changed = func(rows []replica.Row) {
-		w.source.mutex.Lock()
-		defer w.source.mutex.Unlock()
-		w.seen = append(w.seen, rows)
+	if keepLapsed {
+		opts = append(opts, replica.WithLapsing())
 	}
-	r.Init()
+	w.replica = replica.New("servers", opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	w.source.set(func() (replica.Batch, error) { return complete(1, row("a", 1), row("b", 1)), nil })
-	go r.Run(ctx)
+	go w.replica.Run(ctx)
 	synctest.Wait()
 	return w
 }
