--- a/assignment/choose_test.go
+++ b/assignment/choose_test.go
@@ -127,7 +127,7 @@
 func TestGroupsLeaveOlderOnesInTime(t *testing.T) {
 	list := engines(4)
 	for i := range list {
-		list[i].Load = reading(1000, 1300)
+		list[i].Load = reading(700, 1300)
 	}
 	if plan, verdict := assignment.Choose(pool(), list, longPrompt()); verdict != assignment.VerdictWait {
 		t.Errorf("got %s, %+v; the older prompt would miss its time", verdict, plan)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -74,6 +74,20 @@
 	})
 }
 
+// Guards against the same promise when no server is left for a second attempt.
+func TestNoServerAfterRun(t *testing.T) {
+	virtual(t, func(t *testing.T, w *world) {
+		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			w.fleet.Apply(nil)
+			return failure(dispatch.FailureBroken)
+		}
+		o := w.run(t.Context(), w.request(route.KindIdempotent))
+		if o.err == nil || o.err.Kind.Status() == http.StatusServiceUnavailable || o.err.Outcome == poplarwinch.OutcomeNotRun {
+			t.Errorf("got %+v, want a failure that promises nothing", o.err)
+		}
+	})
+}
+
 // Guards against retries without end when every server refuses.
 func TestAllRefuse(t *testing.T) {
 	virtual(t, func(t *testing.T, w *world) {
