Release reserved memory after its last renewal

Cause: a renewal that was on its way when its prompt ended reserved the memory again after the release; it then stayed for up to 3.7 s. TestRenewalBeforeRelease plays it and failed before the change ('2 reservations are left'); 50 repeats pass after it.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -326,3 +326,20 @@
 		}
 	})
 }
+
+// Guards against memory that stays reserved because a renewal overtakes the release: it is released after the last renewal.
+func TestRenewalBeforeRelease(t *testing.T) {
+	virtual(t, func(t *testing.T, w *world) {
+		w.builder.Reserve = func(ctx context.Context, address string, r engine.Reservation) error {
+			time.Sleep(30 * time.Millisecond) // the order is on its way, whatever becomes of its sender
+			return w.reserve(ctx, address, r)
+		}
+		w.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			time.Sleep(1010 * time.Millisecond)
+			return whole(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		r := w.request(route.KindStreaming)
+		r.Prompt, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+		w.run(t.Context(), r)
+	})
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -34,17 +34,25 @@
 	ticket *fleet.Ticket
 	// group is memory that is reserved on several engines.
 	group *reservation.Group
-	// renewals ends the renewal of that memory.
-	renewals context.CancelFunc
+	// endRenewals ends the renewal of that memory; renewed is closed when the last renewal is over.
+	endRenewals context.CancelFunc
+	renewed     chan struct{}
 }
 
 // end gives back what the attempt holds.
 func (s *spot) end(d *Dispatcher) {
 	s.ticket.End()
-	if s.group != nil {
-		s.renewals()
-		d.memory.Free(s.group)
+	if s.group == nil {
+		return
 	}
+	s.endRenewals()
+	d.background.Go(func() { s.runRelease(d) })
+}
+
+// runRelease frees the memory after the last renewal, which would take it again.
+func (s *spot) runRelease(d *Dispatcher) {
+	<-s.renewed
+	d.memory.Free(s.group)
 }
 
 // pick chooses the servers of the next attempt and counts its work on them. It waits while no engine has room.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -53,8 +53,8 @@
 	found.group = group
 	x.arrange(found, group.Shares)
 	renew, end := context.WithCancel(context.WithoutCancel(ctx))
-	found.renewals = end
-	x.d.background.Go(func() { x.runRenewals(renew, group) })
+	found.endRenewals, found.renewed = end, make(chan struct{})
+	x.d.background.Go(func() { x.runRenewals(renew, group, found.renewed) })
 	return found, nil
 }
 
@@ -88,10 +88,15 @@
 	x.occupy(found, memory, tokens)
 }
 
-// runRenewals keeps the reservations alive until ctx ends. They are short, so that those of a process that dies end soon.
-func (x *run) runRenewals(ctx context.Context, group *reservation.Group) {
+// runRenewals keeps the reservations alive until ctx ends, and closes ended then. They are short, so that those of a process
+// that dies end soon.
+func (x *run) runRenewals(ctx context.Context, group *reservation.Group, ended chan<- struct{}) {
+	defer close(ended)
 	for x.d.clock.Sleep(ctx, x.d.holdSpan/renewals) == nil {
 		for _, s := range group.Shares {
+			if ctx.Err() != nil {
+				return
+			}
 			err := x.d.memory.Reserve(ctx, s.Address, engine.Reservation{ID: s.ID, Tokens: s.Tokens})
 			if err != nil && !errors.Is(err, context.Canceled) {
 				x.log.WithField("upstream", s.Upstream).WithError(err).Warn("reservation not renewed")
