Accept a restarted instance whose wall clock was set back

Cause: peers order processes of an instance by the wall clock at their start, and ignored one that looked older for good. Found in the read-through; TestClockSetBack failed before the change.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -28,7 +28,7 @@
 }
 
 // start runs an instance; read is its source of the table "servers", and nil if the source does not answer it.
-func start(t *testing.T, id poplarwinch.InstanceID, domain poplarwinch.FailureDomain, read func() replica.Batch) *instance {
+func start(t *testing.T, id poplarwinch.InstanceID, domain poplarwinch.FailureDomain, read func() replica.Batch, opts ...gossip.Option) *instance {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,9 +54,11 @@
 	}
 	i.table = replica.New("servers", replica.WithSource(readAll, changes), replica.WithLog(logger),
 		replica.WithChanged(func([]replica.Row) { i.gossip.Changed(fleet.ReachDistant) }))
-	i.gossip, err = gossip.New(gossip.Member{ID: id, Domain: domain, Address: address}, gossip.WithFleet(i.fleet), gossip.WithLog(logger),
-		gossip.WithSuspects(quarantine.New()), gossip.WithReplicas(map[string]*replica.Replica{"servers": i.table}))
-	if err != nil {
+	opts = append([]gossip.Option{
+		gossip.WithFleet(i.fleet), gossip.WithLog(logger), gossip.WithSuspects(quarantine.New()),
+		gossip.WithReplicas(map[string]*replica.Replica{"servers": i.table}),
+	}, opts...)
+	if i.gossip, err = gossip.New(gossip.Member{ID: id, Domain: domain, Address: address}, opts...); err != nil {
 		t.Fatal(err)
 	}
 	i.fleet.Apply([]fleet.Server{{ID: "e1", Service: "pool", Domain: "north", Slots: 16}})
@@ -151,6 +153,19 @@
 	eventually(t, "two others take over", func() bool { return following() == 2 })
 }
 
+// Guards against an instance that its peers ignore for good because its wall clock was set back before it started again.
+func TestClockSetBack(t *testing.T) {
+	a := start(t, "a", "north", rows(1))
+	b := start(t, "b", "north", rows(1), gossip.WithBoot(2000))
+	b.gossip.Add([]gossip.Member{a.gossip.Self()})
+	eventually(t, "a knows b", func() bool { return a.gossip.Alive() == 2 })
+	b.stop()
+	again := start(t, "b", "north", rows(1), gossip.WithBoot(1000))
+	again.gossip.Add([]gossip.Member{a.gossip.Self()})
+	again.fleet.Begin(fleet.Work{First: "e1"})
+	eventually(t, "a sees the work of b after its restart", func() bool { return a.fleet.Candidates("pool")[0].Load.Requests == 1 })
+}
+
 // Guards against a crash or a wrong belief by datagrams that are no messages.
 func TestMalformedDatagrams(t *testing.T) {
 	a := start(t, "a", "north", rows(1))
--- a/gossip/option.go
+++ b/gossip/option.go
@@ -28,3 +28,6 @@
 
 // WithLog sets the log; the default is apex/log's own.
 func WithLog(l log.Interface) Option { return func(g *Gossip) { g.log = l } }
+
+// WithBoot sets the number that distinguishes processes of the same instance; the default is the wall clock's time.
+func WithBoot(n int64) Option { return func(g *Gossip) { g.boot = n } }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// receive takes a datagram unless a newer one of the same process came first.
+// receive takes a datagram unless a newer one of the same process came first. A process whose clock was set back before it
+// started looks older than the one before it; it counts once that one is silent.
 func (g *Gossip) receive(from netip.AddrPort, m *message) {
 	if m.From == "" || m.From == g.self.ID {
 		return
@@ -45,11 +46,11 @@
 		g.peers[m.From] = p
 		g.countDistant()
 	}
-	if m.Boot < p.boot || m.Boot == p.boot && m.Sequence <= p.sequence {
+	known := g.alive(p)
+	if known && m.Boot < p.boot || m.Boot == p.boot && m.Sequence <= p.sequence {
 		g.mutex.Unlock()
 		return
 	}
-	known := g.alive(p)
 	p.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
 	p.boot, p.sequence = m.Boot, m.Sequence
 	p.heardAt, p.failing = g.clock.Now(), m.Failing
