--- a/replica/replica.go
+++ b/replica/replica.go
@@ -18,7 +18,7 @@
 const (
 	// retryMin and retryMax bound the pause after a failed read.
 	retryMin clock.Millis = 100
-	retryMax clock.Millis = 800
+	retryMax clock.Millis = 400
 	// returnGrace is the time after the source's return in which rows that lapsed during its absence come back.
 	returnGrace clock.Millis = 2200
 )
