--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -247,7 +247,7 @@
 func (c *choice) plan(e *fleet.Candidate, stage stage) Plan {
 	reason := ReasonPacked
 	switch {
-	case stage == stageMissed || stage == stageUrgent:
+	case stage.late():
 		reason = ReasonLate
 	case !c.packed(e):
 		reason = ReasonOpened
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -55,7 +55,7 @@
 	if float64(best.FirstEvent) > c.longest(stage) {
 		return Plan{}, false
 	}
-	if stage == stageMissed || stage == stageUrgent {
+	if stage.late() {
 		best.Reason = ReasonLate
 	}
 	return best, true
--- a/assignment/stage.go
+++ b/assignment/stage.go
@@ -59,11 +59,8 @@
 // emptyPass returns the time of a pass of an engine with one request, in ms.
 func (c *choice) emptyPass() float64 { return c.pool.Pass(1, averageContext) }
 
-// late reports whether the prompt can't come in time any more.
-func (c *choice) late() bool {
-	stage := c.stage()
-	return stage == stageMissed || stage == stageUrgent
-}
+// late reports whether a prompt of the stage can't come in time any more.
+func (s stage) late() bool { return s == stageMissed || s == stageUrgent }
 
 // saturated reports whether so few slots are free that a late prompt would make fresh ones late. Without that check one
 // crest makes all prompts late until long after it, though the engines could serve most of them in time.
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -20,10 +20,7 @@
 			return known
 		}
 		// A refusal would claim that the request has not run.
-		return &poplarwinch.Error{
-			Kind: poplarwinch.KindUpstreamFailed, Outcome: result, Cause: err,
-			Message: "no server completed the request", Remedy: "repeat it if it may run twice",
-		}
+		return upstreamFailed(result, err)
 	}
 	switch {
 	case errors.Is(err, errCaller), errors.Is(ctx.Err(), context.Canceled):
@@ -34,10 +31,7 @@
 	case ctx.Err() != nil:
 		return x.expired(result, err)
 	case x.ran > 0:
-		return &poplarwinch.Error{
-			Kind: poplarwinch.KindUpstreamFailed, Outcome: result, Cause: err,
-			Message: "no server completed the request", Remedy: "repeat it if it may run twice",
-		}
+		return upstreamFailed(result, err)
 	}
 	return &poplarwinch.Error{
 		Kind: poplarwinch.KindUnavailable, Outcome: result, Cause: err, RetryAfter: retryAfterFailure,
@@ -45,6 +39,14 @@
 	}
 }
 
+// upstreamFailed is the failure of a request that may have run.
+func upstreamFailed(result poplarwinch.Outcome, cause error) error {
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUpstreamFailed, Outcome: result, Cause: cause,
+		Message: "no server completed the request", Remedy: "repeat it if it may run twice",
+	}
+}
+
 // expired is the failure of a request whose time has run out.
 func (x *run) expired(result poplarwinch.Outcome, cause error) error {
 	kind := poplarwinch.KindDeadlineExceeded
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -129,6 +129,11 @@
 	if domain == g.self.Domain {
 		return heartbeat
 	}
+	return g.distantBeat()
+}
+
+// distantBeat returns the heartbeat interval between failure domains. The caller holds the lock.
+func (g *Gossip) distantBeat() clock.Millis {
 	return heartbeat * clock.Millis(max(1, g.distant/fewDistant))
 }
 
@@ -241,7 +246,7 @@
 	if g.followsNow() {
 		return heartbeat
 	}
-	return heartbeat * clock.Millis(max(1, g.distant/fewDistant))
+	return g.distantBeat()
 }
 
 // send writes the own state to the selected peers.
