--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -187,8 +187,17 @@
 		}
 	}
 	found.ticket = x.d.fleet.Begin(w)
-	x.log.WithFields(log.Fields{
-		"upstream": w.First, "helpers": len(w.Helpers), "reserved": len(shares), "reason": found.plan.Reason,
+	x.logDecision(found, &w)
+}
+
+// logDecision records where the request goes and what was known of the engine.
+func (x *run) logDecision(found *spot, w *fleet.Work) {
+	entry := x.log
+	if len(w.Helpers) > 0 {
+		entry = entry.WithField("helper-upstreams", w.Helpers)
+	}
+	entry.WithFields(log.Fields{
+		"upstream": w.First, "helpers": len(w.Helpers), "reserved": len(w.Shares), "reason": found.plan.Reason,
 		"predicted-ms": found.plan.FirstEvent, "read-ms": w.Read, "tokens": x.Prompt, "requests": found.load.Requests,
 		"queued-read-ms": found.load.Read, "age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
 		"configuration": x.d.version(), "servers-version": x.d.listVersion(),
