--- a/emulator/engine/faults.go
+++ b/emulator/engine/faults.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"net/http"
-
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/fault"
 )
@@ -63,17 +61,3 @@
 		e.connections.Stall(except)
 	}
 }
-
-func (e *Engine) getFaults(w http.ResponseWriter, _ *http.Request) {
-	fault.Reply(w, http.StatusOK, e.Faults())
-}
-
-func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := fault.Decode(w, r, 1<<16, &f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.setFaults(f, r.RemoteAddr)
-	fault.Reply(w, http.StatusOK, e.Faults())
-}
--- a/emulator/service/faults.go
+++ b/emulator/service/faults.go
@@ -1,8 +1,6 @@
 package service
 
 import (
-	"net/http"
-
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/fault"
 )
@@ -49,17 +47,3 @@
 		s.connections.Stall(except)
 	}
 }
-
-func (s *Service) getFaults(w http.ResponseWriter, _ *http.Request) {
-	fault.Reply(w, http.StatusOK, s.Faults())
-}
-
-func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := fault.Decode(w, r, 1<<16, &f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.setFaults(f, r.RemoteAddr)
-	fault.Reply(w, http.StatusOK, s.Faults())
-}
--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -46,8 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{config: c, cancel: cancel, ended: ctx.Done(), down: make(chan struct{})}
 	s.mux = http.NewServeMux()
-	s.mux.HandleFunc("GET /faults", s.getFaults)
-	s.mux.HandleFunc("PUT /faults", s.putFaults)
+	fault.Switches[Faults]{Get: s.Faults, Set: s.setFaults}.Register(s.mux)
 	s.mux.HandleFunc("GET /record", s.getRecord)
 	s.mux.HandleFunc("GET /health", s.getHealth)
 	s.mux.HandleFunc("/", s.execute)
