--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -16,14 +16,6 @@
 	averageContext = 6000
 	// singleMillis is the longest reading of a prompt that is left to one engine.
 	singleMillis = 150.0
-	// cellEngines is the number of engines from which a failure domain plans for itself, apart from very long prompts. What
-	// other domains have in work is known later than what happens here.
-	cellEngines = 10
-	// wideMillis is the time of reading from which a prompt is read by engines of all failure domains: so long ones are rare,
-	// and several at the same time are too much for one failure domain while others have little to do.
-	wideMillis = 700.0
-	// spillShare is the share of its slots up to which a distant engine gets short prompts.
-	spillShare = 0.7
 	// packedShare is the share of an engine's slots above which it is filled further only if all others are, too.
 	packedShare = 0.8
 	// packingMillis is the delay that a short prompt accepts for each request that an engine has more than another.
@@ -59,62 +51,15 @@
 	if c.hopeless() {
 		return Plan{}, VerdictReject
 	}
-	near := c.near()
-	if len(near) < cellEngines {
+	switch near := c.near(); {
+	case len(near) < cellEngines:
 		return c.decideLate()
-	}
-	distant := c.known()
-	if c.read >= wideMillis {
-		c.engines = distant
+	case c.read >= wideMillis:
+		c.engines = c.known()
 		return c.decideLate()
+	default:
+		return c.nearFirst(near)
 	}
-	c.engines = near
-	crowded := c.crowded()
-	if !crowded {
-		plan, verdict := c.decide()
-		if verdict == VerdictRun || c.short() && c.stage() == stageEarly {
-			return plan, verdict
-		}
-	}
-	c.engines, c.spill = distant, true
-	if plan, verdict := c.decide(); verdict == VerdictRun {
-		return plan, verdict
-	}
-	c.engines, c.spill = near, false
-	return c.decideLate()
-}
-
-// known returns the engines whose work is known, if only late.
-func (c *choice) known() []fleet.Candidate {
-	var list []fleet.Candidate
-	for _, e := range c.engines {
-		if e.Known || e.Domain == c.prompt.Domain {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// decideLate chooses among the engines, but turns prompts away that a crest has made late.
-func (c *choice) decideLate() (Plan, Verdict) {
-	if c.crowded() {
-		return Plan{}, VerdictYield
-	}
-	return c.decide()
-}
-
-// crowded reports whether the prompt is a short one that has waited in vain while nearly all slots are in use.
-func (c *choice) crowded() bool { return c.short() && c.stage() != stageEarly && c.saturated() }
-
-// near returns the engines of the own failure domain.
-func (c *choice) near() []fleet.Candidate {
-	var list []fleet.Candidate
-	for _, e := range c.engines {
-		if e.Domain == c.prompt.Domain {
-			list = append(list, e)
-		}
-	}
-	return list
 }
 
 // decide chooses among the engines.
