--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -153,7 +153,7 @@
 	default:
 		limit *= fullShare
 	}
-	if c.spill && e.Domain != c.prompt.Domain {
+	if c.spill && !c.home(e) {
 		limit = min(limit, spillShare*float64(c.pool.Slots))
 	}
 	return float64(e.Load.Requests+1) <= limit && e.Load.Memory+c.prompt.Tokens+c.prompt.Answer <= c.pool.MemoryTokens
@@ -219,7 +219,7 @@
 	if float64(e.Load.Requests+1) > packedShare*float64(c.pool.Slots) {
 		cost += crowdedMillis
 	}
-	if e.Domain != c.prompt.Domain {
+	if !c.home(e) {
 		cost += distantMillis
 	}
 	if c.room(e) < c.read {
--- a/assignment/choose_test.go
+++ b/assignment/choose_test.go
@@ -200,8 +200,8 @@
 		t.Errorf("got %+v, want a group", plan)
 	}
 	for name, load := range map[string]fleet.Load{
-		"many streams":    busy(5),
-		"patient streams": {Requests: 1, Decoding: 1, MinPause: 250, MaxPause: 1000, Readers: 1, Read: 800, Due: 900},
+		"many streams":   busy(5),
+		"medium streams": {Requests: 1, Decoding: 1, MinPause: 600, MaxPause: 600},
 	} {
 		if _, verdict := assignment.Choose(pool(), fill(6, load), longPrompt()); verdict != assignment.VerdictWait {
 			t.Errorf("%s: got %s, want wait", name, verdict)
--- a/assignment/domain.go
+++ b/assignment/domain.go
@@ -1,6 +1,10 @@
 package assignment
 
-import "github.com/poplarwinch/poplarwinch/fleet"
+import (
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch/fleet"
+)
 
 const (
 	// cellEngines is the number of engines from which a failure domain plans for itself, apart from very long prompts. What
@@ -18,40 +22,28 @@
 func (c *choice) nearFirst(near []fleet.Candidate) (Plan, Verdict) {
 	known := c.known()
 	c.engines = near
-	if !c.crowded() {
-		plan, verdict := c.decide()
-		if verdict == VerdictRun || c.short() && c.stage() == stageEarly {
-			return plan, verdict
-		}
+	plan, verdict := c.decideLate()
+	if verdict == VerdictRun || c.short() && c.stage() == stageEarly {
+		return plan, verdict
 	}
 	c.engines, c.spill = known, true
-	if plan, verdict := c.decide(); verdict == VerdictRun {
-		return plan, verdict
+	if wider, v := c.decide(); v == VerdictRun {
+		return wider, v
 	}
-	c.engines, c.spill = near, false
-	return c.decideLate()
+	return plan, verdict
 }
 
+// home reports whether the engine is in the prompt's failure domain.
+func (c *choice) home(e *fleet.Candidate) bool { return e.Domain == c.prompt.Domain }
+
 // near returns the engines of the own failure domain.
 func (c *choice) near() []fleet.Candidate {
-	var list []fleet.Candidate
-	for _, e := range c.engines {
-		if e.Domain == c.prompt.Domain {
-			list = append(list, e)
-		}
-	}
-	return list
+	return slices.DeleteFunc(slices.Clone(c.engines), func(e fleet.Candidate) bool { return !c.home(&e) })
 }
 
 // known returns the engines whose work is known, if only late.
 func (c *choice) known() []fleet.Candidate {
-	var list []fleet.Candidate
-	for _, e := range c.engines {
-		if e.Known || e.Domain == c.prompt.Domain {
-			list = append(list, e)
-		}
-	}
-	return list
+	return slices.DeleteFunc(slices.Clone(c.engines), func(e fleet.Candidate) bool { return !e.Known && !c.home(&e) })
 }
 
 // decideLate chooses among the engines, but turns prompts away that a crest has made late.
--- a/assignment/fleet_simulation_test.go
+++ b/assignment/fleet_simulation_test.go
@@ -101,9 +101,6 @@
 			for _, e := range s.stations {
 				e.candidate.Known, e.candidate.Slots = true, s.pool.Slots
 			}
-			s.choose = func(s *simulation, j *job) (assignment.Plan, assignment.Verdict) {
-				return assignment.Choose(s.pool, s.candidates(), j.prompt)
-			}
 			jobs := largeFlips(seed)
 			var all []*job
 			for _, k := range classes() {
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -41,7 +41,7 @@
 		return cmp.Or(
 			cmp.Compare(a.Load.Read, b.Load.Read),
 			cmp.Compare(a.Load.Requests, b.Load.Requests),
-			cmp.Compare(c.distance(&a), c.distance(&b)),
+			c.homeFirst(&a, &b),
 			cmp.Compare(b.Rank, a.Rank),
 		)
 	})
@@ -93,10 +93,13 @@
 	return c.read/(maxHelpers+1) > largestShare*float64(c.prompt.FullTarget)
 }
 
-// distance is 0 for engines of the prompt's failure domain and 1 for others.
-func (c *choice) distance(e *fleet.Candidate) int {
-	if e.Domain == c.prompt.Domain {
+// homeFirst orders engines of the prompt's failure domain before others.
+func (c *choice) homeFirst(a, b *fleet.Candidate) int {
+	switch x, y := c.home(a), c.home(b); {
+	case x == y:
 		return 0
+	case x:
+		return -1
 	}
 	return 1
 }
@@ -238,8 +241,8 @@
 	if x, y := c.packed(a), c.packed(b); x != y {
 		return x
 	}
-	if x, y := a.Domain == c.prompt.Domain, b.Domain == c.prompt.Domain; x != y {
-		return x
+	if order := c.homeFirst(a, b); order != 0 {
+		return order < 0
 	}
 	return a.Load.Memory < b.Load.Memory
 }
--- a/assignment/simulation_test.go
+++ b/assignment/simulation_test.go
@@ -42,7 +42,7 @@
 	passEnd   float64
 }
 
-// simulation plays arrivals against engines in virtual time. choose decides on each waiting job.
+// simulation plays arrivals against engines in virtual time. choose decides on each waiting job; the default is Choose.
 type simulation struct {
 	t        *testing.T
 	pool     *route.Pool
@@ -64,6 +64,9 @@
 
 func newSimulation(t *testing.T, n int) *simulation {
 	s := &simulation{t: t, pool: pool()}
+	s.choose = func(s *simulation, j *job) (assignment.Plan, assignment.Verdict) {
+		return assignment.Choose(s.pool, s.candidates(), j.prompt)
+	}
 	for _, e := range engines(n) {
 		s.stations = append(s.stations, &station{candidate: e})
 	}
@@ -310,9 +313,6 @@
 // let long prompts pause short streams or leave half of the engines idle: callers must lose half as much as with the usual
 // ways to spread load, at most.
 func TestFlippingMix(t *testing.T) {
-	policy := func(s *simulation, j *job) (assignment.Plan, assignment.Verdict) {
-		return assignment.Choose(pool(), s.candidates(), j.prompt)
-	}
 	turn := 0
 	baselines := map[string]func(list []fleet.Candidate) fleet.Candidate{
 		"round robin": func(list []fleet.Candidate) fleet.Candidate {
@@ -336,7 +336,6 @@
 	const span = 55_000
 	for seed := range uint64(3) {
 		s := newSimulation(t, 14)
-		s.choose = policy
 		got := s.play(flips(seed), span)
 		t.Logf("seed %d: policy %.3f", seed, got)
 		if got < 0.8 {
@@ -365,9 +364,6 @@
 		jobs = append(jobs, &job{prompt: shortPrompt(), arrived: at, worth: 1.3, events: 38})
 	}
 	s := newSimulation(t, 14)
-	s.choose = func(s *simulation, j *job) (assignment.Plan, assignment.Verdict) {
-		return assignment.Choose(pool(), s.candidates(), j.prompt)
-	}
 	s.play(jobs, 30_000)
 	share := inTime(jobs)
 	t.Logf("%.3f of the prompts in time", share)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -15,7 +15,7 @@
 // ServerWork is the work of one instance on one server.
 type ServerWork struct {
 	ID poplarwinch.UpstreamID
-	// Domain is the server's failure domain; it is empty in reports of peers.
+	// Domain is the server's failure domain; only reports of this instance name it.
 	Domain poplarwinch.FailureDomain
 	Load   Load
 	// Submitted is the sum of the reading times that the instance gave the server since it started.
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -55,7 +55,7 @@
 		f.addPeers(&c, now)
 		f.addSummary(&c, now)
 		if c.Load != (Load{}) {
-			w.Report.Servers = append(w.Report.Servers, ServerWork{ID: id, Domain: domain, Load: c.Load})
+			w.Report.Servers = append(w.Report.Servers, ServerWork{ID: id, Load: c.Load})
 		}
 	}
 	return w
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/replica"
 )
 
 const (
@@ -69,9 +70,15 @@
 }
 
 // failing reports whether this instance could not read a table recently.
-func (g *Gossip) failing() bool {
+func (g *Gossip) failing() bool { return g.any((*replica.Replica).Failing) }
+
+// followsNow reports whether this instance follows a table.
+func (g *Gossip) followsNow() bool { return g.any((*replica.Replica).Following) }
+
+// any reports whether something holds for at least one table.
+func (g *Gossip) any(holds func(*replica.Replica) bool) bool {
 	for _, r := range g.replicas {
-		if r.Failing() {
+		if holds(r) {
 			return true
 		}
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -33,7 +33,7 @@
 	maxDatagram = 60000
 	// maxSuspects bounds the suspects in a datagram.
 	maxSuspects = 16
-	// summaryBeat is the time between two summaries of an instance that follows the tables. A failure domain has two of them.
+	// summaryBeat is the time between two summaries of an instance that follows the tables.
 	summaryBeat clock.Millis = 200
 	// newsDelay is the time that the own reading of a table may lag behind a peer's.
 	newsDelay clock.Millis = 300
@@ -209,7 +209,7 @@
 // Leave tells all peers that this instance has no more work.
 func (g *Gossip) Leave(connection *net.UDPConn) {
 	m := g.message()
-	m.Leaving = true
+	m.OwnWork, m.Leaving = true, true
 	g.send(connection, m, func(*peerState) bool { return true })
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -153,7 +153,7 @@
 	eventually(t, "two others take over", func() bool { return following() == 2 })
 }
 
-// many is a failure domain south with more instances than are told of every change in the north.
+// many is a number of instances in a failure domain that are too many to be told of each change elsewhere.
 const many = 17
 
 // Guards against very long prompts that are planned without the work of distant failure domains where these have too many
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -1,7 +1,8 @@
 // Package gossip lets the instances of a deployment tell each other what work they have on which servers, which versions of
 // the platform's tables they know, and which requests crash servers.
 //
-// Each datagram has the whole state of its sender, so lost, repeated and overtaken ones do no harm. Tables that an instance
+// Each datagram has all of the sender's work, or all work on the servers of whole failure domains, and replaces the one before,
+// so lost, repeated and overtaken ones do no harm. Tables that an instance
 // can't read itself are fetched from a peer by a connect-go call.
 package gossip
 
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -70,7 +70,7 @@
 	}
 	g.mutex.Unlock()
 	m := g.message()
-	m.Servers, m.Waiting = encodeWork(r), r.Waiting
+	m.OwnWork, m.Servers, m.Waiting = true, encodeWork(r), r.Waiting
 	g.send(connection, m, func(p *peerState) bool {
 		if p.greet {
 			p.greet = false
@@ -88,13 +88,11 @@
 func (g *Gossip) sendSummaries(connection *net.UDPConn) {
 	if own, ok := g.fleet.Summary(); ok {
 		m := g.message()
-		m.OwnWork = false
 		m.Domains = encodeDomains([]fleet.DomainWork{own})
 		g.send(connection, m, func(p *peerState) bool { return p.Domain != g.self.Domain && p.follows })
 	}
 	if others := g.fleet.Distant(); len(others) > 0 {
 		m := g.message()
-		m.OwnWork = false
 		m.Domains = encodeDomains(others)
 		g.send(connection, m, func(p *peerState) bool { return p.Domain == g.self.Domain })
 	}
@@ -103,7 +101,7 @@
 // message returns a datagram without work of servers.
 func (g *Gossip) message() *message {
 	return &message{
-		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), OwnWork: true, Follows: g.followsNow(),
+		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), Follows: g.followsNow(),
 		Failing: g.failing(), Suspects: encodeSuspects(g.suspects.Suspects(), g.clock.Now()),
 	}
 }
@@ -157,13 +155,3 @@
 	}
 	return g.distantBeat()
 }
-
-// followsNow reports whether this instance follows a table.
-func (g *Gossip) followsNow() bool {
-	for _, r := range g.replicas {
-		if r.Following() {
-			return true
-		}
-	}
-	return false
-}
