Shorten the time limit of a resumed stream instead of rejecting it

Change: the limit is checked against the manifest's longest one and cut to what the stream has left. TestResumeThroughAnotherInstance now sends the header: 400 before, the rest of the stream after.

--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -11,6 +11,13 @@
 // timeoutHeader holds the time limit in milliseconds that the caller sets for the whole request.
 const timeoutHeader = "Request-Timeout-Ms"
 
+// resumeTimeout returns the caller's time limit for a resumed stream, shortened to the time for which the stream may still
+// run: callers send the same limit with each request.
+func resumeTimeout(r *http.Request, remaining, limit clock.Millis) (clock.Millis, error) {
+	timeout, err := requestTimeout(r, remaining, max(limit, remaining))
+	return min(timeout, remaining), err
+}
+
 // requestTimeout returns the caller's time limit, which must not exceed limit. Without a header it returns fallback,
 // reduced to limit.
 func requestTimeout(r *http.Request, fallback, limit clock.Millis) (clock.Millis, error) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -103,11 +103,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	x.deadline = x.started.Add(timeLimit.Duration())
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := x.withTimeLimit(ctx, timeLimit)
 	return ctx, cancel, nil
 }
 
+// withTimeLimit sets the deadline and returns a context that ends then.
+func (x *exchange) withTimeLimit(ctx context.Context, limit clock.Millis) (context.Context, context.CancelFunc) {
+	x.deadline = x.started.Add(limit.Duration())
+	return context.WithDeadline(ctx, x.deadline)
+}
+
 // readBody reads the whole request body. The returned release function gives its memory back to the budget.
 func (x *exchange) readBody(ctx context.Context) (body []byte, release func(), err error) {
 	body, release, err = x.server.bodies.read(ctx, x.writer, x.request)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -29,10 +29,11 @@
 	if remaining <= 0 {
 		return unknownStreamError(nil)
 	}
-	ctx, cancel, err := x.withDeadline(ctx, remaining, remaining)
+	timeLimit, err := resumeTimeout(x.request, remaining, x.index.Manifest.Limits.MaxTimeout)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := x.withTimeLimit(ctx, timeLimit)
 	defer cancel()
 	x.log = x.log.WithField("resumed-request-id", string(t.Request))
 	x.upstreamID = t.Upstream
--- a/instance/fault_test.go
+++ b/instance/fault_test.go
@@ -156,7 +156,8 @@
 }
 
 // TestResumeThroughAnotherInstance guards against an answer that can be resumed only at the instance that served it,
-// and against one that another customer can resume.
+// against one that another customer can resume, and against a resume that is rejected for the time limit that its caller
+// sends with each request, though the stream has less time left.
 func TestResumeThroughAnotherInstance(t *testing.T) {
 	t.Parallel()
 	slow := []emulatedengine.Option{emulatedengine.WithStep(20)}
@@ -169,6 +170,7 @@
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+first.caller+"/v1/completions",
 		strings.NewReader(fmt.Sprintf(`{"model":"drafting","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)))
 	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Request-Timeout-Ms", "30000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
@@ -183,6 +185,7 @@
 	}{{otherKey, http.StatusNotFound}, {testKey, http.StatusOK}} {
 		request, _ := http.NewRequest(http.MethodGet, "http://"+second.caller+"/v1/streams/"+resume, nil)
 		request.Header.Set("Authorization", "Bearer "+c.key)
+		request.Header.Set("Request-Timeout-Ms", "30000")
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			t.Fatal(err)
