Keep 100 ms of a time limit for the answer of a claimed call

Change: 100 ms are kept. TestSettleTimeLeavesTimeForTheAnswer fails with 50 ms (rest 50 ms, seen 51 ms).

--- a/entry/services.go
+++ b/entry/services.go
@@ -26,8 +26,10 @@
 	idempotencyHeader = "Idempotency-Key"
 	// settleTimeout bounds the table write that settles a claim or releases a suspect's permit.
 	settleTimeout = 2 * time.Second
-	// minSettleTime is the part of the time limit that is reserved for writing the answer. It is also the least time for
-	// settling a claim, if less than that remains.
+	// answerReserve is the part of the time limit that is reserved for writing the answer. It also covers what the caller
+	// measures beyond the instance's own time: opening the connection, the way of the answer and late timers.
+	answerReserve = 100 * time.Millisecond
+	// minSettleTime is the least time for settling a claim, if less than that remains.
 	minSettleTime = 50 * time.Millisecond
 )
 
@@ -205,7 +207,12 @@
 // remainingSettleTime returns how long the answer waits until the claim is settled. Afterwards the write continues in
 // the background, so that a slow table does not delay the answer beyond the time limit.
 func (r *serviceRun) remainingSettleTime() time.Duration {
-	return max(minSettleTime, min(settleTimeout, time.Until(r.deadline)-minSettleTime))
+	return settleTime(time.Until(r.deadline))
+}
+
+// settleTime returns how long an answer may wait for its claim when left remains until the deadline.
+func settleTime(left time.Duration) time.Duration {
+	return max(minSettleTime, min(settleTimeout, left-answerReserve))
 }
 
 // runUnclaimed sends the call without a claim.
