--- a/peer/limits.go
+++ b/peer/limits.go
@@ -26,8 +26,8 @@
 	linkLimit = 256
 	// relayTimeoutFraction is the fraction of the time until a relayed probe's deadline that the probe of
 	// the target may take. In the rest the reply reaches the prober, which would otherwise treat its
-	// connection to the relay as stalled.
-	relayTimeoutFraction = 0.7
+	// connection to the relay as stalled. It gets as much time as the probe itself, since relay and prober may both be slow.
+	relayTimeoutFraction = 0.5
 )
 
 // Procedures, as paths of the HTTP requests.
