End an attempt whose request is not shown to use its reserved memory

Change: when 0.7 of the limit for unused memory have passed without a first event, the first engine is asked whether the reservation is in use; if not, or without an answer, the attempt ends as one that may have run. TestUnusedReservationsEnd fails without the watch (the request held its memory for 15 s).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -49,6 +49,7 @@
 	defer cancel(nil)
 	w := newWatchdog(x.firstEventTimeout(selected), cancel)
 	defer w.stop()
+	defer x.watchUsage(ctx, selected, cancel)()
 	answer, err := x.d.send(ctx, &Call{
 		Request: x.Request, Server: selected.first, Helpers: selected.helpers, ResumeAfter: x.resumeFrom(),
 		TimeLeft: (x.Deadline - x.d.clock.Now()).Duration(),
@@ -91,7 +92,7 @@
 		return err
 	}
 	x.d.metrics.attemptEnded(x.Service, string(failed.Failure))
-	silent := errors.Is(context.Cause(ctx), errSilentServer)
+	silent := endedForSilence(ctx)
 	if failed.MayHaveRun() {
 		x.possibleRuns++
 	}
@@ -102,6 +103,12 @@
 	return err
 }
 
+// endedForSilence reports whether the call was canceled because its server did not begin or continue the response in time.
+func endedForSilence(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, errSilentServer) || errors.Is(cause, errReservationUnused)
+}
+
 // recordFailure excludes the server at fault from further attempts of the request and reports the failure to the fleet. A
 // failed helper and a server that broke off are probed as well.
 func (x *run) recordFailure(selected *selection, failed *CallError) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -331,6 +331,26 @@
 	})
 }
 
+// Guards against memory that stays reserved, and renewed, for a request that its engine never begins. A request that is shown to use
+// the memory is not cut, however long its prefill takes.
+func TestUnusedReservationsEnd(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.reservationsUsed = used
+			f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) { return silence(ctx) }
+			r := f.request(route.KindStreaming)
+			r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+			r.Route.Resumable, r.Route.MaxAttempts = false, 1
+			began := time.Now()
+			o := f.run(t.Context(), r)
+			waited := time.Since(began)
+			if used && waited < 15*time.Second || !used && (waited > 8*time.Second || o.err == nil || o.err.Outcome != poplarwinch.OutcomeUnknown) {
+				t.Errorf("used %t: the request ended after %s with %+v", used, waited, o.err)
+			}
+		})
+	}
+}
+
 // Guards against a leaked reservation when a renewal arrives after the release: the release waits for the last renewal.
 func TestRenewalBeforeRelease(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/admission"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/replica"
@@ -34,7 +35,11 @@
 	reservations *reservation.Builder
 	// reservationTTL is the time after which a reservation expires unless it is renewed.
 	reservationTTL clock.Millis
-	metrics        *requestMetrics
+	// unusedLimit is the time for which a reservation may be held without being used; zero means no limit.
+	unusedLimit clock.Millis
+	// reservationInUse asks the engine at the address whether a reservation is in use.
+	reservationInUse func(ctx context.Context, address string, id engine.ReservationID) (bool, error)
+	metrics          *requestMetrics
 
 	// decisionMutex makes selecting servers and recording the load on them atomic.
 	decisionMutex sync.Mutex
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -45,6 +45,8 @@
 	reserved    map[engine.ReservationID]poplarwinch.Tokens
 	// refuseReservations makes all engines refuse reservations.
 	refuseReservations bool
+	// reservationsUsed makes all engines report that their reservations are in use.
+	reservationsUsed bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -76,6 +78,7 @@
 		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"),
 		dispatch.WithActive(func() *route.Table { return table }), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
+		dispatch.WithUnusedLimit(9000, f.reservationInUse),
 		dispatch.WithBudget(func() *admission.SharedRetryBudget {
 			return admission.NewSharedRetryBudget(c, 0.2, 100, 10*clock.Second, func() int { return 9 })
 		}),
@@ -100,6 +103,12 @@
 	return nil
 }
 
+func (f *fixture) reservationInUse(_ context.Context, _ string, id engine.ReservationID) (bool, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.reservationsUsed && f.reserved[id] != 0, nil
+}
+
 func (f *fixture) reservations() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -8,6 +8,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/admission"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/replica"
@@ -58,6 +59,12 @@
 	return func(d *Dispatcher) { d.reservations, d.reservationTTL = b, ttl }
 }
 
+// WithUnusedLimit sets the time for which a reservation may be held without being used, and the function that asks the engine at
+// an address whether a reservation is in use. Without it, unused reservations are held as long as their attempt.
+func WithUnusedLimit(limit clock.Millis, inUse func(ctx context.Context, address string, id engine.ReservationID) (bool, error)) Option {
+	return func(d *Dispatcher) { d.unusedLimit, d.reservationInUse = limit, inUse }
+}
+
 // WithListVersion sets the function that returns the version of the server list, which is logged with each decision.
 func WithListVersion(version func() replica.Version) Option {
 	return func(d *Dispatcher) { d.listVersion = version }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -18,8 +18,16 @@
 	reserveTimeout clock.Millis = 400
 	// renewalsPerTTL is the number of renewals within the time to live of a reservation.
 	renewalsPerTTL = 3
+	// unusedFraction is the fraction of the limit for unused reservations after which an attempt whose request is not shown to
+	// use its reservations ends. The rest is left for the answer of the engine and for the releases.
+	unusedFraction = 0.7
+	// usageTimeout is the timeout for asking an engine whether a reservation is in use.
+	usageTimeout clock.Millis = 500
 )
 
+// errReservationUnused is the cancellation cause of a call whose request has not begun to use its reservations within the limit.
+var errReservationUnused = errors.New("the request did not begin to use its reserved memory within the time limit")
+
 // freeMemory returns the free memory of the engines of a plan.
 func freeMemory(candidates []fleet.Candidate, pool route.Pool, plan *assignment.Plan) []reservation.Candidate {
 	chosen := map[poplarwinch.UpstreamID]bool{plan.First: true}
@@ -58,6 +66,50 @@
 	return selected, nil
 }
 
+// watchUsage cancels the call of a selection with reservations when the request is not shown to use them within the limit: the
+// engine that should run it may accept requests and never begin them. It returns a function that ends the watch.
+func (x *run) watchUsage(ctx context.Context, selected *selection, cancel context.CancelCauseFunc) (stop func()) {
+	if selected.group == nil || x.d.unusedLimit == 0 {
+		return func() {}
+	}
+	watch, stop := context.WithCancel(ctx)
+	x.d.background.Go(func() { x.runUsageWatch(watch, selected, cancel) })
+	return stop
+}
+
+// runUsageWatch asks the first engine whether the request uses its reservation, whenever the limit has nearly passed since the
+// last proof of that, until the first event arrives or ctx ends.
+func (x *run) runUsageWatch(ctx context.Context, selected *selection, cancel context.CancelCauseFunc) {
+	interval := clock.Millis(unusedFraction * float64(x.d.unusedLimit))
+	for x.d.clock.Sleep(ctx, interval) == nil {
+		if selected.ticket.Prefilled() {
+			return
+		}
+		used, err := x.reservationUsed(ctx, selected)
+		if ctx.Err() != nil {
+			return
+		}
+		entry := x.log.WithField("upstream", selected.first.ID).WithField("used", used)
+		if used {
+			entry.Info("no event yet, but the reserved memory is in use")
+			continue
+		}
+		if err != nil {
+			entry = entry.WithError(err)
+		}
+		entry.Warn("reserved memory not in use; ending the attempt")
+		cancel(errReservationUnused)
+		return
+	}
+}
+
+// reservationUsed asks the first engine of a selection whether its reservation is in use.
+func (x *run) reservationUsed(ctx context.Context, selected *selection) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout.Duration())
+	defer cancel()
+	return x.d.reservationInUse(ctx, selected.first.Address, selected.helpers[0].Reservation)
+}
+
 // applyShares makes the engine of the first share, the largest, the first server and sets the reservations of the helpers.
 func (x *run) applyShares(selected *selection, shares []reservation.Share) {
 	ids := map[poplarwinch.UpstreamID]engine.ReservationID{}
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -52,6 +52,13 @@
 	f.notifyChange(t.reach())
 }
 
+// Prefilled reports whether the first event has arrived.
+func (t *Ticket) Prefilled() bool {
+	t.fleet.mutex.Lock()
+	defer t.fleet.mutex.Unlock()
+	return !t.prefilling
+}
+
 // End removes the load of the attempt.
 func (t *Ticket) End() {
 	f := t.fleet
