Ask for changes again after a recheck instead of counting a failure; install tables in order

It counted as a failed read, made the follower pass its task on, paused, and read the whole table, where a row that is missing is kept for 2.2 s because it may come back; while that is pending nothing is read for 1.1 s at a time. Change: a recheck only asks for the changes again. TestRecheckIsNoFailure fails without it. TestRecheck expected the whole table to be read; it now expects a second question for changes and forbids the whole read, whose effect on removed rows is the fault. Second fault on the same path: batches from the source and from a peer could be installed in the wrong order, the older list last (TestChangesAreInstalledInOrder fails without the mutex). Third: a pending re-read did not end with its context.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,6 +15,9 @@
 // ErrHistoryLost is returned by a source that no longer has the changes after the requested version.
 var ErrHistoryLost = errors.New("history is no longer available")
 
+// errRechecked ends a wait for changes after Recheck.
+var errRechecked = errors.New("rechecked")
+
 const (
 	// minRetryDelay is the delay after the first failed read; it doubles with each further one.
 	minRetryDelay clock.Millis = 100
@@ -38,6 +41,9 @@
 	clock       *clock.Clock
 	log         log.Interface
 
+	// notifyMutex is held while rows are passed to changed, so that older rows never replace newer ones.
+	notifyMutex sync.Mutex
+
 	mutex   sync.Mutex
 	rows    map[string]Row
 	version Version
@@ -163,7 +169,9 @@
 		case err == nil:
 			r.recordRecovery()
 			pause = minRetryDelay
-			complete = r.applyFromSource(batch)
+			complete = r.applyFromSource(ctx, batch)
+		case errors.Is(err, errRechecked):
+			r.log.WithField("table", r.name).Debug("rechecked; asking for the changes again")
 		case errors.Is(err, ErrHistoryLost):
 			r.log.WithField("table", r.name).Warn("history lost; reading the whole table")
 			complete = true
@@ -199,32 +207,36 @@
 		return r.read(ctx)
 	}
 	version, _ := r.Version()
-	wait, cancel := context.WithCancel(ctx)
-	defer cancel()
+	wait, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.cancelOnRecheck(stop, cancel)
-	return r.changes(wait, version)
+	batch, err := r.changes(wait, version)
+	if err != nil && errors.Is(context.Cause(wait), errRechecked) {
+		return Batch{}, errRechecked
+	}
+	return batch, err
 }
 
-func (r *Replica) cancelOnRecheck(stop <-chan struct{}, cancel context.CancelFunc) {
+func (r *Replica) cancelOnRecheck(stop <-chan struct{}, cancel context.CancelCauseFunc) {
 	select {
 	case <-stop:
 	case <-r.recheck:
-		cancel()
+		cancel(errRechecked)
 	}
 }
 
 // applyFromSource applies a batch from the source. It reports whether the whole table has to be read again because rows are
 // missing that may come back; then it returns after a delay.
-func (r *Replica) applyFromSource(batch Batch) bool {
+func (r *Replica) applyFromSource(ctx context.Context, batch Batch) bool {
 	r.mutex.Lock()
 	changed := r.apply(batch, r.clock.Now())
 	pending := len(r.missingSince) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
 	if pending {
-		_ = r.clock.Sleep(context.Background(), missingRowGrace/2)
+		_ = r.clock.Sleep(ctx, missingRowGrace/2) // Run ends with ctx
 	}
 	return pending
 }
@@ -293,6 +305,8 @@
 	if !changed {
 		return
 	}
+	r.notifyMutex.Lock()
+	defer r.notifyMutex.Unlock()
 	r.mutex.Lock()
 	rows := r.list()
 	r.mutex.Unlock()
