--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxAnswerBytes is the largest response body that is buffered.
-	maxAnswerBytes = 16 << 20
 	// readBufferBytes is the size of the read buffer of a streamed response.
 	readBufferBytes = 16 << 10
 	// attemptTimeout is the time after which a repeatable request without a complete response is retried on another server.
@@ -140,13 +138,11 @@
 	if x.Route.Kind == route.KindStreaming && a.Status < http.StatusMultipleChoices {
 		return x.relayStream(a, selected, w)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	body, err := x.d.collect(a.Body)
 	if err != nil {
 		return &CallError{Failure: FailureBroken, Cause: err}
 	}
-	if len(body) > maxAnswerBytes {
-		return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the response has more than %d bytes", maxAnswerBytes)}
-	}
+	defer x.d.discard(body)
 	if a.Status >= http.StatusInternalServerError {
 		if x.retriesServerError() {
 			return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d", a.Status)}
@@ -157,7 +153,12 @@
 		return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d instead of resuming the stream", a.Status)}
 	}
 	x.begin(a)
-	return x.write(body)
+	for _, part := range body.parts {
+		if err := x.write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // retriesServerError reports whether a 5xx response is retried instead of forwarded.
@@ -172,16 +173,12 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
-			if events := x.splitter.add(buffer[:n]); len(events) > 0 {
-				if x.firstEvent == 0 {
-					x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
-				}
-				selected.ticket.FirstEvent()
-				w.reset(x.eventTimeout())
-				x.begin(a)
-				if err := x.write(events); err != nil {
-					return err
-				}
+			events, splitError := x.splitter.add(buffer[:n])
+			if err := x.relayEvents(a, events, selected, w); err != nil {
+				return err
+			}
+			if splitError != nil {
+				return &CallError{Failure: FailureBroken, Cause: splitError}
 			}
 		}
 		switch {
@@ -194,6 +191,22 @@
 	}
 }
 
+// relayEvents forwards complete events. Only events with content show that the server makes progress.
+func (x *run) relayEvents(a *Answer, events []byte, selected *selection, w *watchdog) error {
+	if len(events) == 0 {
+		return nil
+	}
+	if hasContent(events) {
+		if x.firstEvent == 0 {
+			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
+		}
+		selected.ticket.FirstEvent()
+		w.reset(x.eventTimeout())
+	}
+	x.begin(a)
+	return x.write(events)
+}
+
 // eventTimeout returns the longest time between events before the stream is resumed on another server, or zero if it is not
 // resumed.
 func (x *run) eventTimeout() clock.Millis {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -162,6 +162,55 @@
 	}
 }
 
+// dribble is a response body that sends data at once and then more of it every half second until its call ends.
+type dribble struct {
+	ctx   context.Context
+	first string
+	then  string
+}
+
+// Read returns the first data at once and further data every half second until the call ends.
+func (b *dribble) Read(p []byte) (int, error) {
+	if b.first != "" {
+		n := copy(p, b.first)
+		b.first = ""
+		return n, nil
+	}
+	select {
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	case <-time.After(500 * time.Millisecond):
+		return copy(p, b.then), nil
+	}
+}
+
+// Close does nothing.
+func (b *dribble) Close() error { return nil }
+
+// Guards against a stalled stream that lives on because its server sends a byte or a comment now and then, and against a slow but
+// sound one that is cut although each event comes within its caller's patience.
+func TestStalledStream(t *testing.T) {
+	for then, calls := range map[string]int{"d": 2, ": waiting\n\n": 2, "id: 2\ndata: b\n\n": 1} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.answer = func(ctx context.Context, n int, _ *dispatch.Call) (*dispatch.Answer, error) {
+				if n > 1 {
+					return complete(http.StatusOK, "id: 2\ndata: b\n\n")
+				}
+				return &dispatch.Answer{
+					Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: &dribble{ctx: ctx, first: "id: 1\ndata: a\n\n", then: then},
+				}, nil
+			}
+			o := f.run(t.Context(), f.request(route.KindStreaming))
+			if len(f.calls) != calls {
+				t.Errorf("%q: %d calls, want %d; got %+v", then, len(f.calls), calls, o)
+			}
+			if calls == 2 && len(f.calls) == 2 && (f.calls[1].ResumeAfter != "1" || o.err != nil) {
+				t.Errorf("%q: resumed after %q with %+v, want after the last event", then, f.calls[1].ResumeAfter, o.err)
+			}
+		})
+	}
+}
+
 // Guards against requests that continue after their deadline.
 func TestDeadline(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,12 +12,16 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/internal/bytebudget"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/replica"
 	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
+// defaultMemory is the memory for buffered responses without WithMemory.
+const defaultMemory poplarwinch.Bytes = 64 << 20
+
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
 	clock     *clock.Clock
@@ -40,6 +44,8 @@
 	// reservationInUse asks the engine at the address whether a reservation is in use.
 	reservationInUse func(ctx context.Context, address string, id engine.ReservationID) (bool, error)
 	metrics          *requestMetrics
+	// memory bounds the buffered responses.
+	memory *bytebudget.Budget
 
 	// decisionMutex makes selecting servers and recording the load on them atomic.
 	decisionMutex sync.Mutex
@@ -53,7 +59,7 @@
 func New(opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(),
-		listVersion: func() replica.Version { return 0 },
+		listVersion: func() replica.Version { return 0 }, memory: bytebudget.New(defaultMemory),
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+)
+
+// maxEventBytes is the largest size of an event.
+const maxEventBytes = 64 << 10
 
 // splitter splits an event stream into complete events. It never returns part of an event from add.
 type splitter struct {
@@ -12,20 +18,39 @@
 // separator terminates an event.
 var separator = []byte("\n\n")
 
-// add appends received bytes and returns the events that are complete now.
-func (s *splitter) add(data []byte) []byte {
+// add appends received bytes and returns the events that are complete now. The error says that the event after these is too large.
+func (s *splitter) add(data []byte) ([]byte, error) {
+	searched := max(len(s.partial)-len(separator)+1, 0)
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, separator)
+	end := bytes.LastIndex(s.partial[searched:], separator)
 	if end < 0 {
-		return nil
+		return nil, s.checkSize()
 	}
-	end += len(separator)
+	end += searched + len(separator)
 	complete := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
 	if id, ok := lastID(complete); ok {
 		s.last = id
 	}
-	return complete
+	return complete, s.checkSize()
+}
+
+// checkSize returns an error if the incomplete event is too large.
+func (s *splitter) checkSize() error {
+	if len(s.partial) > maxEventBytes {
+		return fmt.Errorf("an event has more than %d bytes", maxEventBytes)
+	}
+	return nil
+}
+
+// hasContent reports whether complete events have more than comments and empty lines.
+func hasContent(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\n' {
+			return true
+		}
+	}
+	return false
 }
 
 // flush returns the bytes of an incomplete event and clears the buffer.
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/internal/bytebudget"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/replica"
 	"github.com/poplarwinch/poplarwinch/reservation"
@@ -65,6 +66,9 @@
 	return func(d *Dispatcher) { d.unusedLimit, d.reservationInUse = limit, inUse }
 }
 
+// WithMemory sets the budget for the memory of buffered responses; the default has 64 MiB.
+func WithMemory(b *bytebudget.Budget) Option { return func(d *Dispatcher) { d.memory = b } }
+
 // WithListVersion sets the function that returns the version of the server list, which is logged with each decision.
 func WithListVersion(version func() replica.Version) Option {
 	return func(d *Dispatcher) { d.listVersion = version }
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -18,6 +18,8 @@
 	fetchProcedure = "/poplarwinch.gossip/News"
 	// fetchTimeout bounds a call, and on the server side reading headers and idle connections.
 	fetchTimeout = 2 * time.Second
+	// maxResponseHeaderBytes bounds the status line and the headers of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// maxTableBytes is the maximum size of a response.
 	maxTableBytes = 16 << 20
 )
@@ -73,7 +75,7 @@
 	defer g.fetches.end(table)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	client := connect.NewClient[fetchRequest, fetchResponse](
 		&http.Client{Transport: transport}, "http://"+from.Address.String()+fetchProcedure,
 		connect.WithCodec(g.codec), connect.WithReadMaxBytes(maxTableBytes),
