Divide large failure domains into cells; announce changes of tables with their rows; make decisions cost what the cell costs

Each decision looked up each server in each peer's report (BenchmarkCandidates: 0.15 ms at 112 engines, 0.87 ms at 300, 29 ms at 2,000), each datagram woke all waiting requests, each change of load went to the whole failure domain, each change of a table made each peer open a connection to whoever told of it first, and all registered with a write at the same time. Change: a failure domain with more than 32 instances is divided into cells of instances and servers by position in an order that all know. Instances tell their cell every change; a cell's follower sends a summary to the other cells of its failure domain and to the cell at the same part of each other one. Smaller failure domains are one cell, so the earlier deployments keep their exchange. Servers keep the reports that concern them, in order; waiting requests wake when load has gone. A follower's announcement has the changed rows up to 8 KiB; larger ones are fetched. An instance whose row is in the table does not write it again. Peers that are silent get heartbeats only. Landed as one commit since these parts change the same functions of fleet and gossip.

--- a/assignment/domain.go
+++ b/assignment/domain.go
@@ -34,10 +34,10 @@
 	return plan, verdict
 }
 
-// isLocal reports whether the engine is in the prompt's failure domain.
-func (c *choice) isLocal(e *fleet.Candidate) bool { return e.Domain == c.prompt.Domain }
+// isLocal reports whether the engine is in the prompt's failure domain, and in its cell if that is divided.
+func (c *choice) isLocal(e *fleet.Candidate) bool { return e.Domain == c.prompt.Domain && !e.Lent }
 
-// local returns the engines of the prompt's failure domain.
+// local returns the local engines.
 func (c *choice) local() []fleet.Candidate {
 	return slices.DeleteFunc(slices.Clone(c.engines), func(e fleet.Candidate) bool { return !c.isLocal(&e) })
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
@@ -31,11 +29,16 @@
 	// onChange is called after the load or reachability of a server has changed at this instance.
 	onChange func(r Reach)
 
-	mutex       sync.Mutex
-	servers     map[poplarwinch.UpstreamID]*serverState
+	mutex   sync.Mutex
+	servers map[poplarwinch.UpstreamID]*serverState
+	// usable has the servers of each service that are not leaving, ordered by failure domain and rank.
+	usable map[poplarwinch.ServiceName][]*serverState
+	// near has those of them that are in the own cell.
+	near        map[poplarwinch.ServiceName][]*serverState
+	cell        Cell
 	peerReports map[poplarwinch.InstanceID]*peerReport
-	// summaries holds the latest summary of each other failure domain.
-	summaries map[poplarwinch.FailureDomain]*peerReport
+	// summaries holds the latest summary of each other cell.
+	summaries map[summaryKey]*receivedSummary
 	// waiting is the number of this instance's requests that wait for a server.
 	waiting int
 	// changed is closed and replaced when load or servers change.
@@ -47,7 +50,7 @@
 	f := &Fleet{
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
-		summaries: map[poplarwinch.FailureDomain]*peerReport{},
+		summaries: map[summaryKey]*receivedSummary{},
 		changed:   make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -64,11 +67,14 @@
 		m := f.servers[s.ID]
 		if m == nil || !m.server.same(s) {
 			m = newServerState(s)
+			f.attachReports(m)
 		}
 		m.server = s
 		next[s.ID] = m
 	}
 	f.servers = next
+	f.usable = rank(next)
+	f.resolve()
 	f.mutex.Unlock()
 	f.wakeWaiters()
 }
@@ -90,6 +96,8 @@
 	Load Load
 	// Rank orders the servers of a failure domain in the same way in all instances.
 	Rank int
+	// Lent says that the server is in the failure domain of this instance, but in another cell.
+	Lent bool
 	// LoadKnown says that the load that all instances put on the server is known. Otherwise Load has only that of this
 	// instance and of peers that report to it.
 	LoadKnown bool
@@ -97,40 +105,75 @@
 	Avoid bool
 }
 
-// Candidates returns the servers of a service that are not leaving, ordered by failure domain and rank.
+// Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
+// recent summaries. Where a service has few servers, or none whose load is known, it returns all of them.
 func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.clock.Now()
-	var list []Candidate
-	for _, m := range f.servers {
-		if m.server.Service == service && !m.server.Leaving {
-			list = append(list, Candidate{
-				Server: m.server, Load: m.ownLoad(now), Avoid: m.health.avoided(now), LoadKnown: m.server.Domain == f.domain,
-			})
+	usable := f.usable[service]
+	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
+	for _, m := range f.near[service] {
+		list = append(list, m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now))
+	}
+	for _, r := range f.summaries {
+		age := now - r.at
+		if age > summaryTimeout {
+			continue
 		}
+		for i := range r.loads[service] {
+			s := &r.loads[service][i]
+			c := s.server.candidate(s.current(now, age), true, now)
+			c.Lent = c.Domain == f.domain
+			list = append(list, c)
+		}
+	}
+	if len(list) == len(usable) || len(list) > 0 && len(usable) > maxExactServers {
+		return list
 	}
+	return f.addUnknown(list, usable, now)
+}
+
+// addUnknown adds those of the servers that are missing from the list, with what this instance and its peers know of their load.
+// The caller holds the lock.
+func (f *Fleet) addUnknown(list []Candidate, usable []*serverState, now clock.Millis) []Candidate {
+	known := make(map[poplarwinch.UpstreamID]bool, len(list))
 	for i := range list {
-		f.addPeerLoad(&list[i], now)
-		f.addSummaryLoad(&list[i], now)
+		known[list[i].ID] = true
+	}
+	for _, m := range usable {
+		if !known[m.server.ID] {
+			list = append(list, m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now))
+		}
 	}
-	rank(list)
 	return list
 }
 
-// rank sorts the list and numbers the servers of each failure domain.
-func rank(list []Candidate) {
-	slices.SortFunc(list, func(a, b Candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.Domain, b.Domain),
-			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
-		)
-	})
-	for i := range list {
-		if i > 0 && list[i].Domain == list[i-1].Domain {
-			list[i].Rank = list[i-1].Rank + 1
+// rank orders the servers of each service that are not leaving and numbers those of each failure domain.
+func rank(servers map[poplarwinch.UpstreamID]*serverState) map[poplarwinch.ServiceName][]*serverState {
+	services := map[poplarwinch.ServiceName][]*serverState{}
+	for _, m := range servers {
+		if !m.server.Leaving {
+			services[m.server.Service] = append(services[m.server.Service], m)
+		}
+	}
+	for _, list := range services {
+		slices.SortFunc(list, func(a, b *serverState) int {
+			return cmp.Or(cmp.Compare(a.server.Domain, b.server.Domain), cmp.Compare(a.hash, b.hash))
+		})
+		for len(list) > 0 {
+			domain := list[0].server.Domain
+			total := 0
+			for total < len(list) && list[total].server.Domain == domain {
+				total++
+			}
+			for i, m := range list[:total] {
+				m.place = Place{Domain: domain, Position: i, Total: total}
+			}
+			list = list[total:]
 		}
 	}
+	return services
 }
 
 // Begin adds the load of an attempt until the ticket's End.
@@ -141,13 +184,13 @@
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
 		m.startPrefill(t, now)
-		t.crossDomain = m.server.Domain != f.domain
-		t.crowded = float64(m.own.Requests+f.peerRequests(w.First)) > crowdedSlotsFraction*float64(m.server.Slots)
+		t.distant = !f.isNear(m)
+		t.crowded = float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
 			m.startPrefill(t, now)
-			t.crossDomain = t.crossDomain || m.server.Domain != f.domain
+			t.distant = t.distant || !f.isNear(m)
 		}
 	}
 	for id, tokens := range w.Shares {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -213,8 +213,8 @@
 	south.Apply(servers())
 	south.Begin(fleet.Work{First: "e3", Prefill: 400, MaxPause: 250, Due: 1 << 60})
 	south.Begin(fleet.Work{First: "e1"})
-	summary, ok := south.Summary()
-	if list := summary.Report.Servers; !ok || len(list) != 1 || list[0].ID != "e3" {
+	summary := south.Summary()
+	if list := summary.Servers; len(list) != 1 || list[0].ID != "e3" {
 		t.Fatalf("got %+v, want the servers of the own failure domain", summary)
 	}
 	w := newFixture()
@@ -225,11 +225,11 @@
 	if c := w.candidate(t, "e3"); !c.LoadKnown || c.Load.Requests != 1 || c.Load.Prefill < 300 || c.Load.MinPause != 250 {
 		t.Errorf("got %+v, want the load of the summary", c)
 	}
-	if forwarded := w.RemoteSummaries(); len(forwarded) != 1 || forwarded[0].Domain != "south" || len(forwarded[0].Report.Servers) != 1 {
+	if forwarded := w.Summaries(); len(forwarded) != 1 || forwarded[0].Domain != "south" || len(forwarded[0].Servers) != 1 {
 		t.Errorf("got %+v, want the summary forwarded", forwarded)
 	}
 	w.time.Advance(1001)
-	if forwarded := w.RemoteSummaries(); len(forwarded) != 0 {
+	if forwarded := w.Summaries(); len(forwarded) != 0 {
 		t.Errorf("an expired summary is forwarded: %+v", forwarded)
 	}
 	if c := w.candidate(t, "e3"); c.LoadKnown || c.Load != (fleet.Load{}) {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
@@ -15,9 +17,9 @@
 // ServerWork is the load that one instance has put on one server.
 type ServerWork struct {
 	ID poplarwinch.UpstreamID
-	// Domain is the server's failure domain; it is set only in reports of this instance.
-	Domain poplarwinch.FailureDomain
-	Load   Load
+	// Place determines the server's cell; it is set only in reports of this instance.
+	Place Place
+	Load  Load
 	// SubmittedPrefill is the sum of the prefill times that the instance has sent to the server since it started.
 	SubmittedPrefill clock.Millis
 	// Unreachable says that the instance can't connect to the server.
@@ -31,6 +33,12 @@
 	servers map[poplarwinch.UpstreamID]ServerWork
 }
 
+// peerLoad is the load on one server by a peer's report.
+type peerLoad struct {
+	report *peerReport
+	load   Load
+}
+
 // Report returns the load that this instance has put on servers. Servers without load are left out unless they are unreachable.
 func (f *Fleet) Report() Report {
 	f.mutex.Lock()
@@ -38,7 +46,7 @@
 	now := f.clock.Now()
 	r := Report{Waiting: f.waiting}
 	for id, m := range f.servers {
-		w := ServerWork{ID: id, Domain: m.server.Domain, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable}
+		w := ServerWork{ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable}
 		if w.Load != (Load{}) || w.Unreachable {
 			r.Servers = append(r.Servers, w)
 		}
@@ -46,32 +54,59 @@
 	return r
 }
 
-// Merge replaces the report of a peer.
+// Merge replaces the report of a peer. Waiting requests are woken if the peer has less load on a server than before.
 func (f *Fleet) Merge(from poplarwinch.InstanceID, r Report) {
 	f.mutex.Lock()
 	now := f.clock.Now()
 	p := f.peerReports[from]
 	if p == nil {
+		f.dropSilentPeers(now)
 		p = &peerReport{servers: map[poplarwinch.UpstreamID]ServerWork{}}
 		f.peerReports[from] = p
 	}
 	p.at, p.waiting = now, r.Waiting
+	freed := false
 	listed := make(map[poplarwinch.UpstreamID]bool, len(r.Servers))
 	for _, w := range r.Servers {
 		listed[w.ID] = true
-		if m := f.servers[w.ID]; m != nil {
-			m.mergeReport(w, p.servers[w.ID].SubmittedPrefill, now)
-		}
-		p.servers[w.ID] = w
+		freed = f.mergeServerWork(p, w, now) || freed
 	}
 	for id, w := range p.servers {
-		if !listed[id] {
+		if !listed[id] && w.Load != (Load{}) {
 			// Keep the sum for the next report that lists the server.
-			p.servers[id] = ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill}
+			freed = f.mergeServerWork(p, ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill}, now) || freed
 		}
 	}
 	f.mutex.Unlock()
-	f.wakeWaiters()
+	if freed {
+		f.wakeWaiters()
+	}
+}
+
+// dropSilentPeers removes the reports that are too old. The caller holds the lock.
+func (f *Fleet) dropSilentPeers(now clock.Millis) {
+	for id, p := range f.peerReports {
+		if now-p.at <= reportTimeout {
+			continue
+		}
+		delete(f.peerReports, id)
+		for server := range p.servers {
+			if m := f.servers[server]; m != nil {
+				m.setPeerLoad(p, Load{})
+			}
+		}
+	}
+}
+
+// mergeServerWork replaces a peer's work on one server and reports whether it has become less. The caller holds the lock.
+func (f *Fleet) mergeServerWork(p *peerReport, w ServerWork, now clock.Millis) (freed bool) {
+	before := p.servers[w.ID]
+	p.servers[w.ID] = w
+	if m := f.servers[w.ID]; m != nil {
+		m.mergeReport(w, before.SubmittedPrefill, now)
+		m.setPeerLoad(p, w.Load)
+	}
+	return w.Load.Requests < before.Load.Requests || w.Load.Prefilling < before.Load.Prefilling || w.Load.Memory < before.Load.Memory
 }
 
 // mergeReport applies a peer's report on the server and adds the prefill time submitted since the report before.
@@ -88,37 +123,50 @@
 	}
 }
 
-// peerRequests returns the number of requests that peers have on a server. The caller holds the lock.
-func (f *Fleet) peerRequests(id poplarwinch.UpstreamID) int {
-	n := 0
+// setPeerLoad replaces the load by a peer's report; the zero Load removes it.
+func (m *serverState) setPeerLoad(p *peerReport, l Load) {
+	m.peers = slices.DeleteFunc(m.peers, func(o peerLoad) bool { return o.report == p })
+	if l != (Load{}) {
+		m.peers = append(m.peers, peerLoad{report: p, load: l})
+	}
+}
+
+// attachReports sets the load of a newly listed server from the reports that are already known. The caller holds the lock.
+func (f *Fleet) attachReports(m *serverState) {
 	for _, p := range f.peerReports {
-		n += p.servers[id].Load.Requests
+		m.setPeerLoad(p, p.servers[m.server.ID].Load)
+	}
+}
+
+// peerRequests returns the number of requests that peers have on the server.
+func (m *serverState) peerRequests() int {
+	n := 0
+	for i := range m.peers {
+		n += m.peers[i].load.Requests
 	}
 	return n
 }
 
-// addPeerLoad adds the load of peers to a candidate and estimates the remaining prefill time. The caller holds the lock.
-func (f *Fleet) addPeerLoad(c *Candidate, now clock.Millis) {
-	for id, p := range f.peerReports {
-		age := now - p.at
+// addPeerLoad adds the load of peers to the load l on the server and estimates the remaining prefill time.
+func (m *serverState) addPeerLoad(l Load, now clock.Millis) Load {
+	for i := range m.peers {
+		reported, age := m.peers[i].load, now-m.peers[i].report.at
 		if age > reportTimeout {
-			delete(f.peerReports, id)
 			continue
 		}
-		l := p.servers[c.ID].Load
-		l.Due -= age
-		l.PendingDue -= age
-		c.Load = c.Load.add(l)
+		reported.Due -= age
+		reported.PendingDue -= age
+		l = l.add(reported)
 	}
-	m := f.servers[c.ID]
-	if c.Load.Prefilling == 0 {
+	if l.Prefilling == 0 {
 		m.prefillUntil = min(m.prefillUntil, now)
-		return
+		return l
 	}
 	left := m.prefillUntil - now
 	if left < 0 {
 		// The longer the prefill is overdue, the longer it may still take.
 		left = min(-left, maxOverdue)
 	}
-	c.Load.Prefill = max(left, minPrefillLeft)
+	l.Prefill = max(left, minPrefillLeft)
+	return l
 }
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
@@ -8,12 +10,18 @@
 // serverState is a server with this instance's load on it, the estimated prefill and its health.
 type serverState struct {
 	server Server
+	// hash orders the servers of a failure domain in the same way in all instances.
+	hash uint64
 	// tickets are this instance's requests that the server answers; prefilling are those whose prompt it prefills.
 	tickets    map[*Ticket]struct{}
 	prefilling map[*Ticket]struct{}
 	// shares is the memory that is reserved for this instance's requests which other servers answer.
 	shares map[*Ticket]poplarwinch.Tokens
 	own    Load
+	// peers is the load of peers; those without load on the server are left out.
+	peers []peerLoad
+	// place is the server's position among those of its service and failure domain that are not leaving.
+	place Place
 	// submittedPrefill is the sum of the prefill times that this instance has sent to the server.
 	submittedPrefill clock.Millis
 	// prefillUntil is the estimated end of all prefill, including that of peers.
@@ -22,7 +30,7 @@
 }
 
 func newServerState(s Server) *serverState {
-	return &serverState{server: s, tickets: map[*Ticket]struct{}{}, prefilling: map[*Ticket]struct{}{}, shares: map[*Ticket]poplarwinch.Tokens{}}
+	return &serverState{server: s, hash: xxhash.Sum64String(string(s.ID)), tickets: map[*Ticket]struct{}{}, prefilling: map[*Ticket]struct{}{}, shares: map[*Ticket]poplarwinch.Tokens{}}
 }
 
 // add counts a ticket for which the server is the first engine.
@@ -86,3 +94,8 @@
 	}
 	return l
 }
+
+// candidate returns the server with the load.
+func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
+	return Candidate{Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now)}
+}
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -1,94 +1,164 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
 const (
-	// maxSummaryServers is the largest number of servers in a summary. A larger failure domain has enough engines for
-	// any prompt, and its summaries would cost more than they gain.
+	// maxSummaryServers is the largest number of servers in a summary of a whole cell. A summary of a larger cell has the least
+	// loaded servers only.
 	maxSummaryServers = 64
+	// maxForwardedServers is the largest number of servers in all summaries that are forwarded together.
+	maxForwardedServers = 128
 	// summaryTimeout is the age above which a summary is ignored.
 	summaryTimeout = clock.Second
 )
 
-// DomainWork is the load of all instances on the servers of one failure domain.
-type DomainWork struct {
+// Summary is the load of all instances on the servers of one cell.
+type Summary struct {
 	Domain poplarwinch.FailureDomain
-	Report Report
+	Cell   Cell
+	// Partial says that only the listed servers are known. Otherwise the cell's other servers have no load.
+	Partial bool
+	Servers []ServerWork
 }
 
-// Summary returns the known load of all instances on the servers of the own failure domain. It reports false if there
-// are too many servers for a summary.
-func (f *Fleet) Summary() (DomainWork, bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	w := f.domainWork(f.domain)
-	return w, len(w.Report.Servers) <= maxSummaryServers
+// summaryKey identifies the cell that a summary describes.
+type summaryKey struct {
+	domain poplarwinch.FailureDomain
+	cell   Cell
+}
+
+// receivedSummary is a summary with the time of its arrival.
+type receivedSummary struct {
+	Summary
+	at clock.Millis
+	// loads has the load of the covered servers by service.
+	loads map[poplarwinch.ServiceName][]summaryLoad
+}
+
+// summaryLoad is the load on one server by a summary.
+type summaryLoad struct {
+	server *serverState
+	load   Load
 }
 
-// RemoteSummaries returns the load on the servers of the other failure domains that sent a summary recently.
-func (f *Fleet) RemoteSummaries() []DomainWork {
+// Summary returns the known load of all instances on the servers of the own cell.
+func (f *Fleet) Summary() Summary {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.clock.Now()
-	var list []DomainWork
-	for domain, p := range f.summaries {
-		if domain != f.domain && now-p.at <= summaryTimeout {
-			list = append(list, f.domainWork(domain))
+	s := Summary{Domain: f.domain, Cell: f.cell}
+	for _, list := range f.near {
+		for _, m := range list {
+			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now)})
 		}
 	}
-	return list
+	return s.shorten(maxSummaryServers)
 }
 
-// domainWork returns the known load on the servers of a failure domain. Servers without load are left out. The caller
-// holds the lock.
-func (f *Fleet) domainWork(domain poplarwinch.FailureDomain) DomainWork {
-	w := DomainWork{Domain: domain}
+// Summaries returns what is known of the servers of the other cells that sent a summary recently.
+func (f *Fleet) Summaries() []Summary {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	now := f.clock.Now()
-	for id, m := range f.servers {
-		if m.server.Domain != domain {
+	var list []Summary
+	for _, r := range f.summaries {
+		if now-r.at > summaryTimeout {
 			continue
 		}
-		c := Candidate{Server: m.server, Load: m.ownLoad(now)}
-		f.addPeerLoad(&c, now)
-		f.addSummaryLoad(&c, now)
-		if c.Load != (Load{}) {
-			w.Report.Servers = append(w.Report.Servers, ServerWork{ID: id, Load: c.Load})
+		s := Summary{Domain: r.Domain, Cell: r.Cell, Partial: r.Partial}
+		for _, loads := range r.loads {
+			for i := range loads {
+				s.Servers = append(s.Servers, ServerWork{ID: loads[i].server.server.ID, Load: loads[i].current(now, now-r.at)})
+			}
+		}
+		list = append(list, s)
+	}
+	for i := range list {
+		list[i] = list[i].shorten(maxForwardedServers / len(list))
+	}
+	return list
+}
+
+// shorten leaves out the servers without load, which are known to have none, or, of more than limit servers with load, all but the
+// least loaded ones.
+func (s Summary) shorten(limit int) Summary {
+	if !s.Partial {
+		loaded := slices.DeleteFunc(slices.Clone(s.Servers), func(w ServerWork) bool { return w.Load == (Load{}) })
+		if len(loaded) <= limit {
+			s.Servers = loaded
+			return s
 		}
 	}
-	return w
+	slices.SortFunc(s.Servers, func(a, b ServerWork) int {
+		return cmp.Or(cmp.Compare(a.Load.Prefill, b.Load.Prefill), cmp.Compare(a.Load.Requests, b.Load.Requests), cmp.Compare(a.ID, b.ID))
+	})
+	if len(s.Servers) > limit {
+		s.Servers, s.Partial = s.Servers[:limit], true
+	}
+	return s
 }
 
-// MergeSummary replaces the summary of another failure domain.
-func (f *Fleet) MergeSummary(w DomainWork) {
+// MergeSummary replaces the summary of another cell. Those of cells that overlap it, from before or after a change of the number
+// of cells, are dropped.
+func (f *Fleet) MergeSummary(s Summary) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	p := &peerReport{at: f.clock.Now(), servers: make(map[poplarwinch.UpstreamID]ServerWork, len(w.Report.Servers))}
-	for _, s := range w.Report.Servers {
-		p.servers[s.ID] = s
+	if s.Domain == f.domain && s.Cell == f.cell {
+		return
 	}
-	f.summaries[w.Domain] = p
+	r := &receivedSummary{Summary: s, at: f.clock.Now()}
+	for key, o := range f.summaries {
+		if key.domain == s.Domain && key.cell.Count != s.Cell.Count || r.at-o.at > summaryTimeout {
+			delete(f.summaries, key)
+		}
+	}
+	f.summaries[summaryKey{s.Domain, s.Cell}] = r
+	f.resolveSummary(r)
 }
 
-// addSummaryLoad raises the load of a server in another failure domain to that in its summary. The caller holds the
-// lock.
-func (f *Fleet) addSummaryLoad(c *Candidate, now clock.Millis) {
-	p := f.summaries[c.Domain]
-	if c.Domain == f.domain || p == nil {
-		return
+// resolveSummary determines the servers that a summary covers. The caller holds the lock.
+func (f *Fleet) resolveSummary(r *receivedSummary) {
+	r.loads = map[poplarwinch.ServiceName][]summaryLoad{}
+	listed := make(map[poplarwinch.UpstreamID]Load, len(r.Servers))
+	for i := range r.Servers {
+		listed[r.Servers[i].ID] = r.Servers[i].Load
 	}
-	age := now - p.at
-	if age > summaryTimeout {
+	add := func(m *serverState) {
+		if !f.isNear(m) {
+			r.loads[m.server.Service] = append(r.loads[m.server.Service], summaryLoad{m, listed[m.server.ID]})
+		}
+	}
+	if r.Partial {
+		for id := range listed {
+			if m := f.servers[id]; m != nil && !m.server.Leaving {
+				add(m)
+			}
+		}
 		return
 	}
-	c.LoadKnown = true
-	reported := p.servers[c.ID].Load
+	for _, list := range f.usable {
+		for _, m := range list {
+			if m.place.Domain == r.Domain && r.Cell.Contains(m.place.Position, m.place.Total) {
+				add(m)
+			}
+		}
+	}
+}
+
+// current returns the load on the server: what is known of it here, raised to what the summary of the age says.
+func (s *summaryLoad) current(now, age clock.Millis) Load {
+	l := s.server.addPeerLoad(s.server.ownLoad(now), now)
+	reported := s.load
 	reported.Due -= age
 	reported.PendingDue -= age
 	if reported.Prefilling > 0 {
 		reported.Prefill = max(reported.Prefill-age, minPrefillLeft)
 	}
-	c.Load = c.Load.mergeMax(reported)
+	return l.mergeMax(reported)
 }
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -29,8 +29,8 @@
 	work       Work
 	prefilling bool
 	ended      bool
-	// crossDomain says that some of the load is in another failure domain.
-	crossDomain bool
+	// distant says that some of the load is in another cell.
+	distant bool
 	// crowded says that more than crowdedSlotsFraction of the first server's slots were in use at Begin.
 	crowded bool
 }
@@ -88,7 +88,7 @@
 // reach returns which instances have to be notified of a change of the load.
 func (t *Ticket) reach() Reach {
 	switch {
-	case t.crossDomain:
+	case t.distant:
 		return ReachDistant
 	case t.crowded:
 		return ReachCrowded
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -1,29 +1,26 @@
 package gossip
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/replica"
 )
 
 const (
-	// smallDeploymentFollowers is the number of instances per failure domain that follow the platform's tables themselves, up to
-	// smallDeploymentRemotePeers.
+	// smallDeploymentFollowers is the number of instances per cell that follow the platform's tables themselves, up to
+	// smallDeploymentDistantPeers.
 	smallDeploymentFollowers = 2
-	// largeDeploymentFollowers is the number in larger deployments. One is enough, because other failure domains announce the
-	// changes that it misses.
+	// largeDeploymentFollowers is the number in larger deployments. One is enough, because other cells announce the changes that
+	// it misses.
 	largeDeploymentFollowers = 1
 	// bootstrapWait is the time after the start for which an instance waits to get the tables from its peers before it reads them
 	// itself.
 	bootstrapWait clock.Millis = 1200
 )
 
-// updateFollowing makes this instance follow the tables itself if it is one of the followers of its failure domain. It also
+// updateFollowing makes this instance follow the tables itself if it is one of the followers of its cell. It also
 // follows a table that it did not get from its peers within bootstrapWait.
 func (g *Gossip) updateFollowing() {
 	g.mutex.Lock()
@@ -36,7 +33,7 @@
 	}
 }
 
-// shouldFollow reports whether this instance is one of the followers of its failure domain, chosen among all live instances or
+// shouldFollow reports whether this instance is one of the followers of its cell, chosen among all live instances or
 // among those that can read the tables. The caller holds the lock.
 func (g *Gossip) shouldFollow() bool {
 	all := []poplarwinch.InstanceID{g.self.ID}
@@ -47,7 +44,7 @@
 	for _, p := range g.peers {
 		// Shortly after the start, peers that have not sent a datagram yet count as alive.
 		expected := p.heardAt == 0 && g.clock.Now()-g.startedAt < bootstrapWait
-		if p.Domain != g.self.Domain || !expected && !g.alive(p) {
+		if !g.isNear(p) || !expected && !g.alive(p) {
 			continue
 		}
 		all = append(all, p.ID)
@@ -62,12 +59,10 @@
 // the id, an order that all instances agree on. It sorts the list. The caller holds the lock.
 func (g *Gossip) amongFollowers(list []poplarwinch.InstanceID) bool {
 	count := smallDeploymentFollowers
-	if g.remotePeers > smallDeploymentRemotePeers {
+	if !g.isSmall() {
 		count = largeDeploymentFollowers
 	}
-	slices.SortFunc(list, func(a, b poplarwinch.InstanceID) int {
-		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
-	})
+	slices.SortFunc(list, compareByHash)
 	position := slices.Index(list, g.self.ID)
 	return position >= 0 && position < count
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,19 +18,19 @@
 )
 
 const (
-	// localDelay is the time for which changes are batched before they are sent to peers of the same failure domain, and to
-	// remote peers that need them at once.
+	// localDelay is the time for which changes are batched before they are sent to peers of the same cell, and to distant peers
+	// that need them at once.
 	localDelay clock.Millis = 2
-	// remoteDelay is the same for remote peers if a change concerns only servers of this failure domain, none of them nearly full.
+	// remoteDelay is the same for distant peers if a change concerns only servers of this cell, none of them nearly full.
 	remoteDelay clock.Millis = 150
-	// heartbeatInterval is the maximum time between two datagrams to a peer of the same failure domain, and to any peer from an
-	// instance that follows the tables.
+	// heartbeatInterval is the maximum time between two datagrams to a peer of the same cell, and between two instances that
+	// follow the tables.
 	heartbeatInterval clock.Millis = 1000
 	// maxMissedHeartbeats is the number of missed heartbeats after which a peer counts as dead.
 	maxMissedHeartbeats = 3
-	// smallDeploymentRemotePeers is the number of peers in other failure domains up to which these are sent all changes and
-	// every heartbeat.
-	smallDeploymentRemotePeers = 16
+	// smallDeploymentDistantPeers is the number of peers in other cells up to which these are sent all changes and every
+	// heartbeat.
+	smallDeploymentDistantPeers = 16
 	// maxDatagramBytes is the maximum size of a received datagram, in bytes.
 	maxDatagramBytes = 60000
 	// maxSuspects is the maximum number of suspects in a datagram.
@@ -60,24 +60,35 @@
 	peers map[poplarwinch.InstanceID]*peerState
 	// unidentified has the addresses from which no datagram was received yet, so that their instances are not known.
 	unidentified map[netip.AddrPort]bool
-	// remotePeers is the number of peers in other failure domains.
-	remotePeers int
-	sequence    uint64
-	// localDue is the time of the next datagrams to peers of the same failure domain. Here and below, zero means that
-	// none are due.
+	// distantPeers is the number of peers in other cells.
+	distantPeers int
+	cell         fleet.Cell
+	// cellUpdatedAt is the time at which cell was last determined; zero if it was not.
+	cellUpdatedAt clock.Millis
+	sequence      uint64
+	// localDue is the time of the next datagrams to peers of the same cell. Here and below, zero means that none are due.
 	localDue clock.Millis
-	// affectedDue is the time of the next datagrams to remote peers that this instance's load in other failure domains affects.
+	// helloAt is the time of the last datagrams to the peers of the same cell that are not alive.
+	helloAt clock.Millis
+	// affectedDue is the time of the next datagrams to distant peers that this instance's load in other cells affects.
 	affectedDue clock.Millis
-	// remoteDue is the time of the next datagrams to all remote peers.
+	// remoteDue is the time of the next datagrams to all distant peers.
 	remoteDue clock.Millis
+	// followersDue is the time of the next datagrams from this instance, as a follower, to those of other cells.
+	followersDue clock.Millis
+	// tablesDue is the time of the next announcement of tables, and announcedAt that of the last one.
+	tablesDue   clock.Millis
+	announcedAt clock.Millis
+	// announced has the versions that were announced last, by table name.
+	announced map[string]replica.Version
 	// summaryDue is the time of the next summaries.
 	summaryDue clock.Millis
-	// affected has the failure domains whose servers had load of this instance when remote peers were last sent its report.
-	affected map[poplarwinch.FailureDomain]bool
+	// affected has the servers that had load of this instance when distant peers were last sent its report.
+	affected []fleet.Place
 	// wake ends the wait of Run after a datagram became due earlier.
 	wake chan struct{}
-	// behind has the time since which a peer is known to have a newer version of a table, by table name.
-	behind  map[string]clock.Millis
+	// behind has what peers are known to have of a table beyond this instance's replica, by table name.
+	behind  map[string]lag
 	fetches fetchTracker
 }
 
@@ -90,7 +101,8 @@
 	g := &Gossip{
 		self: self, clock: clock.Monotonic(), log: log.Log, codec: c, boot: time.Now().UnixNano(),
 		peers: map[poplarwinch.InstanceID]*peerState{}, unidentified: map[netip.AddrPort]bool{},
-		behind: map[string]clock.Millis{}, wake: make(chan struct{}, 1),
+		behind: map[string]lag{}, wake: make(chan struct{}, 1), announced: map[string]replica.Version{},
+		cell: fleet.Cell{Count: 1},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -118,7 +130,7 @@
 			g.peers[m.ID] = &peerState{Member: m}
 		}
 	}
-	g.countRemotePeers()
+	g.countDistantPeers()
 }
 
 // Alive returns the number of live instances, including this one.
@@ -136,30 +148,32 @@
 
 // alive reports whether the peer is alive. The caller holds the lock.
 func (g *Gossip) alive(peer *peerState) bool {
-	return peer.heardAt != 0 && g.clock.Now()-peer.heardAt < maxMissedHeartbeats*g.heartbeatIntervalTo(peer.Domain)
+	return peer.heardAt != 0 && g.clock.Now()-peer.heardAt < maxMissedHeartbeats*g.heartbeatIntervalOf(peer)
 }
 
-// heartbeatIntervalTo returns the maximum time between datagrams exchanged with peers of a failure domain. For other
-// failure domains it grows with the number of remote peers, so that the traffic between failure domains does not grow
-// with the square of the number of instances. The caller holds the lock.
-func (g *Gossip) heartbeatIntervalTo(domain poplarwinch.FailureDomain) clock.Millis {
-	if domain == g.self.Domain {
+// heartbeatIntervalOf returns the maximum time between datagrams exchanged with a peer. Between cells it grows with the number of
+// distant peers, so that the traffic of an instance does not grow with the deployment. The caller holds the lock.
+func (g *Gossip) heartbeatIntervalOf(peer *peerState) clock.Millis {
+	if g.isNear(peer) {
 		return heartbeatInterval
 	}
-	return g.remoteHeartbeatInterval()
+	return g.distantHeartbeatInterval()
 }
 
-// remoteHeartbeatInterval returns the heartbeat interval between failure domains. The caller holds the lock.
-func (g *Gossip) remoteHeartbeatInterval() clock.Millis {
-	return heartbeatInterval * clock.Millis(max(1, g.remotePeers/smallDeploymentRemotePeers))
+// distantHeartbeatInterval returns the heartbeat interval between cells. The caller holds the lock.
+func (g *Gossip) distantHeartbeatInterval() clock.Millis {
+	return heartbeatInterval * clock.Millis(max(1, g.distantPeers/smallDeploymentDistantPeers))
 }
 
-// countRemotePeers counts the peers in other failure domains. The caller holds the lock.
-func (g *Gossip) countRemotePeers() {
-	g.remotePeers = 0
+// isSmall reports whether all changes are sent to all peers. The caller holds the lock.
+func (g *Gossip) isSmall() bool { return g.distantPeers <= smallDeploymentDistantPeers }
+
+// countDistantPeers counts the peers in other cells. The caller holds the lock.
+func (g *Gossip) countDistantPeers() {
+	g.distantPeers = 0
 	for _, p := range g.peers {
-		if p.Domain != g.self.Domain {
-			g.remotePeers++
+		if !g.isNear(p) {
+			g.distantPeers++
 		}
 	}
 }
@@ -176,7 +190,7 @@
 		}
 	}
 	set(&g.localDue, localDelay)
-	few := g.remotePeers <= smallDeploymentRemotePeers
+	few := g.isSmall()
 	switch {
 	case reach == fleet.ReachAll, few && (reach == fleet.ReachDistant || reach == fleet.ReachCrowded):
 		set(&g.remoteDue, localDelay)
@@ -186,9 +200,13 @@
 		set(&g.affectedDue, localDelay)
 	}
 	g.mutex.Unlock()
-	if !earlier {
-		return
+	if earlier {
+		g.wakeUp()
 	}
+}
+
+// wakeUp ends the wait of Run.
+func (g *Gossip) wakeUp() {
 	select {
 	case g.wake <- struct{}{}:
 	default:
@@ -203,6 +221,7 @@
 	go g.runReceive(ctx, connection, received)
 	g.ScheduleUpdate(fleet.ReachAll)
 	for ctx.Err() == nil {
+		g.updateCell()
 		g.updateFollowing()
 		g.sendDue(connection)
 		due, cancel := g.clock.After(g.untilNextSend())
@@ -223,12 +242,19 @@
 	g.send(connection, m, func(*peerState) bool { return true })
 }
 
-// versions returns the content versions of the loaded tables.
+// versions returns the content versions of the loaded tables. While an announcement is due, they are those of the last one, so that
+// peers wait for the changes that it has instead of fetching them.
 func (g *Gossip) versions() map[string]replica.Version {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	versions := map[string]replica.Version{}
 	for name, r := range g.replicas {
-		if v, ok := r.ContentVersion(); ok {
-			versions[name] = v
+		version, loaded := r.ContentVersion()
+		if announced := g.announced[name]; g.tablesDue != 0 && announced != 0 {
+			version = min(version, announced)
+		}
+		if loaded {
+			versions[name] = version
 		}
 	}
 	return versions
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -11,6 +11,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
 // Member identifies an instance and its address.
@@ -30,6 +31,8 @@
 	sequence uint64
 	// heardAt is the time of the last datagram; zero if there was none or the peer has left.
 	heardAt clock.Millis
+	// cell is the peer's cell as of its last datagram.
+	cell fleet.Cell
 	// follows is set if the peer follows the platform's tables itself.
 	follows bool
 	// needsUpdate is set if the peer came alive and has not been sent this instance's report yet.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -22,12 +22,17 @@
 	Suspects []suspect
 	// OwnWork is set if Servers and Waiting hold the sender's report.
 	OwnWork bool
-	// Summaries has the load of all instances on the servers of whole failure domains.
+	// Summaries has the load of all instances on the servers of whole cells.
 	Summaries []summary
 	// Follows is set if the sender follows a table of the platform itself.
 	Follows bool
 	// Failing is set if the sender can't read a table of the platform.
 	Failing bool
+	// CellIndex and CellCount are the sender's cell; see fleet.Cell.
+	CellIndex int
+	CellCount int
+	// Changes has changes of tables.
+	Changes []tableChanges
 	// Leaving is set if the sender is stopping and puts no more load on servers.
 	Leaving bool
 }
@@ -50,11 +55,14 @@
 	Unreachable      bool
 }
 
-// summary is the load of all instances on the servers of one failure domain.
+// summary is the load of all instances on the servers of one cell; see fleet.Summary.
 type summary struct {
-	_       struct{} `cbor:",toarray"`
-	Domain  poplarwinch.FailureDomain
-	Servers []serverWork
+	_         struct{} `cbor:",toarray"`
+	Domain    poplarwinch.FailureDomain
+	CellIndex int
+	CellCount int
+	Partial   bool
+	Servers   []serverWork
 }
 
 // suspect is a request that was running on servers when they crashed.
@@ -71,9 +79,9 @@
 	Age      clock.Millis
 }
 
-func encodeWork(report fleet.Report) []serverWork {
-	list := make([]serverWork, 0, len(report.Servers))
-	for _, s := range report.Servers {
+func encodeWork(servers []fleet.ServerWork) []serverWork {
+	list := make([]serverWork, 0, len(servers))
+	for _, s := range servers {
 		load := s.Load
 		list = append(list, serverWork{
 			ID: s.ID, Requests: load.Requests, Decoding: load.Decoding, Prefilling: load.Prefilling, Prefill: load.Prefill, PendingPrefill: load.PendingPrefill, PendingDue: load.PendingDue, Due: load.Due,
@@ -83,23 +91,31 @@
 	return list
 }
 
-func decodeWork(list []serverWork) fleet.Report {
-	var report fleet.Report
+func decodeWork(list []serverWork) []fleet.ServerWork {
+	servers := make([]fleet.ServerWork, 0, len(list))
 	for _, s := range list {
-		report.Servers = append(report.Servers, fleet.ServerWork{ID: s.ID, SubmittedPrefill: s.SubmittedPrefill, Unreachable: s.Unreachable, Load: fleet.Load{
+		servers = append(servers, fleet.ServerWork{ID: s.ID, SubmittedPrefill: s.SubmittedPrefill, Unreachable: s.Unreachable, Load: fleet.Load{
 			Requests: s.Requests, Decoding: s.Decoding, Prefilling: s.Prefilling, Prefill: s.Prefill, PendingPrefill: s.PendingPrefill, PendingDue: s.PendingDue, Due: s.Due,
 			MinPause: s.MinPause, MaxPause: s.MaxPause, Memory: s.Memory,
 		}})
 	}
-	return report
+	return servers
 }
 
-func encodeSummaries(list []fleet.DomainWork) []summary {
-	var domains []summary
-	for _, d := range list {
-		domains = append(domains, summary{Domain: d.Domain, Servers: encodeWork(d.Report)})
+func encodeSummaries(list []fleet.Summary) []summary {
+	var cells []summary
+	for _, s := range list {
+		cells = append(cells, summary{
+			Domain: s.Domain, CellIndex: s.Cell.Index, CellCount: s.Cell.Count, Partial: s.Partial, Servers: encodeWork(s.Servers),
+		})
+	}
+	return cells
+}
+
+func decodeSummary(s summary) fleet.Summary {
+	return fleet.Summary{
+		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Servers: decodeWork(s.Servers),
 	}
-	return domains
 }
 
 func encodeSuspects(list []quarantine.Suspect, now clock.Millis) []suspect {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/replica"
 )
@@ -45,7 +46,6 @@
 	if peer == nil {
 		peer = &peerState{Member: Member{ID: m.From, Domain: m.Domain, Address: from}}
 		g.peers[m.From] = peer
-		g.countRemotePeers()
 	}
 	wasAlive := g.alive(peer)
 	if wasAlive && m.Boot < peer.boot || m.Boot == peer.boot && m.Sequence <= peer.sequence {
@@ -54,7 +54,14 @@
 	}
 	peer.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
 	peer.boot, peer.sequence = m.Boot, m.Sequence
+	near := g.isNear(peer)
+	followersChanged := peer.failing != m.Failing || m.Leaving
 	peer.heardAt, peer.failing, peer.follows = g.clock.Now(), m.Failing, m.Follows
+	if cell := (fleet.Cell{Index: m.CellIndex, Count: max(m.CellCount, 1)}); peer.cell != cell {
+		peer.cell = cell
+		followersChanged = true
+		g.countDistantPeers()
+	}
 	if m.Leaving {
 		peer.heardAt = 0
 	}
@@ -67,17 +74,21 @@
 		g.ScheduleUpdate(fleet.ReachNear)
 	}
 	g.mergeWork(m)
+	g.mergeChanges(m.Changes)
 	g.suspects.Merge(decodeSuspects(m.Suspects, g.clock.Now()))
-	g.compareVersions(peer.Member, m.Versions)
-	g.updateFollowing()
+	g.compareVersions(peer.Member, near, m.Versions)
+	if joined || followersChanged {
+		g.updateFollowing()
+	}
 }
 
 // mergeWork merges the report and the summaries of a message into the fleet.
 func (g *Gossip) mergeWork(m *message) {
 	if m.OwnWork {
-		report := decodeWork(m.Servers)
+		report := fleet.Report{Servers: decodeWork(m.Servers)}
 		g.mutex.Lock()
-		competes := m.Domain == g.self.Domain || g.remotePeers <= smallDeploymentRemotePeers
+		peer := g.peers[m.From]
+		competes := g.isSmall() || peer != nil && g.isNear(peer)
 		g.mutex.Unlock()
 		if competes {
 			report.Waiting = m.Waiting
@@ -90,16 +101,20 @@
 		}
 		g.fleet.Merge(m.From, report)
 	}
-	for _, d := range m.Summaries {
-		if d.Domain != g.self.Domain {
-			g.fleet.MergeSummary(fleet.DomainWork{Domain: d.Domain, Report: decodeWork(d.Servers)})
-		}
+	for _, s := range m.Summaries {
+		g.fleet.MergeSummary(decodeSummary(s))
 	}
 }
 
-// compareVersions compares the replicas with a peer's versions and fetches tables that stay behind. Their reads may be
-// stuck on an unresponsive connection or be rejected by the source.
-func (g *Gossip) compareVersions(from Member, versions map[string]replica.Version) {
+// lag is a version of a table that this instance did not have at a time.
+type lag struct {
+	version replica.Version
+	since   clock.Millis
+}
+
+// compareVersions compares the replicas with the versions of a peer, near or distant, and fetches tables that stay behind. Their
+// reads may be stuck on an unresponsive connection or be rejected by the source.
+func (g *Gossip) compareVersions(from Member, near bool, versions map[string]replica.Version) {
 	now := g.clock.Now()
 	for name, r := range g.replicas {
 		own, loaded := r.Version()
@@ -107,12 +122,12 @@
 			continue
 		}
 		g.mutex.Lock()
-		since, behind := g.behind[name]
-		if !behind || now-since > maxMissedHeartbeats*heartbeatInterval {
-			g.behind[name] = now
-			since = now
+		l, behind := g.behind[name]
+		if !behind || l.version <= own || now-l.since > maxMissedHeartbeats*heartbeatInterval {
+			l = lag{version: versions[name], since: now}
+			g.behind[name] = l
 		}
-		wait := loaded && now-since < fetchDelay && (from.Domain != g.self.Domain || r.Following() && !r.Failing())
+		wait := loaded && now-l.since < fetchDelay && (!near || r.Following() && !r.Failing())
 		if !wait {
 			delete(g.behind, name)
 		}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/netip"
 
-	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
@@ -16,7 +15,7 @@
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
 	wait := heartbeatInterval
-	for _, due := range []clock.Millis{g.localDue, g.affectedDue, g.remoteDue, g.summaryDue} {
+	for _, due := range []clock.Millis{g.localDue, g.affectedDue, g.remoteDue, g.followersDue, g.summaryDue, g.tablesDue} {
 		if due != 0 {
 			wait = min(wait, max(due-now, 0))
 		}
@@ -31,6 +30,7 @@
 	now := g.clock.Now()
 	passed := func(due clock.Millis) bool { return due != 0 && due <= now }
 	toLocal, toAffected, toRemote, summarize := passed(g.localDue), passed(g.affectedDue), passed(g.remoteDue), sendsSummaries && passed(g.summaryDue)
+	toFollowers, announce := sendsSummaries && passed(g.followersDue), passed(g.tablesDue)
 	if toLocal {
 		g.localDue = now + heartbeatInterval
 	}
@@ -38,11 +38,17 @@
 		g.affectedDue = 0
 	}
 	if toRemote {
-		g.remoteDue = now + g.remoteSendInterval()
+		g.remoteDue = now + g.distantHeartbeatInterval()
+	}
+	if announce {
+		g.tablesDue, g.announcedAt = 0, now
+	}
+	if sendsSummaries && (toFollowers || g.followersDue == 0) {
+		g.followersDue = now + heartbeatInterval
 	}
 	switch {
 	case !sendsSummaries:
-		g.summaryDue = 0
+		g.summaryDue, g.followersDue = 0, 0
 	case summarize || g.summaryDue == 0:
 		g.summaryDue = now + summaryInterval
 	}
@@ -50,58 +56,70 @@
 	if toLocal || toAffected || toRemote {
 		g.sendWork(connection, toLocal, toAffected, toRemote)
 	}
+	if announce {
+		g.sendTables(connection)
+	}
+	if toFollowers && !toRemote {
+		g.send(connection, g.message(), func(p *peerState) bool { return p.follows && !g.isNear(p) })
+	}
 	if summarize {
 		g.sendSummaries(connection)
 	}
 }
 
-// sendWork sends this instance's report to peers of the same failure domain if toLocal, to remote peers that follow the
-// tables or in whose failure domains it has or had load if toAffected, and to all remote peers if toRemote. Peers that
-// came alive are always included.
+// sendWork sends this instance's report to the peers of its cell if toLocal, to distant peers that follow the tables or in whose
+// cells it has or had load if toAffected, and to all distant peers if toRemote. Peers that came alive are always included.
 func (g *Gossip) sendWork(connection *net.UDPConn, toLocal, toAffected, toRemote bool) {
 	report := g.fleet.Report()
-	affected := map[poplarwinch.FailureDomain]bool{}
+	affected := make([]fleet.Place, 0, len(report.Servers))
 	for _, s := range report.Servers {
-		affected[s.Domain] = true
+		affected = append(affected, s.Place)
 	}
 	g.mutex.Lock()
+	now := g.clock.Now()
+	hello := toLocal && now-g.helloAt >= heartbeatInterval
+	if hello {
+		g.helloAt = now
+	}
 	before := g.affected
 	if toAffected || toRemote {
 		g.affected = affected
 	}
 	g.mutex.Unlock()
 	m := g.message()
-	m.OwnWork, m.Servers, m.Waiting = true, encodeWork(report), report.Waiting
+	m.OwnWork, m.Servers, m.Waiting = true, encodeWork(report.Servers), report.Waiting
 	g.send(connection, m, func(p *peerState) bool {
 		if p.needsUpdate {
 			p.needsUpdate = false
 			return true
 		}
-		if p.Domain == g.self.Domain {
-			return toLocal
+		if g.isNear(p) {
+			return toLocal && (hello || g.alive(p))
 		}
-		return toRemote || toAffected && (p.follows || affected[p.Domain] || before[p.Domain])
+		return toRemote || toAffected && (p.follows && g.exchangesSummaries(p) || isAffected(p, affected) || isAffected(p, before))
 	})
 }
 
-// sendSummaries sends a summary of the load on the servers of this failure domain to those remote peers that follow the
-// tables, and forwards the summaries of all other failure domains to the peers of this one.
+// sendSummaries sends a summary of the load on the servers of this cell to the followers of other cells, and forwards what these
+// have sent to the peers of this one.
 func (g *Gossip) sendSummaries(connection *net.UDPConn) {
-	if own, ok := g.fleet.Summary(); ok {
-		m := g.message()
-		m.Summaries = encodeSummaries([]fleet.DomainWork{own})
-		g.send(connection, m, func(p *peerState) bool { return p.Domain != g.self.Domain && p.follows })
-	}
-	if others := g.fleet.RemoteSummaries(); len(others) > 0 {
+	m := g.message()
+	m.Summaries = encodeSummaries([]fleet.Summary{g.fleet.Summary()})
+	g.send(connection, m, func(p *peerState) bool { return p.follows && !g.isNear(p) && g.exchangesSummaries(p) })
+	if others := g.fleet.Summaries(); len(others) > 0 {
 		m := g.message()
 		m.Summaries = encodeSummaries(others)
-		g.send(connection, m, func(p *peerState) bool { return p.Domain == g.self.Domain })
+		g.send(connection, m, g.isNear)
 	}
 }
 
 // message returns a message without a report or summaries.
 func (g *Gossip) message() *message {
+	g.mutex.Lock()
+	cell := g.cell
+	g.mutex.Unlock()
 	return &message{
+		CellIndex: cell.Index, CellCount: cell.Count,
 		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), Follows: g.following(),
 		Failing: g.failing(), Suspects: encodeSuspects(g.suspects.Suspects(), g.clock.Now()),
 	}
@@ -139,20 +157,11 @@
 	}
 }
 
-// sendsSummaries reports whether this instance sends summaries of its failure domain to others. They are needed where there are
-// too many remote peers to send each change to all of them.
+// sendsSummaries reports whether this instance sends summaries of its cell to others. They are needed where there are too many
+// distant peers to send each change to all of them.
 func (g *Gossip) sendsSummaries() bool {
 	g.mutex.Lock()
-	few := g.remotePeers <= smallDeploymentRemotePeers
+	few := g.isSmall()
 	g.mutex.Unlock()
 	return !few && g.following()
 }
-
-// remoteSendInterval returns the time until the next datagram to all remote peers. It is shorter for instances that follow the
-// tables, because their datagrams announce new versions. The caller holds the lock.
-func (g *Gossip) remoteSendInterval() clock.Millis {
-	if g.following() {
-		return heartbeatInterval
-	}
-	return g.remoteHeartbeatInterval()
-}
