Give each call of a plain service its own connection

Cause: calls that may be repeated used kept connections. Services don't name the call in their answers, so the copy can't be told apart. Change: no connection is kept, as for calls that run at most once and on the platform already. Call.Repeatable, which only chose the connection, is gone. TestFreshConnectionForNonRepeatableCalls expected repeatable calls to share a connection, which is the fault; it now demands a connection for each call. TestStalledConnections expected the first call after a stall to fail; it now must succeed. Streams of engines are not concerned: their frames carry stream and number. Cost: one more round trip for each repeatable call.

--- a/entry/services.go
+++ b/entry/services.go
@@ -136,7 +136,6 @@
 // method as idempotent.
 func (r *serviceRun) proxy(ctx context.Context) error {
 	idempotent := r.call.Method != http.MethodPost && r.call.Method != http.MethodPatch
-	r.call.Repeatable = idempotent
 	for {
 		answer, err := r.send(ctx)
 		if err == nil {
--- a/instance/prober.go
+++ b/instance/prober.go
@@ -18,9 +18,10 @@
 	services *service.Client
 }
 
-func (p *prober) health(ctx context.Context, u *upstream.Upstream, newConnection bool) (upstream.Health, error) {
+// health reads the health of an upstream on a new connection, as both clients always do.
+func (p *prober) health(ctx context.Context, u *upstream.Upstream, _ bool) (upstream.Health, error) {
 	if u.Kind == upstream.KindService {
-		return p.serviceHealth(ctx, u, newConnection)
+		return p.serviceHealth(ctx, u)
 	}
 	reply, err := p.engines.Health(ctx, u.Address)
 	if err != nil {
@@ -49,8 +50,8 @@
 
 // serviceHealth reads the health of a service. Services need not implement the health protocol: a reply in another
 // format counts as ready unless its status is 500 or above.
-func (p *prober) serviceHealth(ctx context.Context, u *upstream.Upstream, newConnection bool) (upstream.Health, error) {
-	call := service.Call{Method: http.MethodGet, Path: "/health", Header: http.Header{}, Repeatable: !newConnection}
+func (p *prober) serviceHealth(ctx context.Context, u *upstream.Upstream) (upstream.Health, error) {
+	call := service.Call{Method: http.MethodGet, Path: "/health", Header: http.Header{}}
 	response, err := p.services.Do(ctx, u.Address, call)
 	if err != nil {
 		return upstream.Health{}, err
--- a/service/call.go
+++ b/service/call.go
@@ -10,6 +10,4 @@
 	// Header contains the headers; hop-by-hop headers are not sent.
 	Header http.Header
 	Body   []byte
-	// Repeatable permits the use of a pooled connection. It must not be set for calls that may run at most once.
-	Repeatable bool
 }
--- a/service/contract_test.go
+++ b/service/contract_test.go
@@ -82,33 +82,29 @@
 		{"crash marker", emulated.Faults{CrashMarker: "seat"}, "interrupted", 1},
 		{"hang", emulated.Faults{Hang: true}, "interrupted", 0},
 	} {
-		for _, repeatable := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s/repeatable=%t", c.name, repeatable), func(t *testing.T) {
-				e, address := start(t)
-				client := service.New()
-				warm := service.Call{Method: http.MethodGet, Path: "/warm", Repeatable: true}
-				if _, err := client.Do(contextWithTimeout(t, 20*time.Second), address, warm); err != nil {
-					t.Fatal(err)
-				}
-				e.SetFaults(c.faults)
-				limit := 20 * time.Second
-				if c.faults.Hang {
-					limit = 300 * time.Millisecond
-				}
-				call := booking("k")
-				call.Repeatable = repeatable
-				a, err := client.Do(contextWithTimeout(t, limit), address, call)
-				if got := classify(err); got != c.want {
-					t.Fatalf("%s (%v), want %s", got, err, c.want)
-				}
-				if err == nil && (a.Status != 200 || string(a.Body) != `{"execution":2,"key":"k","path":"/bookings"}`) {
-					t.Fatalf("answer %d %s", a.Status, a.Body)
-				}
-				if n := e.Record().Counts["POST /bookings k"]; n != c.ran {
-					t.Fatalf("ran %d times, want %d", n, c.ran)
-				}
-			})
-		}
+		t.Run(c.name, func(t *testing.T) {
+			e, address := start(t)
+			client := service.New()
+			warm := service.Call{Method: http.MethodGet, Path: "/warm"}
+			if _, err := client.Do(contextWithTimeout(t, 20*time.Second), address, warm); err != nil {
+				t.Fatal(err)
+			}
+			e.SetFaults(c.faults)
+			limit := 20 * time.Second
+			if c.faults.Hang {
+				limit = 300 * time.Millisecond
+			}
+			a, err := client.Do(contextWithTimeout(t, limit), address, booking("k"))
+			if got := classify(err); got != c.want {
+				t.Fatalf("%s (%v), want %s", got, err, c.want)
+			}
+			if err == nil && (a.Status != 200 || string(a.Body) != `{"execution":2,"key":"k","path":"/bookings"}`) {
+				t.Fatalf("answer %d %s", a.Status, a.Body)
+			}
+			if n := e.Record().Counts["POST /bookings k"]; n != c.ran {
+				t.Fatalf("ran %d times, want %d", n, c.ran)
+			}
+		})
 	}
 }
 
@@ -136,26 +132,22 @@
 	}
 }
 
-// Guards against non-repeatable calls on a reused connection, which may be stalled or half closed.
-func TestFreshConnectionForNonRepeatableCalls(t *testing.T) {
-	for _, repeatable := range []bool{false, true} {
-		e, address := start(t)
-		client := service.New()
-		for i := range 3 {
-			call := booking(fmt.Sprint(i))
-			call.Repeatable = repeatable
-			if _, err := client.Do(contextWithTimeout(t, 20*time.Second), address, call); err != nil {
-				t.Fatal(err)
-			}
-		}
-		remotes := map[string]bool{}
-		for _, x := range e.Record().Executions {
-			remotes[x.Remote] = true
-		}
-		if want := map[bool]int{false: 3, true: 1}[repeatable]; len(remotes) != want {
-			t.Fatalf("repeatable=%t: %d connections, want %d", repeatable, len(remotes), want)
+// Guards against calls on a reused connection, which may be stalled or half closed, or deliver a late copy of an earlier answer.
+func TestFreshConnectionForEachCall(t *testing.T) {
+	e, address := start(t)
+	client := service.New()
+	for i := range 3 {
+		if _, err := client.Do(contextWithTimeout(t, 20*time.Second), address, booking(fmt.Sprint(i))); err != nil {
+			t.Fatal(err)
 		}
 	}
+	remotes := map[string]bool{}
+	for _, x := range e.Record().Executions {
+		remotes[x.Remote] = true
+	}
+	if len(remotes) != 3 {
+		t.Fatalf("%d connections, want 3", len(remotes))
+	}
 }
 
 // Guards against retries by net/http, which resends a POST with an Idempotency-Key when a reused connection breaks. The
@@ -176,14 +168,10 @@
 			}
 		}(),
 	}
-	for _, repeatable := range []bool{false, true} {
-		c := service.New()
-		send[fmt.Sprintf("client, repeatable=%t", repeatable)] = func(address, key string) error {
-			call := booking(key)
-			call.Repeatable = repeatable
-			_, err := c.Do(context.Background(), address, call)
-			return err
-		}
+	c := service.New()
+	send["client"] = func(address, key string) error {
+		_, err := c.Do(context.Background(), address, booking(key))
+		return err
 	}
 	for name, do := range send {
 		t.Run(name, func(t *testing.T) {
@@ -234,23 +222,21 @@
 	}
 }
 
-// Guards against a stalled pooled connection that blocks later calls.
+// Guards against stalled connections that block later calls.
 func TestStalledConnections(t *testing.T) {
 	e, address := start(t)
 	c := service.New()
 	call := booking("k")
-	call.Repeatable = true
 	if _, err := c.Do(contextWithTimeout(t, 20*time.Second), address, call); err != nil {
 		t.Fatal(err)
 	}
 	e.SetFaults(emulated.Faults{StallConnections: true})
-	if _, err := c.Do(contextWithTimeout(t, 100*time.Millisecond), address, call); classify(err) != "interrupted" {
-		t.Fatalf("stalled: %v", err)
-	}
-	if _, err := c.Do(contextWithTimeout(t, 20*time.Second), address, call); err != nil {
-		t.Fatalf("after the stall: %v", err)
+	for range 2 {
+		if _, err := c.Do(contextWithTimeout(t, 20*time.Second), address, call); err != nil {
+			t.Fatalf("after the stall: %v", err)
+		}
 	}
-	if n := e.Record().Counts["POST /bookings k"]; n != 2 {
-		t.Fatalf("ran %d times, want 2", n)
+	if n := e.Record().Counts["POST /bookings k"]; n != 3 {
+		t.Fatalf("ran %d times, want 3", n)
 	}
 }
--- a/service/do.go
+++ b/service/do.go
@@ -23,15 +23,9 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	t := c.unpooled
-	if call.Repeatable {
-		t = c.pooled
-	}
 	// RoundTrip, unlike http.Client, neither follows redirects nor handles cookies.
-	response, err := t.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		// Other pooled connections may be broken or stalled for the same reason.
-		c.pooled.CloseIdleConnections()
 		if !sent.Load() {
 			return nil, &NotSentError{Address: address, Cause: err}
 		}
@@ -58,7 +52,7 @@
 	if request.URL.Host != address {
 		return nil, fmt.Errorf("path %q changes the server address", call.Path)
 	}
-	if len(call.Body) == 0 && !call.Repeatable {
+	if len(call.Body) == 0 {
 		// The transport does not retry on a new connection, so an empty body need not prevent retries.
 		request.Body = http.NoBody
 	}
--- a/service/option.go
+++ b/service/option.go
@@ -7,8 +7,8 @@
 
 // config holds the settings of a Client.
 type config struct {
-	dialTimeout, idleConnTimeout clock.Millis
-	maxResponse                  poplarwinch.Bytes
+	dialTimeout clock.Millis
+	maxResponse poplarwinch.Bytes
 }
 
 // Option configures a Client.
@@ -17,8 +17,5 @@
 // WithDialTimeout sets the timeout for establishing a connection; the default is 1 s.
 func WithDialTimeout(m clock.Millis) Option { return func(c *config) { c.dialTimeout = m } }
 
-// WithIdleConnTimeout sets the time after which idle pooled connections are closed; the default is 15 s.
-func WithIdleConnTimeout(m clock.Millis) Option { return func(c *config) { c.idleConnTimeout = m } }
-
 // WithMaxAnswer sets the largest accepted response body; the default is 16 MiB.
 func WithMaxAnswer(n poplarwinch.Bytes) Option { return func(c *config) { c.maxResponse = n } }
