Reserve memory on at most sixteen engines for one prompt

So the largest prompts failed just when enough engines were free, up to six times in half a second. Change: a group with reserved memory has sixteen engines in all.

--- a/assignment/choose_test.go
+++ b/assignment/choose_test.go
@@ -141,11 +141,22 @@
 	run(t, list, longPrompt())
 }
 
-// Guards against sending a prompt to a single engine whose memory it exceeds.
+// Guards against sending a prompt to a single engine whose memory it exceeds, and against groups that engines always reject because
+// the first one's own reservation makes one helper too many.
 func TestHugePromptsShareMemory(t *testing.T) {
 	if plan := run(t, engines(14), hugePrompt()); !plan.Shared {
 		t.Errorf("got %+v, want shared memory", plan)
 	}
+	many := engines(40)
+	for i := range many {
+		many[i].LoadKnown = true
+	}
+	if plan := run(t, many, hugePrompt()); !plan.Shared || len(plan.Helpers) > 15 {
+		t.Errorf("got %+v, want memory reserved on at most 16 engines, which the first one accepts as helpers", plan)
+	}
+	if plan := run(t, many, longPrompt()); plan.Shared || len(plan.Helpers) > 16 {
+		t.Errorf("got %+v, want at most 16 helpers and no memory reserved", plan)
+	}
 	if plan := run(t, engines(14), longPrompt()); plan.Shared {
 		t.Errorf("got %+v, want no reservation for a prompt that one engine holds", plan)
 	}
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// maxHelpers is the largest number of helpers in a group.
+	// maxHelpers is the largest number of helpers that an engine accepts. An engine with a reservation of its own is the first of
+	// its helpers.
 	maxHelpers = 16
 	// minPartMillis is the shortest prefill for which a prompt is split further.
 	minPartMillis = 40.0
@@ -149,7 +150,7 @@
 	answeringEngine := c.answeringEngine(chosen)
 	shared := answeringEngine < 0
 	if shared {
-		if answeringEngine = c.mostFree(chosen); c.totalFree(chosen) < c.prompt.Tokens+c.prompt.AnswerTokens {
+		if answeringEngine = c.mostFree(chosen); k > maxHelpers || c.totalFree(chosen) < c.prompt.Tokens+c.prompt.AnswerTokens {
 			return Plan{}, 0, false
 		}
 	}
