Tell distant peers what concerns their cell, rarely otherwise; limit calls for tables; ask for changes of a moment together

Store calls: each change ended a question of each follower. A follower pauses 150 ms after a change. An instance serves four calls for tables at a time; a restarted one whose call fails reads the store at once. A peer's new process is greeted also while its old one counts as alive.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -26,6 +26,26 @@
 	Unreachable bool
 }
 
+// Places returns the places of the servers in a report of this instance.
+func (r *Report) Places() []Place {
+	places := make([]Place, 0, len(r.Servers))
+	for i := range r.Servers {
+		places = append(places, r.Servers[i].Place)
+	}
+	return places
+}
+
+// In returns the load on the servers of one cell in a report of this instance.
+func (r *Report) In(domain poplarwinch.FailureDomain, c Cell) []ServerWork {
+	var servers []ServerWork
+	for i := range r.Servers {
+		if p := r.Servers[i].Place; p.Domain == domain && c.Contains(p.Position, p.Total) {
+			servers = append(servers, r.Servers[i])
+		}
+	}
+	return servers
+}
+
 // peerReport is a received report with the time of its arrival.
 type peerReport struct {
 	at      clock.Millis
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -20,6 +20,9 @@
 	fetchTimeout = 2 * time.Second
 	// maxResponseHeaderBytes bounds the status line and the headers of a response.
 	maxResponseHeaderBytes = 64 << 10
+	// maxFetchCalls is the number of calls that an instance serves at a time. After a restart of many instances all of them need whole
+	// tables; those that are rejected read the platform's copy.
+	maxFetchCalls = 4
 	// maxTableBytes is the maximum size of a response.
 	maxTableBytes = 16 << 20
 )
@@ -85,6 +88,10 @@
 	reply, err := client.CallUnary(ctx, connect.NewRequest(&fetchRequest{Table: table, After: after}))
 	if err != nil {
 		entry.WithError(err).Warn("table not read from peer")
+		if after == 0 {
+			g.bootstrapFailed.Store(true)
+			g.updateFollowing()
+		}
 		return
 	}
 	entry.WithField("version", reply.Msg.Version).Info("table read from peer")
@@ -93,7 +100,22 @@
 
 // Handler returns the handler for calls from peers.
 func (g *Gossip) Handler() http.Handler {
-	return connect.NewUnaryHandler(fetchProcedure, g.handleFetch, connect.WithCodec(g.codec))
+	return limitCalls(connect.NewUnaryHandler(fetchProcedure, g.handleFetch, connect.WithCodec(g.codec)))
+}
+
+// limitCalls rejects calls beyond maxFetchCalls at a time.
+func limitCalls(next http.Handler) http.Handler {
+	slots := make(chan struct{}, maxFetchCalls)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			next.ServeHTTP(w, r)
+		default:
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 }
 
 func (g *Gossip) handleFetch(_ context.Context, request *connect.Request[fetchRequest]) (*connect.Response[fetchResponse], error) {
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -21,7 +21,7 @@
 )
 
 // updateFollowing makes this instance follow the tables itself if it is one of the followers of its cell. It also
-// follows a table that it did not get from its peers within bootstrapWait.
+// follows a table that it did not get from its peers within bootstrapWait, or that a peer failed to send.
 func (g *Gossip) updateFollowing() {
 	g.mutex.Lock()
 	on := g.shouldFollow()
@@ -29,7 +29,7 @@
 	g.mutex.Unlock()
 	for _, r := range g.replicas {
 		_, loaded := r.Version()
-		r.SetFollowing(on || !loaded && waited > bootstrapWait)
+		r.SetFollowing(on || !loaded && (waited > bootstrapWait || g.bootstrapFailed.Load()))
 	}
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -31,6 +32,9 @@
 	// smallDeploymentDistantPeers is the number of peers in other cells up to which these are sent all changes and every
 	// heartbeat.
 	smallDeploymentDistantPeers = 16
+	// distantHeartbeatsPerSecond is the number of heartbeats that an instance of a large deployment sends to other cells. They only
+	// show who lives; load on their servers is sent when it changes.
+	distantHeartbeatsPerSecond = 4
 	// maxDatagramBytes is the maximum size of a received datagram, in bytes.
 	maxDatagramBytes = 60000
 	// maxSuspects is the maximum number of suspects in a datagram.
@@ -74,6 +78,8 @@
 	affectedDue clock.Millis
 	// remoteDue is the time of the next datagrams to all distant peers.
 	remoteDue clock.Millis
+	// followingSince is the time since which this instance sends summaries; zero while it does not.
+	followingSince clock.Millis
 	// followersDue is the time of the next datagrams from this instance, as a follower, to those of other cells.
 	followersDue clock.Millis
 	// tablesDue is the time of the next announcement of tables, and announcedAt that of the last one.
@@ -90,6 +96,8 @@
 	// behind has what peers are known to have of a table beyond this instance's replica, by table name.
 	behind  map[string]lag
 	fetches fetchTracker
+	// bootstrapFailed is set if a peer failed to send a whole table.
+	bootstrapFailed atomic.Bool
 }
 
 // New returns a Gossip for the instance self; WithFleet and WithSuspects are required.
@@ -160,9 +168,13 @@
 	return g.distantHeartbeatInterval()
 }
 
-// distantHeartbeatInterval returns the heartbeat interval between cells. The caller holds the lock.
+// distantHeartbeatInterval returns the heartbeat interval between cells, such that an instance sends distantHeartbeatsPerSecond in
+// a large deployment. The caller holds the lock.
 func (g *Gossip) distantHeartbeatInterval() clock.Millis {
-	return heartbeatInterval * clock.Millis(max(1, g.distantPeers/smallDeploymentDistantPeers))
+	if g.isSmall() {
+		return heartbeatInterval
+	}
+	return clock.Second * clock.Millis(g.distantPeers) / distantHeartbeatsPerSecond
 }
 
 // isSmall reports whether all changes are sent to all peers. The caller holds the lock.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -52,6 +52,7 @@
 		g.mutex.Unlock()
 		return
 	}
+	restarted := m.Boot != peer.boot
 	peer.Member = Member{ID: m.From, Domain: m.Domain, Address: from}
 	peer.boot, peer.sequence = m.Boot, m.Sequence
 	near := g.isNear(peer)
@@ -66,7 +67,7 @@
 		peer.heardAt = 0
 	}
 	delete(g.unidentified, from)
-	joined := !wasAlive && !m.Leaving
+	joined := (!wasAlive || restarted) && !m.Leaving
 	peer.needsUpdate = peer.needsUpdate || joined
 	g.mutex.Unlock()
 	if joined {
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 
+	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
@@ -38,17 +41,21 @@
 		g.affectedDue = 0
 	}
 	if toRemote {
-		g.remoteDue = now + g.distantHeartbeatInterval()
+		g.remoteDue = now + g.distantSendInterval()
 	}
 	if announce {
 		g.tablesDue, g.announcedAt = 0, now
 	}
+	if sendsSummaries && g.followingSince == 0 {
+		g.followingSince = now
+		g.remoteDue = now + localDelay
+	}
 	if sendsSummaries && (toFollowers || g.followersDue == 0) {
 		g.followersDue = now + heartbeatInterval
 	}
 	switch {
 	case !sendsSummaries:
-		g.summaryDue, g.followersDue = 0, 0
+		g.summaryDue, g.followersDue, g.followingSince = 0, 0, 0
 	case summarize || g.summaryDue == 0:
 		g.summaryDue = now + summaryInterval
 	}
@@ -67,37 +74,63 @@
 	}
 }
 
-// sendWork sends this instance's report to the peers of its cell if toLocal, to distant peers that follow the tables or in whose
-// cells it has or had load if toAffected, and to all distant peers if toRemote. Peers that came alive are always included.
+// sendWork sends this instance's report to the peers of its cell if toLocal, to distant peers in whose cells it has or had load if
+// toAffected, and to all distant peers if toRemote. Peers that came alive are always included; peers of the cell that are not alive
+// get heartbeats only. In a large deployment, distant peers get what concerns the servers of their cells, but those that forward
+// summaries get all of it, since what they forward would otherwise lag behind by the time of two summaries.
 func (g *Gossip) sendWork(connection *net.UDPConn, toLocal, toAffected, toRemote bool) {
 	report := g.fleet.Report()
-	affected := make([]fleet.Place, 0, len(report.Servers))
-	for _, s := range report.Servers {
-		affected = append(affected, s.Place)
-	}
 	g.mutex.Lock()
 	now := g.clock.Now()
 	hello := toLocal && now-g.helloAt >= heartbeatInterval
 	if hello {
 		g.helloAt = now
 	}
-	before := g.affected
+	var unidentified []netip.AddrPort
+	if hello || toRemote {
+		unidentified = slices.Collect(maps.Keys(g.unidentified))
+	}
+	affected := g.affected
 	if toAffected || toRemote {
-		g.affected = affected
+		g.affected = report.Places()
+		affected = append(affected, g.affected...)
+	}
+	small := g.isSmall()
+	var cells []distantCell
+	for _, p := range g.peers {
+		if c := (distantCell{p.Domain, p.cell}); !small && !g.isNear(p) && !slices.Contains(cells, c) {
+			cells = append(cells, c)
+		}
 	}
 	g.mutex.Unlock()
 	m := g.message()
 	m.OwnWork, m.Servers, m.Waiting = true, encodeWork(report.Servers), report.Waiting
-	g.send(connection, m, func(p *peerState) bool {
-		if p.needsUpdate {
+	due := func(p *peerState) bool {
+		switch {
+		case p.needsUpdate:
 			p.needsUpdate = false
 			return true
-		}
-		if g.isNear(p) {
+		case g.isNear(p):
 			return toLocal && (hello || g.alive(p))
 		}
-		return toRemote || toAffected && (p.follows && g.exchangesSummaries(p) || isAffected(p, affected) || isAffected(p, before))
-	})
+		return toRemote || toAffected && (g.forwards(p) || isAffected(p, affected))
+	}
+	whole := func(p *peerState) bool { return small || g.isNear(p) || g.forwards(p) }
+	g.send(connection, m, func(p *peerState) bool { return whole(p) && due(p) })
+	g.sendTo(connection, m, unidentified)
+	for _, c := range cells {
+		m.Servers = encodeWork(report.In(c.domain, c.cell))
+		g.send(connection, m, func(p *peerState) bool { return !whole(p) && c == distantCell{p.Domain, p.cell} && due(p) })
+	}
+}
+
+// forwards reports whether the peer forwards what it knows of other cells to its own. The caller holds the lock.
+func (g *Gossip) forwards(p *peerState) bool { return p.follows && g.exchangesSummaries(p) }
+
+// distantCell identifies a cell of a deployment.
+type distantCell struct {
+	domain poplarwinch.FailureDomain
+	cell   fleet.Cell
 }
 
 // sendSummaries sends a summary of the load on the servers of this cell to the followers of other cells, and forwards what these
@@ -105,7 +138,7 @@
 func (g *Gossip) sendSummaries(connection *net.UDPConn) {
 	m := g.message()
 	m.Summaries = encodeSummaries([]fleet.Summary{g.fleet.Summary()})
-	g.send(connection, m, func(p *peerState) bool { return p.follows && !g.isNear(p) && g.exchangesSummaries(p) })
+	g.send(connection, m, func(p *peerState) bool { return !g.isNear(p) && g.forwards(p) })
 	if others := g.fleet.Summaries(); len(others) > 0 {
 		m := g.message()
 		m.Summaries = encodeSummaries(others)
@@ -113,6 +146,15 @@
 	}
 }
 
+// distantSendInterval returns the time until the next datagrams to all distant peers: soon while this instance has just become a
+// follower, so that those of other cells learn of it although a datagram may be lost. The caller holds the lock.
+func (g *Gossip) distantSendInterval() clock.Millis {
+	if g.followingSince != 0 && g.clock.Now()-g.followingSince < maxMissedHeartbeats*heartbeatInterval {
+		return heartbeatInterval
+	}
+	return g.distantHeartbeatInterval()
+}
+
 // message returns a message without a report or summaries.
 func (g *Gossip) message() *message {
 	g.mutex.Lock()
@@ -125,7 +167,7 @@
 	}
 }
 
-// send sends the message to the selected peers and, if it has this instance's report, to addresses without a known instance.
+// send sends the message to the selected peers.
 func (g *Gossip) send(connection *net.UDPConn, m *message, selected func(*peerState) bool) {
 	g.mutex.Lock()
 	g.sequence++
@@ -136,12 +178,12 @@
 			targets = append(targets, p.Address)
 		}
 	}
-	if m.OwnWork {
-		for address := range g.unidentified {
-			targets = append(targets, address)
-		}
-	}
 	g.mutex.Unlock()
+	g.sendTo(connection, m, targets)
+}
+
+// sendTo sends the message to addresses.
+func (g *Gossip) sendTo(connection *net.UDPConn, m *message, targets []netip.AddrPort) {
 	if len(targets) == 0 {
 		return
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,6 +23,8 @@
 	minRetryDelay clock.Millis = 100
 	// maxRetryDelay bounds the delay after a failed read.
 	maxRetryDelay clock.Millis = 400
+	// changesPause is the pause after a change before further ones are asked for, so that those of one moment arrive together.
+	changesPause clock.Millis = 150
 	// failureRetention is the time for which an instance that no longer follows the source still counts as failing. Without it,
 	// all instances would take turns trying to follow a source that is down.
 	failureRetention = 3 * clock.Second
@@ -170,6 +172,9 @@
 			r.recordRecovery()
 			pause = minRetryDelay
 			complete = r.applyFromSource(ctx, batch)
+			if len(batch.Rows) > 0 && !batch.Complete {
+				_ = r.clock.Sleep(ctx, changesPause) // Run ends with ctx
+			}
 		case errors.Is(err, errRechecked):
 			r.log.WithField("table", r.name).Debug("rechecked; asking for the changes again")
 		case errors.Is(err, ErrHistoryLost):
