--- a/gossip/announce_internal_test.go
+++ b/gossip/announce_internal_test.go
@@ -9,7 +9,7 @@
 )
 
 // holder returns an instance with a replica of one table at a version.
-func holder(t *testing.T, version replica.Version) (*Gossip, *replica.Replica) {
+func holder(t testing.TB, version replica.Version) (*Gossip, *replica.Replica) {
 	t.Helper()
 	r := replica.New("servers")
 	if version != 0 {
