Record no crash for a server whose whole failure domain is out of reach

Change: the probes of the neighbours are awaited; if none of the failure domain can be reached, no crash is recorded. TestCutOffServersAreNoCrash fails without it; TestCrashingRequest still holds.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -279,6 +279,31 @@
 	})
 }
 
+// Guards against an innocent request whose repeats are rejected because its servers were cut off while it ran: if no server of the
+// failure domain can be reached, none is taken as crashed.
+func TestCutOffServersAreNoCrash(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			f.mutex.Lock()
+			for _, id := range []poplarwinch.UpstreamID{"e1", "e2", "e3", "e4", "s1", "s2", "s3"} {
+				f.unreachable[id] = true
+			}
+			f.mutex.Unlock()
+			return failure(dispatch.FailureBroken)
+		}
+		for range 2 {
+			f.run(t.Context(), f.request(route.KindStreaming))
+			time.Sleep(2 * time.Second)
+		}
+		if n := f.suspects.Deaths(f.request(route.KindStreaming).Fingerprint); n != 0 {
+			t.Errorf("%d crashes are recorded, want none", n)
+		}
+		f.mutex.Lock()
+		f.unreachable = map[poplarwinch.UpstreamID]bool{}
+		f.mutex.Unlock()
+	})
+}
+
 // Guards against leaked reservations: they are released however the request of a long prompt ends.
 func TestReservationsEnd(t *testing.T) {
 	for name, answer := range map[string]func(ctx context.Context) (*dispatch.Answer, error){
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -18,6 +18,8 @@
 	maxCrashes = 3
 	// retryAfterSuspect is the Retry-After hint for a request rejected because servers crashed during it.
 	retryAfterSuspect = 10 * clock.Second
+	// neighbourProbeDelay is the time in which the probes of a server's neighbours have ended.
+	neighbourProbeDelay clock.Millis = 600
 	// maxSends bounds the attempts of a request, including those that servers rejected.
 	maxSends = 6
 )
@@ -104,12 +106,18 @@
 	return !x.begun || x.Route.Resumable && x.splitter.last != ""
 }
 
-// recordCrash probes a server in the background and, if it is unreachable, records a crash during the request.
+// recordCrash probes a server in the background and, if it is unreachable, records a crash during the request. A server whose whole
+// failure domain is out of reach is more likely cut off; the probes of its neighbours tell.
 func (x *run) recordCrash(s fleet.Server) {
 	x.d.startProbe(s, func(alive bool) {
 		if alive {
 			return
 		}
+		_ = x.d.clock.Sleep(context.Background(), neighbourProbeDelay)
+		if x.d.fleet.IsDomainLost(s) {
+			x.log.WithField("upstream", s.ID).WithField("failure-domain", s.Domain).Warn("server cut off with its failure domain; no crash recorded")
+			return
+		}
 		crash := quarantine.Death{Upstream: s.ID, At: x.d.clock.Now()}
 		x.d.suspects.Merge([]quarantine.Suspect{{Fingerprint: x.Fingerprint, Deaths: []quarantine.Death{crash}}})
 		x.log.WithFields(log.Fields{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -280,6 +280,23 @@
 	return list
 }
 
+// IsDomainLost reports whether this instance can reach no server in the failure domain of s, and there are others than s.
+func (f *Fleet) IsDomainLost(s Server) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	others := 0
+	for _, m := range f.servers {
+		if m.server.Domain != s.Domain || m.server.ID == s.ID {
+			continue
+		}
+		if !m.health.unreachable {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
 // IsListed reports whether the server is still listed as the same process.
 func (f *Fleet) IsListed(s Server) bool {
 	f.mutex.Lock()
