--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -130,10 +130,14 @@
 
 // prefillBudgetMillis returns the prefill time that the engine can take on within the pause limits of its streams.
 func (c *choice) prefillBudgetMillis(e *fleet.Candidate) float64 {
-	if e.Load.MinPause == 0 || e.Load.Requests <= c.pausableRequests && minPauseLimitRatio*e.Load.MaxPause < c.prompt.MaxPause {
+	if e.Load.MinPause == 0 {
 		return math.Inf(1)
 	}
-	return pauseLimitFraction*float64(e.Load.MinPause) - c.passMillis(e) - queuedMillis(e)
+	limitMillis := pauseLimitFraction * float64(e.Load.MinPause)
+	if e.Load.Requests <= c.pausableRequests && minPauseLimitRatio*e.Load.MaxPause < c.prompt.MaxPause {
+		limitMillis = max(limitMillis, pausedLimitMillis)
+	}
+	return limitMillis - c.passMillis(e) - queuedMillis(e)
 }
 
 // queuedMillis returns the prefill time that comes before or together with that of a further prompt.
--- a/assignment/choose_test.go
+++ b/assignment/choose_test.go
@@ -125,6 +125,24 @@
 	}
 }
 
+// Guards against short streams that give way to a long prompt for so long that they are continued elsewhere, which reads their
+// prompts again: a part on their engine is bounded although the long prompt misses its target.
+func TestPausedStreamsAreContinuedSoon(t *testing.T) {
+	list := engines(3)
+	for i := range list {
+		list[i].Load = decodingLoad(1)
+	}
+	p := longPrompt()
+	plan, verdict := assignment.Choose(pool(), list, p)
+	if verdict == assignment.VerdictRun && plan.Prefill > 1000 {
+		t.Errorf("got %+v, want no part of more than 1 s on an engine with a short stream", plan)
+	}
+	p.Tokens = 80_000
+	if plan := run(t, list, p); plan.Prefill > 1000 || len(plan.Helpers) != 2 {
+		t.Errorf("got %+v, want a prompt that fits the bound to run", plan)
+	}
+}
+
 // Guards against starvation: engines prefill the newest part of a group first, so a new group must not delay older
 // prompts past their due time.
 func TestGroupsKeepOlderPromptsInTime(t *testing.T) {
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -30,6 +30,9 @@
 	// maxPausableRequests is the largest number of short prompts on an engine that a long one may pause beyond their
 	// limits. A long prompt that meets its target is worth many of them.
 	maxPausableRequests = 2
+	// pausedLimitMillis is the longest pause that a long prompt may cause for short streams beyond their limits. Their
+	// callers wait longer, but are continued on another engine before they give up.
+	pausedLimitMillis = 1000.0
 	// minPauseLimitRatio is the ratio by which the pause limit of a long prompt must exceed those of the prompts that it
 	// pauses.
 	minPauseLimitRatio = 2
