Don't cut a prompt that later ones delay

Change: when the limit has passed and one of its engines is known to have other prompts in prefill, the prompt may take half of its caller's patience. A silent engine without others is given up as before.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
+	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -27,6 +27,11 @@
 	patiencePerTarget = 4
 	// patiencePerPause is the multiple of the route's longest pause between events for which callers wait.
 	patiencePerPause = 8
+	// extendedPatienceFraction is the fraction of the caller's patience up to which an attempt waits for its first event while its
+	// engines have other prompts in prefill. The rest is enough for another attempt.
+	extendedPatienceFraction = 0.5
+	// extensionInterval is the time between two looks at the engines of such an attempt.
+	extensionInterval clock.Millis = 250
 	// patienceFraction is the fraction of the caller's patience after which a silent stream is resumed on another server.
 	patienceFraction = 0.6
 )
@@ -45,7 +50,7 @@
 	x.last = selected.first
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatchdog(x.firstEventTimeout(selected), cancel)
+	w := newWatchdog(x.firstEventTimeout(selected), x.firstEventExtension(selected), cancel)
 	defer w.stop()
 	defer x.watchUsage(ctx, selected, cancel)()
 	answer, err := x.d.send(ctx, &Call{
@@ -78,6 +83,24 @@
 	return attemptTimeout
 }
 
+// firstEventExtension returns a function that extends the limit for the first event while other prompts are in prefill on the
+// attempt's engines, up to a fraction of the caller's patience: engines prefill the newest first, so that the prompt may be delayed by
+// those that came after it.
+func (x *run) firstEventExtension(selected *selection) func() clock.Millis {
+	last := x.d.clock.Now() + clock.Millis(extendedPatienceFraction*float64(x.patience()))
+	engines := []poplarwinch.UpstreamID{selected.first.ID}
+	for _, h := range selected.helpers {
+		engines = append(engines, h.ID)
+	}
+	return func() clock.Millis {
+		left := last - x.d.clock.Now()
+		if left <= 0 || selected.ticket.Prefilled() || !x.d.fleet.SharesPrefill(engines) {
+			return 0
+		}
+		return min(left, extensionInterval)
+	}
+}
+
 // finishAttempt records the result of the attempt for its server and returns err.
 func (x *run) finishAttempt(ctx context.Context, selected *selection, err error) error {
 	var failed *CallError
@@ -235,31 +258,3 @@
 	}
 	return nil
 }
-
-// watchdog cancels a call whose server sends nothing within a limit.
-type watchdog struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
-}
-
-func newWatchdog(limit clock.Millis, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{cancel: cancel}
-	if limit > 0 {
-		w.reset(limit)
-	}
-	return w
-}
-
-// reset restarts the timer; a limit of zero disables it.
-func (w *watchdog) reset(limit clock.Millis) {
-	w.stop()
-	if limit > 0 {
-		w.timer = time.AfterFunc(limit.Duration(), func() { w.cancel(errSilentServer) })
-	}
-}
-
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/dispatch"
 	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -211,6 +212,36 @@
 	}
 }
 
+// Guards against a slow but sound prompt that is cut because later ones delay it: while its engine is known to have other prompts in
+// prefill, it may take half of its caller's patience; otherwise a silent engine is given up as before.
+func TestDelayedPromptIsNotCut(t *testing.T) {
+	for busy, calls := range map[bool]int{true: 1, false: 2} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			later := fleet.Report{}
+			for _, id := range []poplarwinch.UpstreamID{"e1", "e2", "e3", "e4"} {
+				later.Servers = append(later.Servers, fleet.ServerWork{ID: id, Load: fleet.Load{Requests: 1, Prefilling: 1, Due: 60_000}})
+			}
+			f.answer = func(ctx context.Context, n int, _ *dispatch.Call) (*dispatch.Answer, error) {
+				for range 6 {
+					if n == 1 && busy {
+						f.fleet.Merge("peer", later)
+					}
+					if n == 1 && f.sleep(ctx, time.Second) != nil {
+						return nil, &dispatch.CallError{Failure: dispatch.FailureBroken, Cause: context.Cause(ctx)}
+					}
+				}
+				return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+			}
+			r := f.request(route.KindStreaming)
+			r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 150_000, 4000, 1000, r.Started+15_000
+			if o := f.run(t.Context(), r); o.err != nil || len(f.calls) != calls {
+				t.Errorf("busy %t: %d calls, want %d; got %+v", busy, len(f.calls), calls, o.err)
+			}
+			time.Sleep(4 * time.Second)
+		})
+	}
+}
+
 // Guards against requests that continue after their deadline.
 func TestDeadline(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -186,6 +186,16 @@
 	return nil, &dispatch.CallError{Failure: f, Cause: errors.New("scripted")}
 }
 
+// sleep waits for a time or until ctx ends.
+func (f *fixture) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
 // silence returns an error once ctx ends.
 func silence(ctx context.Context) (*dispatch.Answer, error) {
 	<-ctx.Done()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -297,6 +297,20 @@
 	return others > 0
 }
 
+// SharesPrefill reports whether one of the servers has more than one prompt, or part of one, in prefill, as far as this instance
+// knows.
+func (f *Fleet) SharesPrefill(ids []poplarwinch.UpstreamID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.clock.Now()
+	for _, id := range ids {
+		if m := f.servers[id]; m != nil && m.addPeerLoad(m.ownLoad(now), now).Prefilling > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // IsListed reports whether the server is still listed as the same process.
 func (f *Fleet) IsListed(s Server) bool {
 	f.mutex.Lock()
