--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -335,6 +335,37 @@
 	})
 }
 
+// Guards against requests that a restarted instance refuses because its server list is on the way, which uses up the repeats of their
+// callers: they wait for the list, but not for long.
+func TestRequestsWaitForTheServerList(t *testing.T) {
+	for name, after := range map[string]time.Duration{"soon": 700 * time.Millisecond, "never": time.Hour} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.fleet.Apply(nil)
+			f.listMissing = true
+			f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+				return complete(http.StatusOK, "x")
+			}
+			if name == "soon" {
+				time.AfterFunc(after, func() {
+					f.mutex.Lock()
+					f.listMissing = false
+					f.mutex.Unlock()
+					f.fleet.Apply([]fleet.Server{{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6}})
+				})
+			}
+			began := time.Now()
+			o := f.run(t.Context(), f.request(route.KindIdempotent))
+			took := time.Since(began)
+			if name == "soon" && (o.err != nil || took > time.Second) {
+				t.Errorf("%s: got %+v after %s, want an answer", name, o.err, took)
+			}
+			if name == "never" && (o.err == nil || o.err.Outcome != poplarwinch.OutcomeNotRun || took > 2500*time.Millisecond) {
+				t.Errorf("%s: got %+v after %s, want a refusal", name, o.err, took)
+			}
+		})
+	}
+}
+
 // Guards against leaked reservations: they are released however the request of a long prompt ends.
 func TestReservationsEnd(t *testing.T) {
 	for name, answer := range map[string]func(ctx context.Context) (*dispatch.Answer, error){
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	suspects  *quarantine.Register
 	// listVersion returns the version of the server list.
 	listVersion func() replica.Version
+	// listLoaded reports whether the server list was loaded.
+	listLoaded func() bool
 	// reservations reserves KV cache on several engines for one prompt.
 	reservations *reservation.Builder
 	// reservationTTL is the time after which a reservation expires unless it is renewed.
@@ -59,7 +61,7 @@
 func New(opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(),
-		listVersion: func() replica.Version { return 0 }, memory: bytebudget.New(defaultMemory),
+		listVersion: func() replica.Version { return 0 }, listLoaded: func() bool { return true }, memory: bytebudget.New(defaultMemory),
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -47,6 +47,8 @@
 	refuseReservations bool
 	// reservationsUsed makes all engines report that their reservations are in use.
 	reservationsUsed bool
+	// listMissing says that the server list was not loaded yet.
+	listMissing bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -78,7 +80,7 @@
 		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"),
 		dispatch.WithActive(func() *route.Table { return table }), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
-		dispatch.WithUnusedLimit(9000, f.reservationInUse),
+		dispatch.WithUnusedLimit(9000, f.reservationInUse), dispatch.WithListLoaded(f.listLoaded),
 		dispatch.WithBudget(func() *admission.SharedRetryBudget {
 			return admission.NewSharedRetryBudget(c, 0.2, 100, 10*clock.Second, func() int { return 9 })
 		}),
@@ -109,6 +111,12 @@
 	return f.reservationsUsed && f.reserved[id] != 0, nil
 }
 
+func (f *fixture) listLoaded() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.listMissing
+}
+
 func (f *fixture) reservations() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -69,6 +69,9 @@
 // WithMemory sets the budget for the memory of buffered responses; the default has 64 MiB.
 func WithMemory(b *bytebudget.Budget) Option { return func(d *Dispatcher) { d.memory = b } }
 
+// WithListLoaded sets the function that reports whether the server list was loaded. Until then, requests wait for it for a while.
+func WithListLoaded(loaded func() bool) Option { return func(d *Dispatcher) { d.listLoaded = loaded } }
+
 // WithListVersion sets the function that returns the version of the server list, which is logged with each decision.
 func WithListVersion(version func() replica.Version) Option {
 	return func(d *Dispatcher) { d.listVersion = version }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -17,6 +17,8 @@
 const (
 	// pollInterval is the longest time between two decisions for a waiting request.
 	pollInterval clock.Millis = 50
+	// maxListWait is the longest time for which a request waits for the server list of an instance that has just started.
+	maxListWait = 2 * clock.Second
 	// propagationDelay is the time until the other instances know of a decision.
 	propagationDelay clock.Millis = 6
 	// maxJitter bounds the random delay of waiting requests after a change of the fleet.
@@ -109,6 +111,9 @@
 		}
 	}
 	if len(candidates) == 0 {
+		if !d.listLoaded() && d.clock.Now()-x.Started < maxListWait {
+			return nil, nil
+		}
 		return nil, &poplarwinch.Error{
 			Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second,
 			Message: "the service has no server", Remedy: "retry later",
