Repeat the load on distant servers while it lasts

Cause: a report expires after 3 s, and heartbeats between cells are rare now, so that the instances of another cell forgot a stream that decoded on one of their servers for longer. Change: peers of such cells get a report each 2 s at least.

--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -4,12 +4,12 @@
 type Reach string
 
 const (
-	// ReachNear changes concern servers of the own failure domain only.
+	// ReachNear changes concern servers of the own cell only.
 	ReachNear Reach = "near"
-	// ReachCrowded changes concern a server of the own failure domain with more than crowdedSlotsFraction of its slots
-	// in use. In a small deployment, instances of other failure domains are notified of them at once too.
+	// ReachCrowded changes concern a server of the own cell with more than crowdedSlotsFraction of its slots in use. In a
+	// small deployment, instances of other cells are notified of them at once too.
 	ReachCrowded Reach = "crowded"
-	// ReachDistant changes concern servers of other failure domains.
+	// ReachDistant changes concern servers of other cells.
 	ReachDistant Reach = "distant"
 	// ReachAll changes concern all instances, such as a newer table.
 	ReachAll Reach = "all"
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -39,6 +39,9 @@
 	maxDatagramBytes = 60000
 	// maxSuspects is the maximum number of suspects in a datagram.
 	maxSuspects = 16
+	// affectedInterval is the maximum time between two reports to the peers of cells whose servers have load of this instance. It is
+	// shorter than the time after which they ignore a report.
+	affectedInterval clock.Millis = 2000
 	// summaryInterval is the time between two summaries from an instance that follows the tables.
 	summaryInterval clock.Millis = 200
 	// fetchDelay is the time for which a replica may be behind a peer's before it is fetched from the peer.
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -1,9 +1,9 @@
 // Package gossip exchanges state between the instances of a deployment: the load that each puts on the servers, the
 // versions of the platform's tables that it knows, and the requests that crash servers.
 //
-// Each datagram has the sender's complete report, or summaries of whole failure domains, and replaces the one before.
-// Lost, duplicate and reordered datagrams are therefore harmless. Tables that an instance can't read itself are fetched
-// from a peer by a connect-go call.
+// Each datagram has the sender's complete report, summaries of cells, or changes of tables. Reports and summaries replace the
+// ones before, so that lost, duplicate and reordered datagrams are harmless; a gap in the changes of a table shows by their
+// versions. Tables that an instance can't read itself are fetched from a peer by a connect-go call.
 package gossip
 
 import (
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -94,6 +94,9 @@
 	if toAffected || toRemote {
 		g.affected = report.Places()
 		affected = append(affected, g.affected...)
+		if !g.isSmall() && slices.ContainsFunc(g.affected, g.isDistant) {
+			g.affectedDue = now + affectedInterval
+		}
 	}
 	small := g.isSmall()
 	var cells []distantCell
@@ -127,6 +130,11 @@
 // forwards reports whether the peer forwards what it knows of other cells to its own. The caller holds the lock.
 func (g *Gossip) forwards(p *peerState) bool { return p.follows && g.exchangesSummaries(p) }
 
+// isDistant reports whether a server is in another cell. The caller holds the lock.
+func (g *Gossip) isDistant(p fleet.Place) bool {
+	return p.Domain != g.self.Domain || !g.cell.Contains(p.Position, p.Total)
+}
+
 // distantCell identifies a cell of a deployment.
 type distantCell struct {
 	domain poplarwinch.FailureDomain
