Follow changes while rows are awaited that expired during an outage

A server that left meanwhile was noticed up to 1.1 s late, and one whose row was removed then got the grace of 2.2 s on top. Change: changes are followed all the while, and a row that was there after the outage has no grace when it is missing later. TestRemovalsAfterAnOutage fails without it; all older tests of replica are unchanged.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,8 +15,12 @@
 // ErrHistoryLost is returned by a source that no longer has the changes after the requested version.
 var ErrHistoryLost = errors.New("history is no longer available")
 
-// errRechecked ends a wait for changes after Recheck.
-var errRechecked = errors.New("rechecked")
+var (
+	// errRechecked ends a wait for changes after Recheck.
+	errRechecked = errors.New("rechecked")
+	// errConfirmDue ends a wait for changes when the missing rows are to be looked for.
+	errConfirmDue = errors.New("missing rows are to be looked for")
+)
 
 const (
 	// minRetryDelay is the delay after the first failed read; it doubles with each further one.
@@ -147,7 +151,7 @@
 		r.mutex.Unlock()
 		return
 	}
-	changed := r.apply(batch, 0)
+	changed := r.apply(batch, fromPeer)
 	r.mutex.Unlock()
 	r.notify(changed)
 }
@@ -164,22 +168,32 @@
 // Run follows the source until ctx ends, except while SetFollowing has turned that off.
 func (r *Replica) Run(ctx context.Context) {
 	pause := minRetryDelay
-	complete := true
+	mode := readWhole
+	var confirmAt clock.Millis
 	for r.awaitFollow(ctx) {
-		batch, err := r.next(ctx, complete)
+		batch, err := r.next(ctx, mode, confirmAt)
 		switch {
 		case err == nil:
 			r.recordRecovery()
 			pause = minRetryDelay
-			complete = r.applyFromSource(ctx, batch)
-			if len(batch.Rows) > 0 && !batch.Complete {
+			pending := r.applyFromSource(batch, mode)
+			switch {
+			case !pending:
+				confirmAt = 0
+			case mode != readChanges:
+				confirmAt = r.clock.Now() + missingRowGrace/2
+			}
+			if mode == readChanges && len(batch.Rows) > 0 {
 				_ = r.clock.Sleep(ctx, changesPause) // Run ends with ctx
 			}
+			mode = readChanges
 		case errors.Is(err, errRechecked):
 			r.log.WithField("table", r.name).Debug("rechecked; asking for the changes again")
+		case errors.Is(err, errConfirmDue):
+			mode = confirmMissing
 		case errors.Is(err, ErrHistoryLost):
 			r.log.WithField("table", r.name).Warn("history lost; reading the whole table")
-			complete = true
+			mode = readWhole
 		default:
 			if ctx.Err() != nil {
 				return
@@ -187,7 +201,7 @@
 			r.recordFailure(err)
 			_ = r.clock.Sleep(ctx, pause)
 			pause = min(2*pause, maxRetryDelay)
-			complete = true
+			mode = readWhole
 		}
 	}
 }
@@ -206,9 +220,24 @@
 	return false
 }
 
-// next reads the whole table or waits for changes. Recheck ends the wait.
-func (r *Replica) next(ctx context.Context, complete bool) (Batch, error) {
-	if complete {
+// readMode says what is read from the source next.
+type readMode string
+
+const (
+	// readWhole reads the whole table after a failure or a loss of history. Rows that are missing may come back.
+	readWhole readMode = "whole"
+	// readChanges waits for changes.
+	readChanges readMode = "changes"
+	// confirmMissing reads the whole table while changes are followed, to see whether missing rows came back. Rows that were there
+	// after the failure did not expire during it: if they are missing now, they are gone.
+	confirmMissing readMode = "confirm"
+	// fromPeer marks a batch that another instance has read and that has no missing rows which may come back.
+	fromPeer readMode = "peer"
+)
+
+// next reads the whole table or waits for changes. Recheck ends the wait, and so does confirmAt, unless it is zero.
+func (r *Replica) next(ctx context.Context, mode readMode, confirmAt clock.Millis) (Batch, error) {
+	if mode != readChanges {
 		return r.read(ctx)
 	}
 	version, _ := r.Version()
@@ -216,39 +245,44 @@
 	defer cancel(nil)
 	stop := make(chan struct{})
 	defer close(stop)
-	go r.cancelOnRecheck(stop, cancel)
+	go r.endWait(stop, confirmAt, cancel)
 	batch, err := r.changes(wait, version)
-	if err != nil && errors.Is(context.Cause(wait), errRechecked) {
-		return Batch{}, errRechecked
+	if cause := context.Cause(wait); err != nil && (errors.Is(cause, errRechecked) || errors.Is(cause, errConfirmDue)) {
+		return Batch{}, cause
 	}
 	return batch, err
 }
 
-func (r *Replica) cancelOnRecheck(stop <-chan struct{}, cancel context.CancelCauseFunc) {
+// endWait cancels a wait for changes after Recheck or at confirmAt, unless stop is closed before.
+func (r *Replica) endWait(stop <-chan struct{}, confirmAt clock.Millis, cancel context.CancelCauseFunc) {
+	var due <-chan struct{}
+	if confirmAt != 0 {
+		timer, end := r.clock.After(max(confirmAt-r.clock.Now(), 0))
+		defer end()
+		due = timer
+	}
 	select {
 	case <-stop:
+	case <-due:
+		cancel(errConfirmDue)
 	case <-r.recheck:
 		cancel(errRechecked)
 	}
 }
 
-// applyFromSource applies a batch from the source. It reports whether the whole table has to be read again because rows are
-// missing that may come back; then it returns after a delay.
-func (r *Replica) applyFromSource(ctx context.Context, batch Batch) bool {
+// applyFromSource applies a batch from the source. It reports whether rows are missing that may come back.
+func (r *Replica) applyFromSource(batch Batch, mode readMode) (pending bool) {
 	r.mutex.Lock()
-	changed := r.apply(batch, r.clock.Now())
-	pending := len(r.missingSince) > 0
+	changed := r.apply(batch, mode)
+	pending = len(r.missingSince) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
-	if pending {
-		_ = r.clock.Sleep(ctx, missingRowGrace/2) // Run ends with ctx
-	}
 	return pending
 }
 
-// apply merges a batch and reports whether a row changed. If now is zero, rows missing from a complete batch are
-// removed without a grace period.
-func (r *Replica) apply(batch Batch, now clock.Millis) bool {
+// apply merges a batch that was read in a mode and reports whether a row changed. Rows that are missing from a complete batch stay
+// for a grace period if they may come back.
+func (r *Replica) apply(batch Batch, mode readMode) bool {
 	changed := !r.loaded
 	seen := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
@@ -269,7 +303,7 @@
 		}
 	}
 	if batch.Complete {
-		changed = r.removeMissing(seen, now, batch.Version) || changed
+		changed = r.removeMissing(seen, mode, batch.Version) || changed
 	}
 	r.version = max(r.version, batch.Version)
 	r.loaded = true
@@ -278,7 +312,8 @@
 
 // removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
 // The version at which a row was removed is not known, so its tombstone gets the version of the batch.
-func (r *Replica) removeMissing(seen map[string]bool, now clock.Millis, version Version) bool {
+func (r *Replica) removeMissing(seen map[string]bool, mode readMode, version Version) bool {
+	now := r.clock.Now()
 	removed := !r.loaded
 	if !r.loaded {
 		r.historyStart = version
@@ -287,15 +322,14 @@
 		if seen[key] {
 			continue
 		}
-		if r.keepMissing && now != 0 {
-			since, ok := r.missingSince[key]
-			if !ok {
-				r.missingSince[key] = now
-				continue
-			}
-			if now-since < missingRowGrace {
-				continue
-			}
+		since, missing := r.missingSince[key]
+		switch {
+		case !r.keepMissing || mode == fromPeer:
+		case !missing && mode == readWhole:
+			r.missingSince[key] = now
+			continue
+		case missing && now-since < missingRowGrace:
+			continue
 		}
 		delete(r.missingSince, key)
 		delete(r.rows, key)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -175,6 +175,29 @@
 	})
 }
 
+// Guards against servers that get requests for seconds after they have left, because rows are waited for that expired during an outage:
+// meanwhile changes are followed, and a row that was there after the outage and is missing later has no grace period.
+func TestRemovalsAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		f.source.setRead(func() (replica.Batch, error) { return complete(5, row("b", 1), row("c", 5), row("d", 5)), nil })
+		f.source.changes <- result{err: errors.New("store unavailable")}
+		time.Sleep(300 * time.Millisecond)
+		f.expectKeys(t, "a", "b", "c", "d")
+		select {
+		case f.source.changes <- result{batch: replica.Batch{Version: 6, Rows: []replica.Row{{Key: "b", Version: 6, Deleted: true}}}}:
+		case <-time.After(100 * time.Millisecond):
+			t.Error("changes are not followed while rows are missing")
+		}
+		f.expectKeys(t, "a", "c", "d")
+		f.source.setRead(func() (replica.Batch, error) { return complete(7, row("c", 5)), nil })
+		time.Sleep(1200 * time.Millisecond)
+		f.expectKeys(t, "a", "c")
+		time.Sleep(1500 * time.Millisecond)
+		f.expectKeys(t, "c")
+	})
+}
+
 // Guards against waiting forever on an unresponsive connection: Recheck, called when a peer has a newer version, must end the wait
 // and ask again. It must not read the whole table, from which it could not tell a row that was removed from one that expired while
 // the source was away and comes back: such rows stay for some time.
