--- a/assignment/domain.go
+++ b/assignment/domain.go
@@ -35,7 +35,7 @@
 }
 
 // isLocal reports whether the engine is in the prompt's failure domain, and in its cell if that is divided.
-func (c *choice) isLocal(e *fleet.Candidate) bool { return e.Domain == c.prompt.Domain && !e.Lent }
+func (c *choice) isLocal(e *fleet.Candidate) bool { return e.Domain == c.prompt.Domain && !e.OtherCell }
 
 // local returns the local engines.
 func (c *choice) local() []fleet.Candidate {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -94,7 +94,7 @@
 	}
 	return func() clock.Millis {
 		left := last - x.d.clock.Now()
-		if left <= 0 || selected.ticket.Prefilled() || !x.d.fleet.SharesPrefill(engines) {
+		if left <= 0 || selected.ticket.Prefilled() || !x.d.fleet.HasSeveralPrefills(engines) {
 			return 0
 		}
 		return min(left, extensionInterval)
--- a/fleet/cell_test.go
+++ b/fleet/cell_test.go
@@ -32,7 +32,7 @@
 			t.Errorf("cell %d has %d engines, want a quarter of %d", i, n, engines)
 		}
 		for _, c := range list {
-			if before, ok := owner[c.ID]; ok || c.Lent || !c.LoadKnown {
+			if before, ok := owner[c.ID]; ok || c.OtherCell || !c.LoadKnown {
 				t.Errorf("%s is in the cells %d and %d: %+v", c.ID, before, i, c)
 			}
 			owner[c.ID] = i
@@ -45,28 +45,28 @@
 
 // Guards against engines of other cells that stay unused while the own ones are full, and against loads that are taken for
 // those of idle engines because a summary is short of space: it then lists the least loaded engines and says so.
-func TestCellsLendEngines(t *testing.T) {
+func TestCellsUseEnginesOfOthers(t *testing.T) {
 	const engines = 400
-	lender, borrower := divided(engines, fleet.Cell{Index: 0, Count: 2}), divided(engines, fleet.Cell{Index: 1, Count: 2})
-	own := len(borrower.Candidates("pool"))
+	first, second := divided(engines, fleet.Cell{Index: 0, Count: 2}), divided(engines, fleet.Cell{Index: 1, Count: 2})
+	own := len(second.Candidates("pool"))
 	busy := map[poplarwinch.UpstreamID]bool{}
-	for i, c := range lender.Candidates("pool") {
+	for i, c := range first.Candidates("pool") {
 		if i < 150 {
-			lender.Begin(fleet.Work{First: c.ID, Prefill: 50})
+			first.Begin(fleet.Work{First: c.ID, Prefill: 50})
 			busy[c.ID] = true
 		}
 	}
-	summary := lender.Summary()
+	summary := first.Summary()
 	if !summary.Partial || len(summary.Servers) != 64 {
 		t.Fatalf("got %d servers, partial %t, want the 64 least loaded", len(summary.Servers), summary.Partial)
 	}
-	borrower.MergeSummary(summary)
-	lent, idle := 0, 0
-	for _, c := range borrower.Candidates("pool") {
-		if !c.Lent {
+	second.MergeSummary(summary)
+	others, idle := 0, 0
+	for _, c := range second.Candidates("pool") {
+		if !c.OtherCell {
 			continue
 		}
-		lent++
+		others++
 		if c.Load == (fleet.Load{}) {
 			idle++
 			if busy[c.ID] {
@@ -74,11 +74,11 @@
 			}
 		}
 	}
-	if lent != 64 || idle != 50 || len(borrower.Candidates("pool")) != own+64 {
-		t.Errorf("%d engines are lent, %d of them idle, want 64 and 50", lent, idle)
+	if others != 64 || idle != 50 || len(second.Candidates("pool")) != own+64 {
+		t.Errorf("%d engines of the other cell are known, %d of them idle, want 64 and 50", others, idle)
 	}
-	borrower.SetCell(fleet.Cell{Index: 0, Count: 1})
-	if n := len(borrower.Candidates("pool")); n != engines {
+	second.SetCell(fleet.Cell{Index: 0, Count: 1})
+	if n := len(second.Candidates("pool")); n != engines {
 		t.Errorf("an undivided failure domain has %d candidates, want %d, each once", n, engines)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,8 +96,8 @@
 	Load Load
 	// Rank orders the servers of a failure domain in the same way in all instances.
 	Rank int
-	// Lent says that the server is in the failure domain of this instance, but in another cell.
-	Lent bool
+	// OtherCell says that the server is in the failure domain of this instance, but in another cell.
+	OtherCell bool
 	// LoadKnown says that the load that all instances put on the server is known. Otherwise Load has only that of this
 	// instance and of peers that report to it.
 	LoadKnown bool
@@ -124,7 +124,7 @@
 		for i := range r.loads[service] {
 			s := &r.loads[service][i]
 			c := s.server.candidate(s.current(now, age), true, now)
-			c.Lent = c.Domain == f.domain
+			c.OtherCell = c.Domain == f.domain
 			list = append(list, c)
 		}
 	}
@@ -297,9 +297,9 @@
 	return others > 0
 }
 
-// SharesPrefill reports whether one of the servers has more than one prompt, or part of one, in prefill, as far as this instance
+// HasSeveralPrefills reports whether one of the servers has more than one prompt, or part of one, in prefill, as far as this instance
 // knows.
-func (f *Fleet) SharesPrefill(ids []poplarwinch.UpstreamID) bool {
+func (f *Fleet) HasSeveralPrefills(ids []poplarwinch.UpstreamID) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.clock.Now()
