Use the memory of large answers again

Cause: TestAnswersWithoutEnd had 57 of 60 MiB of heap in one of three runs beside load: the parts of answers that were given up waited for the collector while their repeats took new ones. Change: parts of 64 KiB come from a pool. Answers below 64 KiB are not concerned.

--- a/dispatch/collect.go
+++ b/dispatch/collect.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 )
 
 const (
@@ -61,11 +62,25 @@
 		}
 		c.taken += size
 	}
+	if size == maxPartBytes {
+		return (*parts.Get().(*[]byte))[:0], nil
+	}
 	return make([]byte, 0, size), nil
 }
 
-// discard gives back the memory of a body.
+// parts has unused parts of maxPartBytes, so that large answers one after the other need no more memory than one.
+var parts = sync.Pool{New: func() any {
+	part := make([]byte, 0, maxPartBytes)
+	return &part
+}}
+
+// discard gives back the memory of a body, which must not be used afterwards.
 func (d *Dispatcher) discard(c *collected) {
+	for _, part := range c.parts {
+		if cap(part) == maxPartBytes {
+			parts.Put(&part)
+		}
+	}
 	d.memory.Return(c.taken)
-	c.taken = 0
+	c.parts, c.taken = nil, 0
 }
