Let forwarded summaries keep their age

Where a cell has two followers (one can't read the store), they forwarded the load of a cell that had stopped sending to each other for ever. Change: summaries carry their age and expire by it; an older one doesn't replace a newer one. TestForwardedSummariesExpire fails without it.

--- a/dispatch/collect.go
+++ b/dispatch/collect.go
@@ -54,7 +54,7 @@
 func (d *Dispatcher) nextPart(c *collected) ([]byte, error) {
 	size := min(max(c.size, minPartBytes), maxPartBytes)
 	if c.size+size > maxAnswerBytes {
-		return nil, fmt.Errorf("the response has more than %d bytes", c.size)
+		return nil, fmt.Errorf("the response has more than %d bytes; the limit is %d", c.size, maxAnswerBytes)
 	}
 	if c.size+size > freeAnswerBytes {
 		if !d.memory.Take(size) {
--- a/fleet/cell_test.go
+++ b/fleet/cell_test.go
@@ -43,6 +43,30 @@
 	}
 }
 
+// Guards against the load of a cell that no longer sends summaries, which lives on because two instances forward it to each other: a
+// forwarded summary keeps its age.
+func TestForwardedSummariesExpire(t *testing.T) {
+	time := clock.NewManual(1000)
+	var forwarders []*fleet.Fleet
+	for range 2 {
+		f := fleet.New(fleet.WithClock(time.Clock()), fleet.WithDomain("north"))
+		f.Apply(servers())
+		forwarders = append(forwarders, f)
+	}
+	forwarders[0].MergeSummary(fleet.Summary{Domain: "south", Servers: []fleet.ServerWork{{ID: "e3", Load: fleet.Load{Requests: 1}}}})
+	for n := range 8 {
+		time.Advance(200)
+		for _, s := range forwarders[n%2].Summaries() {
+			forwarders[1-n%2].MergeSummary(s)
+		}
+	}
+	for i, f := range forwarders {
+		if list := f.Summaries(); len(list) != 0 {
+			t.Errorf("instance %d still has %+v after 1.6 s", i, list)
+		}
+	}
+}
+
 // Guards against engines of other cells that stay unused while the own ones are full, and against loads that are taken for
 // those of idle engines because a summary is short of space: it then lists the least loaded engines and says so.
 func TestCellsUseEnginesOfOthers(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,7 +118,7 @@
 	}
 	for _, r := range f.summaries {
 		age := now - r.at
-		if age > summaryTimeout {
+		if now-r.madeAt > summaryTimeout {
 			continue
 		}
 		for i := range r.loads[service] {
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -24,6 +24,9 @@
 	Cell   Cell
 	// Partial says that only the listed servers are known. Otherwise the cell's other servers have no load.
 	Partial bool
+	// Age is the time since the cell made the summary. It is not zero if the summary was forwarded; the loads are then brought up to
+	// date by the forwarder.
+	Age     clock.Millis
 	Servers []ServerWork
 }
 
@@ -37,6 +40,8 @@
 type receivedSummary struct {
 	Summary
 	at clock.Millis
+	// madeAt is the time at which the cell made the summary.
+	madeAt clock.Millis
 	// loads has the load of the covered servers by service.
 	loads map[poplarwinch.ServiceName][]summaryLoad
 }
@@ -68,10 +73,10 @@
 	now := f.clock.Now()
 	var list []Summary
 	for _, r := range f.summaries {
-		if now-r.at > summaryTimeout {
+		if now-r.madeAt > summaryTimeout {
 			continue
 		}
-		s := Summary{Domain: r.Domain, Cell: r.Cell, Partial: r.Partial}
+		s := Summary{Domain: r.Domain, Cell: r.Cell, Partial: r.Partial, Age: now - r.madeAt}
 		for _, loads := range r.loads {
 			for i := range loads {
 				s.Servers = append(s.Servers, ServerWork{ID: loads[i].server.server.ID, Load: loads[i].current(now, now-r.at)})
@@ -104,7 +109,7 @@
 	return s
 }
 
-// MergeSummary replaces the summary of another cell. Those of cells that overlap it, from before or after a change of the number
+// MergeSummary replaces the summary of another cell by one that was made later. Those of cells that overlap it, from before or after a change of the number
 // of cells, are dropped.
 func (f *Fleet) MergeSummary(s Summary) {
 	f.mutex.Lock()
@@ -112,13 +117,18 @@
 	if s.Domain == f.domain && s.Cell == f.cell {
 		return
 	}
-	r := &receivedSummary{Summary: s, at: f.clock.Now()}
+	now := f.clock.Now()
+	r := &receivedSummary{Summary: s, at: now, madeAt: now - max(s.Age, 0)}
+	own := summaryKey{s.Domain, s.Cell}
+	if o := f.summaries[own]; o != nil && o.madeAt > r.madeAt {
+		return
+	}
 	for key, o := range f.summaries {
-		if key.domain == s.Domain && key.cell.Count != s.Cell.Count || r.at-o.at > summaryTimeout {
+		if key.domain == s.Domain && key.cell.Count != s.Cell.Count || now-o.madeAt > summaryTimeout {
 			delete(f.summaries, key)
 		}
 	}
-	f.summaries[summaryKey{s.Domain, s.Cell}] = r
+	f.summaries[own] = r
 	f.resolveSummary(r)
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -62,6 +62,7 @@
 	CellIndex int
 	CellCount int
 	Partial   bool
+	Age       clock.Millis
 	Servers   []serverWork
 }
 
@@ -106,7 +107,7 @@
 	var cells []summary
 	for _, s := range list {
 		cells = append(cells, summary{
-			Domain: s.Domain, CellIndex: s.Cell.Index, CellCount: s.Cell.Count, Partial: s.Partial, Servers: encodeWork(s.Servers),
+			Domain: s.Domain, CellIndex: s.Cell.Index, CellCount: s.Cell.Count, Partial: s.Partial, Age: s.Age, Servers: encodeWork(s.Servers),
 		})
 	}
 	return cells
@@ -114,7 +115,7 @@
 
 func decodeSummary(s summary) fleet.Summary {
 	return fleet.Summary{
-		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Servers: decodeWork(s.Servers),
+		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Age: s.Age, Servers: decodeWork(s.Servers),
 	}
 }
 
