Log the parts of a prompt and the progress of its answer when a server crashes

Nothing in the log told whether crashing requests have a part in common, or whether reports between instances are lost. The crash line now has parts, ran-ms, answered-ms, recorded-after-ms and known-suspects; a counter has the crashes. No change of behaviour.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -48,6 +48,7 @@
 	defer selected.release(x.d)
 	x.sends++
 	x.last = selected.first
+	selected.sentAt = x.d.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := newWatchdog(x.firstEventTimeout(selected), x.firstEventExtension(selected), cancel)
@@ -149,7 +150,7 @@
 		x.d.fleet.Failed(selected.first.ID)
 	case FailureBroken:
 		x.d.fleet.Failed(selected.first.ID)
-		x.recordCrash(selected.first)
+		x.recordCrash(selected)
 	default:
 		x.d.fleet.Failed(selected.first.ID)
 	}
@@ -223,6 +224,9 @@
 		if x.firstEvent == 0 {
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
+		if selected.firstEventAt == 0 {
+			selected.firstEventAt = x.d.clock.Now()
+		}
 		selected.ticket.FirstEvent()
 		w.reset(x.eventTimeout())
 	}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -31,5 +31,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_attempts_total{service=%q,result=%q}`, service, result)).Inc()
 }
 
+// crashRecorded counts a crash of a server during a request.
+func (m *requestMetrics) crashRecorded(service poplarwinch.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_crashes_recorded_total{service=%q}`, service)).Inc()
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (d *Dispatcher) WriteMetrics(w io.Writer) { d.metrics.set.WritePrometheus(w) }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -40,6 +40,9 @@
 	// load is the load of the first server before the attempt, for the log.
 	load   fleet.Load
 	ticket *fleet.Ticket
+	// sentAt is the time at which the request was sent, and firstEventAt that of its first event; zero if there was none.
+	sentAt       clock.Millis
+	firstEventAt clock.Millis
 	// group is the memory that is reserved on several engines, or nil.
 	group *reservation.Group
 	// stopRenewals stops renewing the reservations of group.
@@ -48,6 +51,14 @@
 	renewalsDone chan struct{}
 }
 
+// answeredFor returns the time from the first event to now, or zero if there was no event.
+func (s *selection) answeredFor(now clock.Millis) clock.Millis {
+	if s.firstEventAt == 0 {
+		return 0
+	}
+	return now - s.firstEventAt
+}
+
 // release removes the attempt's load and, in the background, its reservations.
 func (s *selection) release(d *Dispatcher) {
 	s.ticket.End()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -31,6 +31,10 @@
 	PromptTokens poplarwinch.Tokens
 	// MaxAnswerTokens is the largest number of tokens to generate; zero for plain services.
 	MaxAnswerTokens poplarwinch.Tokens
+	// Model is the name of the model; empty for plain services.
+	Model poplarwinch.ModelName
+	// SharedParts are the parts of the prompt that other requests may have in common, in order.
+	SharedParts []poplarwinch.PromptPartID
 	// LastEventID is the id of the last event that the caller has received, if it resumes a stream.
 	LastEventID string
 	// Started is the arrival time, on the dispatcher's clock.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -106,9 +106,10 @@
 	return !x.begun || x.Route.Resumable && x.splitter.last != ""
 }
 
-// recordCrash probes a server in the background and, if it is unreachable, records a crash during the request. A server whose whole
-// failure domain is out of reach is more likely cut off; the probes of its neighbours tell.
-func (x *run) recordCrash(s fleet.Server) {
+// recordCrash probes the server of a broken attempt in the background and, if it is unreachable, records a crash during the request.
+// A server whose whole failure domain is out of reach is more likely cut off; the probes of its neighbours tell.
+func (x *run) recordCrash(selected *selection) {
+	s, brokeAt := selected.first, x.d.clock.Now()
 	x.d.startProbe(s, func(alive bool) {
 		if alive {
 			return
@@ -120,8 +121,10 @@
 		}
 		crash := quarantine.Death{Upstream: s.ID, At: x.d.clock.Now()}
 		x.d.suspects.Merge([]quarantine.Suspect{{Fingerprint: x.Fingerprint, Deaths: []quarantine.Death{crash}}})
+		x.d.metrics.crashRecorded(x.Service)
 		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint),
+			"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts, "known-suspects": len(x.d.suspects.Suspects()),
+			"ran-ms": brokeAt - selected.sentAt, "answered-ms": selected.answeredFor(brokeAt), "recorded-after-ms": x.d.clock.Now() - brokeAt,
 		}).Warn("server crashed while running the request")
 	})
 }
--- a/identifiers.go
+++ b/identifiers.go
@@ -19,6 +19,9 @@
 // ModelName is the name of a model in the manifest.
 type ModelName string
 
+// PromptPartID identifies a part of a prompt that several requests may have in common.
+type PromptPartID string
+
 // AdapterName is the name of an adapter of a model.
 type AdapterName string
 
