Blame crashes of servers on parts of prompts, too

Cause: deaths were counted for whole requests (customer, path, body). Requests that share nothing but a part of their prompts each had a count of their own, which never reached the limit. Class of fault: evidence that is keyed to the single request instead of the common cause. Evidence: one part was on all 54 servers when they ended, in 32 different requests, none of which got an event; no request was rejected.

Change: a crash makes suspects of the request and of the shared parts of its prompt. A server that goes on 500 ms after the first event clears the parts of the deaths before. From three open deaths in two rounds on, a suspect is blocked; the one with the most deaths explains those of the others, so that bystanders and parts that sound requests share stay free. Instances exchange deaths and what cleared them; reports take turns where there are more suspects than fit, instead of always sending the same 16. A blocked suspect is tried again after some minutes. Why it works: an answer proves a part sound for all requests that share it, and only the part at fault is never cleared.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
@@ -108,6 +109,7 @@
 	switch {
 	case err == nil:
 		x.d.fleet.Succeeded(selected.first.ID)
+		x.recordAnswer(selected)
 		x.d.metrics.attemptEnded(x.Service, "completed")
 		return nil
 	case !errors.As(err, &failed):
@@ -224,9 +226,7 @@
 		if x.firstEvent == 0 {
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
-		if selected.firstEventAt == 0 {
-			selected.firstEventAt = x.d.clock.Now()
-		}
+		x.recordEvent(selected)
 		selected.ticket.FirstEvent()
 		w.reset(x.eventTimeout())
 	}
@@ -234,6 +234,26 @@
 	return x.write(events)
 }
 
+// recordEvent records an event of the attempt, and once that its server has survived the parts of the prompt.
+func (x *run) recordEvent(selected *selection) {
+	now := x.d.clock.Now()
+	if selected.firstEventAt == 0 {
+		selected.firstEventAt = now
+	}
+	if !selected.survived && selected.answeredFor(now) >= quarantine.SurvivalTime {
+		selected.survived = true
+		x.d.suspects.RecordSurvival(x.suspects, selected.firstEventAt)
+	}
+}
+
+// recordAnswer records a complete answer: the server has survived the request.
+func (x *run) recordAnswer(selected *selection) {
+	x.d.suspects.RecordAnswer(x.suspects, selected.sentAt)
+	if selected.firstEventAt != 0 && !selected.survived {
+		x.d.suspects.RecordSurvival(x.suspects, selected.firstEventAt)
+	}
+}
+
 // eventTimeout returns the longest time between events before the stream is resumed on another server, or zero if it is not
 // resumed.
 func (x *run) eventTimeout() clock.Millis {
--- /dev/null
+++ b/dispatch/crashing_part_test.go
@@ -0,0 +1,211 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/dispatch"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+const (
+	crashingPart poplarwinch.PromptPartID = "bad"
+	// restartTime is the time after which a crashed server accepts connections again, under a new id.
+	restartTime = 3 * time.Second
+	// prefillTime is the time until a server sends the first event, or crashes.
+	prefillTime = 150 * time.Millisecond
+	// answerTime is the time from the first event to the end of the answer.
+	answerTime = 1500 * time.Millisecond
+	// learningTime is the time after the fifth crash in which instances have to learn of the part.
+	learningTime = 3 * clock.Second
+)
+
+// crashingServers are servers that crash when they begin to answer a prompt with crashingPart, and all their answers with them.
+type crashingServers struct {
+	*fixture
+	mutex sync.Mutex
+	list  []fleet.Server
+	// crashed is closed when the server crashes.
+	crashed map[poplarwinch.UpstreamID]chan struct{}
+	// crashes are the times of the crashes; sends are those of attempts with crashingPart.
+	crashes []clock.Millis
+	sends   []clock.Millis
+	starts  int
+}
+
+func newCrashingServers(f *fixture, count int) *crashingServers {
+	s := &crashingServers{fixture: f, crashed: map[poplarwinch.UpstreamID]chan struct{}{}}
+	for range count {
+		s.start()
+	}
+	f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) { return s.serve(ctx, c) }
+	return s
+}
+
+// start adds a server to the list.
+func (s *crashingServers) start() {
+	s.mutex.Lock()
+	s.starts++
+	id := poplarwinch.UpstreamID(fmt.Sprintf("p%d", s.starts))
+	s.list = append(s.list, fleet.Server{ID: id, Address: string(id) + ":80", Domain: "north", Service: "pool", Slots: 16})
+	s.crashed[id] = make(chan struct{})
+	list := slices.Clone(s.list)
+	s.mutex.Unlock()
+	s.fleet.Apply(list)
+}
+
+func (s *crashingServers) crash(id poplarwinch.UpstreamID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-s.crashed[id]:
+		return
+	default:
+	}
+	close(s.crashed[id])
+	s.crashes = append(s.crashes, s.dispatcher.Now())
+	s.fixture.mutex.Lock()
+	s.unreachable[id] = true
+	s.fixture.mutex.Unlock()
+	time.AfterFunc(restartTime, func() {
+		s.mutex.Lock()
+		s.list = slices.DeleteFunc(s.list, func(o fleet.Server) bool { return o.ID == id })
+		s.mutex.Unlock()
+		s.start()
+	})
+}
+
+// serve sends the first event after prefillTime and the rest after answerTime, unless the server crashes.
+func (s *crashingServers) serve(ctx context.Context, c *dispatch.Call) (*dispatch.Answer, error) {
+	bad := slices.Contains(c.SharedParts, crashingPart)
+	s.mutex.Lock()
+	crashed := s.crashed[c.Server.ID]
+	if bad {
+		s.sends = append(s.sends, s.dispatcher.Now())
+	}
+	s.mutex.Unlock()
+	select {
+	case <-crashed:
+		return failure(dispatch.FailureBroken)
+	case <-ctx.Done():
+		return failure(dispatch.FailureBroken)
+	case <-time.After(prefillTime):
+	}
+	if bad {
+		s.crash(c.Server.ID)
+		return failure(dispatch.FailureBroken)
+	}
+	body := &answering{crashed: crashed, ctx: ctx, events: 8}
+	return &dispatch.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: body}, nil
+}
+
+// prompt returns a request of its own for the route, with the parts.
+func (s *crashingServers) prompt(n int, parts ...poplarwinch.PromptPartID) *dispatch.Request {
+	r := s.request(route.KindStreaming)
+	r.ID = poplarwinch.RequestID(fmt.Sprintf("r%d", n))
+	r.Model, r.SharedParts = "m", parts
+	r.Fingerprint = quarantine.FingerprintOf("c", "/x/", fmt.Append(nil, n))
+	return r
+}
+
+// sendsAfter returns the number of attempts with crashingPart that were sent after the time.
+func (s *crashingServers) sendsAfter(at clock.Millis) int {
+	count := 0
+	for _, t := range s.sends {
+		if t > at {
+			count++
+		}
+	}
+	return count
+}
+
+// isLate reports whether twice the time has passed in which instances have to learn of the part after the fifth crash.
+func (s *crashingServers) isLate() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.crashes) >= 5 && s.dispatcher.Now() > s.crashes[4]+2*learningTime
+}
+
+// answering is the body of a stream that breaks off when its server crashes.
+type answering struct {
+	crashed chan struct{}
+	ctx     context.Context
+	events  int
+	sent    int
+}
+
+// Read returns one event; the first one at once.
+func (a *answering) Read(data []byte) (int, error) {
+	if a.sent == a.events {
+		return 0, io.EOF
+	}
+	pause := answerTime / time.Duration(a.events-1)
+	if a.sent == 0 {
+		pause = 0
+	}
+	select {
+	case <-a.crashed:
+		return 0, io.ErrUnexpectedEOF
+	case <-a.ctx.Done():
+		return 0, a.ctx.Err()
+	case <-time.After(pause):
+	}
+	a.sent++
+	return copy(data, fmt.Sprintf("id: %d\ndata: x\n\n", a.sent)), nil
+}
+
+// Close does nothing.
+func (*answering) Close() error { return nil }
+
+// Guards against requests that crash one server after the other, though no two are alike, because they share a part of their prompts.
+func TestRequestsWithTheSameCrashingPart(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		s := newCrashingServers(f, 16)
+		random := rand.New(rand.NewPCG(1, 1))
+		var wait sync.WaitGroup
+		refused, sound := 0, 0
+		var mutex sync.Mutex
+		for n := range 600 {
+			parts := []poplarwinch.PromptPartID{"instructions"}
+			bad := n > 60 && random.Float64() < 0.05
+			if bad {
+				parts = append(parts, crashingPart)
+			}
+			r := s.prompt(n, parts...)
+			late := s.isLate()
+			wait.Go(func() {
+				o := f.run(t.Context(), r)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if late && !bad {
+					sound++
+					if o.err != nil {
+						refused++
+					}
+				}
+			})
+			time.Sleep(33 * time.Millisecond)
+		}
+		wait.Wait()
+		if len(s.crashes) < 5 {
+			t.Fatalf("%d servers crashed, want 5 at least", len(s.crashes))
+		}
+		if n := s.sendsAfter(s.crashes[4] + learningTime); n > 3 {
+			t.Errorf("%d attempts with the part 3 s after the fifth crash, %d crashes in all; want 3 at most", n, len(s.crashes))
+		}
+		if sound < 100 || refused > sound/100 {
+			t.Errorf("%d of %d sound requests failed after that", refused, sound)
+		}
+	})
+}
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -52,7 +52,7 @@
 	return func(d *Dispatcher) { d.newBudget = budget }
 }
 
-// WithSuspects sets the register of requests during which servers crashed.
+// WithSuspects sets the register of requests and parts of prompts during which servers crashed.
 func WithSuspects(g *quarantine.Register) Option { return func(d *Dispatcher) { d.suspects = g } }
 
 // WithReservations sets the builder of reservation groups and the time after which a reservation expires unless it is renewed.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -43,6 +43,8 @@
 	// sentAt is the time at which the request was sent, and firstEventAt that of its first event; zero if there was none.
 	sentAt       clock.Millis
 	firstEventAt clock.Millis
+	// survived says that the server was recorded as having survived the parts of the prompt.
+	survived bool
 	// group is the memory that is reserved on several engines, or nil.
 	group *reservation.Group
 	// stopRenewals stops renewing the reservations of group.
@@ -81,6 +83,9 @@
 	defer func() { x.waited += x.d.clock.Now() - started }()
 	defer x.d.fleet.CountWaiting()()
 	for {
+		if err := x.blocked(); err != nil {
+			return nil, err
+		}
 		changed := x.d.fleet.Changed()
 		selected, err := x.choose()
 		if selected != nil && selected.plan.Shared {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,9 +14,7 @@
 )
 
 const (
-	// maxCrashes is the number of servers that may crash during a request before its repeats are rejected.
-	maxCrashes = 3
-	// retryAfterSuspect is the Retry-After hint for a request rejected because servers crashed during it.
+	// retryAfterSuspect is the Retry-After hint for a request rejected because it, or a part of its prompt, crashes servers.
 	retryAfterSuspect = 10 * clock.Second
 	// neighbourProbeDelay is the time in which the probes of a server's neighbours have ended.
 	neighbourProbeDelay clock.Millis = 600
@@ -33,6 +31,8 @@
 	d     *Dispatcher
 	reply Reply
 	log   log.Interface
+	// suspects are the fingerprints that are blamed if a server crashes.
+	suspects quarantine.PromptSuspects
 	// excluded are the servers on which an attempt of this request failed.
 	excluded map[poplarwinch.UpstreamID]bool
 	// possibleRuns is the number of attempts in which a server may have run the request.
@@ -53,18 +53,13 @@
 func newRun(d *Dispatcher, r *Request, reply Reply) *run {
 	return &run{
 		Request: r, d: d, reply: reply, excluded: map[poplarwinch.UpstreamID]bool{},
-		log: d.log.WithFields(log.Fields{"request-id": r.ID, "route": r.Route.Name, "customer": r.Customer}),
+		suspects: quarantine.NewPromptSuspects(r.Fingerprint, r.Model, r.SharedParts),
+		log:      d.log.WithFields(log.Fields{"request-id": r.ID, "route": r.Route.Name, "customer": r.Customer}),
 	}
 }
 
 // run makes attempts until one succeeds or no further one is allowed.
 func (x *run) run(ctx context.Context) error {
-	if n := x.d.suspects.Deaths(x.Fingerprint); n >= maxCrashes {
-		return &poplarwinch.Error{
-			Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterSuspect,
-			Message: fmt.Sprintf("%d servers crashed while running this request", n), Remedy: "change the request",
-		}
-	}
 	ctx, cancel := context.WithTimeout(ctx, (x.Deadline - x.d.clock.Now()).Duration())
 	defer cancel()
 	for {
@@ -78,6 +73,22 @@
 	}
 }
 
+// blocked returns the error for a request that is rejected because it, or a part of its prompt, crashes servers, and nil for others.
+func (x *run) blocked() error {
+	part, blocked := x.d.suspects.Blocked(x.suspects)
+	if !blocked {
+		return nil
+	}
+	message, remedy := "servers crashed while running this request", "change the request"
+	if part > 0 {
+		message = fmt.Sprintf("servers crash on prompts with part %s", x.SharedParts[part-1])
+		remedy = "change this part of the prompt"
+	}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterSuspect, Message: message, Remedy: remedy,
+	}
+}
+
 // shouldRetry reports whether the request is sent to another server after err. A retry takes from the retry budget unless
 // the request could not be sent.
 func (x *run) shouldRetry(ctx context.Context, err error) bool {
@@ -119,8 +130,10 @@
 			x.log.WithField("upstream", s.ID).WithField("failure-domain", s.Domain).Warn("server cut off with its failure domain; no crash recorded")
 			return
 		}
-		crash := quarantine.Death{Upstream: s.ID, At: x.d.clock.Now()}
-		x.d.suspects.Merge([]quarantine.Suspect{{Fingerprint: x.Fingerprint, Deaths: []quarantine.Death{crash}}})
+		x.d.suspects.RecordCrash(x.suspects, quarantine.Crash{
+			Death:    quarantine.Death{Upstream: s.ID, At: brokeAt, Ran: brokeAt - selected.sentAt},
+			Survived: selected.answeredFor(brokeAt) >= quarantine.SurvivalTime,
+		})
 		x.d.metrics.crashRecorded(x.Service)
 		x.log.WithFields(log.Fields{
 			"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts, "known-suspects": len(x.d.suspects.Suspects()),
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -37,8 +37,6 @@
 	distantHeartbeatsPerSecond = 4
 	// maxDatagramBytes is the maximum size of a received datagram, in bytes.
 	maxDatagramBytes = 60000
-	// maxSuspects is the maximum number of suspects in a datagram.
-	maxSuspects = 16
 	// affectedInterval is the maximum time between two reports to the peers of cells whose servers have load of this instance. It is
 	// shorter than the time after which they ignore a report.
 	affectedInterval clock.Millis = 2000
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -66,10 +66,11 @@
 	Servers   []serverWork
 }
 
-// suspect is a request that was running on servers when they crashed.
+// suspect is a request or a part of prompts that was running on servers when they crashed; see quarantine.Suspect.
 type suspect struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint []byte
+	Position    int
 	Deaths      []death
 }
 
@@ -78,6 +79,8 @@
 	_        struct{} `cbor:",toarray"`
 	Upstream poplarwinch.UpstreamID
 	Age      clock.Millis
+	Ran      clock.Millis
+	Cleared  bool
 }
 
 func encodeWork(servers []fleet.ServerWork) []serverWork {
@@ -121,10 +124,10 @@
 
 func encodeSuspects(list []quarantine.Suspect, now clock.Millis) []suspect {
 	var suspects []suspect
-	for _, s := range list[max(0, len(list)-maxSuspects):] {
-		encoded := suspect{Fingerprint: s.Fingerprint[:]}
+	for _, s := range list {
+		encoded := suspect{Fingerprint: s.Fingerprint[:], Position: s.Position}
 		for _, d := range s.Deaths {
-			encoded.Deaths = append(encoded.Deaths, death{Upstream: d.Upstream, Age: now - d.At})
+			encoded.Deaths = append(encoded.Deaths, death{Upstream: d.Upstream, Age: now - d.At, Ran: d.Ran, Cleared: d.Cleared})
 		}
 		suspects = append(suspects, encoded)
 	}
@@ -137,9 +140,9 @@
 		if len(w.Fingerprint) != len(quarantine.Fingerprint{}) {
 			continue
 		}
-		decoded := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(w.Fingerprint)}
+		decoded := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(w.Fingerprint), Position: w.Position}
 		for _, d := range w.Deaths {
-			decoded.Deaths = append(decoded.Deaths, quarantine.Death{Upstream: d.Upstream, At: now - d.Age})
+			decoded.Deaths = append(decoded.Deaths, quarantine.Death{Upstream: d.Upstream, At: now - d.Age, Ran: d.Ran, Cleared: d.Cleared})
 		}
 		suspects = append(suspects, decoded)
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -171,7 +171,7 @@
 	return &message{
 		CellIndex: cell.Index, CellCount: cell.Count,
 		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), Follows: g.following(),
-		Failing: g.failing(), Suspects: encodeSuspects(g.suspects.Suspects(), g.clock.Now()),
+		Failing: g.failing(), Suspects: encodeSuspects(g.suspects.Report(), g.clock.Now()),
 	}
 }
 
--- /dev/null
+++ b/quarantine/blame_test.go
@@ -0,0 +1,213 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+// promptOf returns the suspects of a request, written as its name and its shared parts, such as "r1:instructions:bad".
+func promptOf(text string) PromptSuspects {
+	name, rest, _ := strings.Cut(text, ":")
+	var parts []poplarwinch.PromptPartID
+	for id := range strings.SplitSeq(rest, ":") {
+		if id != "" {
+			parts = append(parts, poplarwinch.PromptPartID(id))
+		}
+	}
+	return NewPromptSuspects(FingerprintOf("c", "m", []byte(name)), "m", parts)
+}
+
+// play runs a script of crashes ("crash ENGINE REQUEST..."), survived answers ("answer REQUEST"), complete ones and waits in ms. Requests
+// were sent 200 ms before the crash, or as many ms as follow a slash.
+func play(t rapid.TB, m *clock.Manual, g *Register, script string) {
+	for step := range strings.SplitSeq(script, ", ") {
+		fields := strings.Fields(step)
+		switch fields[0] {
+		case "crash":
+			for _, r := range fields[2:] {
+				name, ran, ok := strings.Cut(r, "/")
+				if !ok {
+					ran = "200"
+				}
+				ms, _ := strconv.Atoi(ran)
+				g.RecordCrash(promptOf(name), Crash{Death: Death{Upstream: poplarwinch.UpstreamID(fields[1]), At: m.Now(), Ran: clock.Millis(ms)}})
+			}
+		case "survived":
+			g.RecordCrash(promptOf(fields[2]), Crash{Death: Death{Upstream: poplarwinch.UpstreamID(fields[1]), At: m.Now(), Ran: 200}, Survived: true})
+		case "answer":
+			g.RecordSurvival(promptOf(fields[1]), m.Now())
+		case "complete":
+			g.RecordAnswer(promptOf(fields[1]), m.Now()-200)
+		case "wait":
+			ms, _ := strconv.Atoi(fields[1])
+			m.Advance(clock.Millis(ms))
+		default:
+			t.Fatalf("unknown step %q", step)
+		}
+	}
+}
+
+// Guards against requests that crash engines as long as no two are alike, and against sound requests that are blocked with them
+// because they share parts, ran on the same engines, or ran when engines died for another reason.
+func TestBlockedSuspects(t *testing.T) {
+	crashes := "crash e1 r1:i:bad, wait 300, crash e2 r2:i:bad, wait 300, crash e3 r3:i:bad, wait 300"
+	for name, c := range map[string]struct {
+		script  string
+		blocked string
+		allowed string
+	}{
+		"a common part":                      {crashes + ", wait 1000", "new:i:bad", "new:i new:i:good"},
+		"not at once":                        {crashes, "", "new:i:bad"},
+		"a common part after an answer":      {"answer r0:i:bad, wait 10, " + crashes + ", wait 1000", "new:i:bad", "new:i"},
+		"a common part at another place":     {crashes + ", wait 1000", "new:i:good:bad", "new:good:i"},
+		"two crashes":                        {"crash e1 r1:i:bad, wait 300, crash e2 r2:i:bad, wait 2000", "", "new:i:bad"},
+		"first part":                         {"crash e1 r1:bad:a, wait 300, crash e2 r2:bad:b, wait 300, crash e3 r3:bad:c, wait 300, crash e4 r4:bad:a, wait 1300", "new:bad new:bad:d", "new:a new:b"},
+		"engines that die together":          {"crash e1 r1:i, crash e2 r2:i, crash e3 r3:i, crash e4 r4:i, wait 2000", "", "new:i"},
+		"again, with answers between":        {"crash e1 r1:i, crash e2 r2:i, wait 600, answer r9:i, wait 600, crash e3 r3:i, crash e4 r4:i, wait 2000", "", "new:i"},
+		"an answer after the last crash":     {crashes + ", wait 100, answer r4:i:bad, wait 1000", "", "new:i:bad"},
+		"an answer that began before":        {"wait 1000, crash e1 r1:i:bad, crash e2 r2:i:bad, wait 300, crash e3 r3:i:bad, wait 1500", "new:i:bad", "new:i"},
+		"a bystander on each engine":         {"crash e1 r1:i:bad q:i:s, wait 300, crash e2 r2:i:bad q:i:s, wait 300, crash e3 r3:i:bad q:i:s, wait 300, crash e4 r4:i:bad, wait 1300", "new:i:bad", "q:i:s new:i:s"},
+		"a request that is repeated":         {"crash e1 r1:i:x o:i, wait 300, crash e2 r1:i:x p:i, wait 300, crash e3 r1:i:x, wait 10", "r1:i:x", "new:i:x o:i p:i"},
+		"a request that is answered between": {"crash e1 r1:i, wait 300, crash e2 r1:i, wait 300, complete r1:i, answer r1:i, wait 300, crash e3 r1:i, wait 2000", "", "r1:i"},
+		"crashes long after the answer began": {
+			"survived e1 r1:i:x, wait 300, survived e2 r2:i:x, wait 300, survived e3 r3:i:x, wait 300, survived e4 r4:i:x, wait 1300", "", "new:i:x r1:i:x",
+		},
+		"two common parts": {
+			"crash e1 r1:i:bad, crash e5 s1:i:worse, wait 300, crash e2 r2:i:bad, crash e6 s2:i:worse, wait 300, crash e3 r3:i:bad, crash e7 s3:i:worse, wait 300, answer r9:i, wait 1000",
+			"new:i:bad new:i:worse", "new:i",
+		},
+		"one engine many times": {strings.Repeat("crash e1 r1:i:bad, wait 300, ", 8) + "wait 1000", "", "new:i:bad"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := clock.NewManual(start)
+			g := newTest(t, m)
+			play(t, m, g, c.script)
+			for _, r := range strings.Fields(c.blocked) {
+				if _, blocked := g.Blocked(promptOf(r)); !blocked {
+					t.Errorf("%s is not blocked", r)
+				}
+			}
+			for _, r := range strings.Fields(c.allowed) {
+				if _, blocked := g.Blocked(promptOf(r)); blocked {
+					t.Errorf("%s is blocked", r)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a suspect that stays blocked for all time though it is sound, and against trials that crash an engine each.
+func TestBlockedSuspectIsTriedAgain(t *testing.T) {
+	const crashes = "crash e1 r1:bad, wait 300, crash e2 r2:bad, wait 300, crash e3 r3:bad, wait 300, crash e4 r4:bad, wait 1300"
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	g.trials.delay = firstTrialDelay
+	play(t, m, g, crashes)
+	allowed := 0
+	for m.Now() < start+9*clock.Minute {
+		if _, blocked := g.Blocked(promptOf("new:bad")); !blocked {
+			allowed++
+			if m.Now() < start+firstTrialDelay {
+				t.Fatalf("tried again after %d ms", m.Now()-start)
+			}
+			if allowed == 1 {
+				g.RecordCrash(promptOf("new:bad"), Crash{Death: Death{Upstream: "e9", At: m.Now(), Ran: 200}})
+			}
+		}
+		m.Advance(clock.Second)
+	}
+	if allowed == 0 || allowed > 30 {
+		t.Errorf("%d trials, want a few", allowed)
+	}
+	play(t, m, g, "answer r5:bad")
+	if _, blocked := g.Blocked(promptOf("new:bad")); blocked {
+		t.Error("blocked after an answer")
+	}
+}
+
+// Guards against what one instance learns never reaching others: reports that pass from one to the next, late, lead to the same blocks,
+// and stop to change.
+func TestReportsReachAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 12
+		m := clock.NewManual(start)
+		var list []*Register
+		for range instances {
+			list = append(list, newTest(t, m))
+		}
+		for n := range 5 {
+			g := list[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			play(t, m, g, fmt.Sprintf("crash e%d r%d:i:bad, wait 300", n, n))
+			for other := range 30 {
+				by := list[rapid.IntRange(0, instances-1).Draw(t, "by")]
+				play(t, m, by, fmt.Sprintf("crash e%d b%d-%d:i:s%d-%d", n, n, other, n, other))
+			}
+		}
+		sound := list[rapid.IntRange(0, instances-1).Draw(t, "sound")]
+		play(t, m, sound, "answer r9:i")
+		const delay = 5
+		exchange := func() {
+			for i, g := range list {
+				report := g.Report()
+				m.Advance(delay)
+				for n := range report {
+					report[n].Deaths = slices.Clone(report[n].Deaths)
+					for d := range report[n].Deaths {
+						report[n].Deaths[d].At += delay // the age does not grow on the way
+					}
+				}
+				list[(i+1)%instances].Merge(report)
+				list[(i+5)%instances].Merge(report)
+			}
+		}
+		for range 30 {
+			exchange()
+		}
+		m.Advance(clock.Second)
+		for i, g := range list {
+			if _, blocked := g.Blocked(promptOf("new:i:bad")); !blocked {
+				t.Errorf("not blocked at instance %d", i)
+			}
+			if _, blocked := g.Blocked(promptOf("new:i")); blocked {
+				t.Errorf("sound requests are blocked at instance %d", i)
+			}
+		}
+		m.Advance(reportPeriod)
+		before := fmt.Sprint(list[0].Suspects())
+		exchange()
+		exchange()
+		if after := fmt.Sprint(list[0].Suspects()); before != after {
+			t.Errorf("suspects still change:\n%s\n%s", before, after)
+		}
+		restarted := newTest(t, m)
+		restarted.Merge(list[3].Report())
+		if _, blocked := restarted.Blocked(promptOf("new:i:bad")); !blocked {
+			t.Error("not blocked at a restarted instance")
+		}
+	})
+}
+
+// Guards against blocked suspects that a report leaves out because there are many others.
+func TestReportHasBlockedSuspectsFirst(t *testing.T) {
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	play(t, m, g, "crash e1 r1:i:bad, wait 300, crash e2 r2:i:bad, wait 300, crash e3 r3:i:bad, wait 7000")
+	for n := range 100 {
+		play(t, m, g, fmt.Sprintf("crash f%d x%d:i:s%d, wait 10, answer z:i", n%40, n, n%50))
+	}
+	report := g.Report()
+	if len(report) != reportedSuspects {
+		t.Fatalf("%d suspects in the report, want %d", len(report), reportedSuspects)
+	}
+	if report[0].Fingerprint != FingerprintOfPart("m", "bad") {
+		t.Errorf("the blocked part is not the first of %v", report)
+	}
+}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -18,24 +18,36 @@
 	limit    int
 	violated invariant.Report
 
+	// onChange is called after this instance has learned something of a suspect that its peers may not know.
+	onChange func()
+
 	// suspects is immutable and replaced on each change, so that Check needs no lock.
 	suspects atomic.Pointer[map[Fingerprint]Suspect]
+	// blocks is immutable and replaced on each change, and empty nearly always.
+	blocks atomic.Pointer[map[Fingerprint]block]
 	// lastDeathMillis is the time in milliseconds of the last engine death that was reported to this instance.
 	lastDeathMillis atomic.Int64
 	mutex           sync.Mutex
 	runs            map[poplarwinch.UpstreamID]map[*run]struct{}
+	sound           soundness
+	trials          trials
+	// news has the suspects that changed, until all peers know.
+	news map[Fingerprint]news
 }
 
 // New returns an empty register.
 func New(opts ...Option) *Register {
 	g := &Register{
 		clock: clock.System(), limit: 4096, violated: invariant.Log,
-		runs: map[poplarwinch.UpstreamID]map[*run]struct{}{},
+		onChange: func() {},
+		runs:     map[poplarwinch.UpstreamID]map[*run]struct{}{}, sound: soundness{}, trials: newTrials(),
+		news: map[Fingerprint]news{},
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.suspects.Store(&map[Fingerprint]Suspect{})
+	g.blocks.Store(&map[Fingerprint]block{})
 	return g
 }
 
@@ -120,29 +132,46 @@
 // merge merges suspects and returns those that changed. The caller must hold the mutex.
 func (g *Register) merge(suspects []Suspect) []Suspect {
 	now := g.clock.Now()
+	changed := g.changes(suspects, now)
+	if len(changed) == 0 {
+		return nil
+	}
 	next := maps.Clone(*g.suspects.Load())
-	maps.DeleteFunc(next, func(_ Fingerprint, s Suspect) bool { return s.expired(now) })
-	var changed []Suspect
-	for _, s := range suspects {
-		merged, updated := next[s.Fingerprint], false
-		merged.Fingerprint = s.Fingerprint
-		for _, d := range s.Deaths {
-			d.At = min(d.At, now)
-			var added bool
-			merged, added = merged.withDeath(d)
-			updated = updated || added
+	maps.DeleteFunc(next, func(f Fingerprint, s Suspect) bool {
+		if s.expired(now) {
+			delete(g.news, f)
+			delete(g.trials.last, f)
+			return true
 		}
-		if !updated || merged.expired(now) {
-			continue
-		}
-		next[s.Fingerprint] = merged
-		changed = append(changed, merged)
+		return false
+	})
+	for _, s := range changed {
+		next[s.Fingerprint] = s
+		g.news[s.Fingerprint] = news{changedAt: now}
 	}
 	g.evict(next)
+	blocks := findBlocks(next, now)
 	g.suspects.Store(&next)
+	g.blocks.Store(&blocks)
 	return changed
 }
 
+// changes returns the suspects that differ from those known so far, as they are after the merge. The caller must hold the mutex.
+func (g *Register) changes(suspects []Suspect, now clock.Millis) []Suspect {
+	known := *g.suspects.Load()
+	pending := map[Fingerprint]Suspect{}
+	for _, s := range suspects {
+		old, ok := pending[s.Fingerprint]
+		if !ok {
+			old = known[s.Fingerprint]
+		}
+		if merged, differs := old.with(s, g.sound[s.Fingerprint], now); differs && !merged.expired(now) {
+			pending[s.Fingerprint] = merged
+		}
+	}
+	return slices.Collect(maps.Values(pending))
+}
+
 // evict removes suspects above the limit: those with the fewest deaths first and, among these, the oldest.
 func (g *Register) evict(suspects map[Fingerprint]Suspect) {
 	excess := len(suspects) - g.limit
@@ -150,13 +179,14 @@
 		return
 	}
 	list := slices.SortedFunc(maps.Values(suspects), func(a, b Suspect) int {
-		if c := len(a.Deaths) - len(b.Deaths); c != 0 {
+		if c := len(a.openDeaths()) - len(b.openDeaths()); c != 0 {
 			return c
 		}
 		return int(a.Deaths[len(a.Deaths)-1].At - b.Deaths[len(b.Deaths)-1].At)
 	})
 	for _, s := range list[:excess] {
 		delete(suspects, s.Fingerprint)
+		delete(g.news, s.Fingerprint)
 	}
 }
 
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -74,7 +74,7 @@
 				case "died":
 					g.RecordDeath(u)
 				case "peer":
-					g.Merge([]Suspect{{Fingerprint: f, Deaths: []Death{{u, m.Now()}}}})
+					g.Merge([]Suspect{{Fingerprint: f, Deaths: []Death{{Upstream: u, At: m.Now()}}}})
 				case "wait":
 					n, _ := strconv.Atoi(value)
 					m.Advance(clock.Millis(n))
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
+
+const (
+	// reportPeriod is the time after a change of a suspect for which it is reported to peers, which report it further.
+	reportPeriod = 5 * clock.Second
+	// reportedSuspects is the largest number of suspects in a report.
+	reportedSuspects = 32
+	// reportedDeaths is the largest number of deaths in the report of a suspect that is not blocked.
+	reportedDeaths = 8
+)
+
+// news is the state of telling peers of the latest change of a suspect.
+type news struct {
+	changedAt clock.Millis
+	// reports is the number of reports that had the change.
+	reports int
+}
+
+// Report returns what peers should know now: the blocked suspects, and those that changed a short time ago, with their deaths. If
+// there are too many, those come first that were in the fewest reports since, so that all are told of in turn.
+func (g *Register) Report() []Suspect {
+	suspects, blocks := *g.suspects.Load(), *g.blocks.Load()
+	if len(suspects) == 0 {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	maps.DeleteFunc(g.news, func(_ Fingerprint, n news) bool { return now-n.changedAt >= reportPeriod })
+	var list []reported
+	for f := range blocks {
+		if _, isNew := g.news[f]; !isNew {
+			list = append(list, reported{suspect: suspects[f], blocked: true})
+		}
+	}
+	for f, n := range g.news {
+		_, isBlocked := blocks[f]
+		list = append(list, reported{suspect: suspects[f], blocked: isBlocked, isNew: true, reports: n.reports})
+	}
+	slices.SortFunc(list, reported.compare)
+	var report []Suspect
+	for _, r := range list[:min(len(list), reportedSuspects)] {
+		report = append(report, r.withDeathsToReport())
+		if n, ok := g.news[r.suspect.Fingerprint]; ok {
+			n.reports++
+			g.news[r.suspect.Fingerprint] = n
+		}
+	}
+	return report
+}
+
+// enoughDeaths returns the latest of the deaths of a blocked suspect that are enough to block it at a peer that knows of none.
+func enoughDeaths(deaths []Death) []Death {
+	for n := blockingDeaths; n < len(deaths); n++ {
+		if _, ok := blockedFrom(deaths[len(deaths)-n:]); ok {
+			return deaths[len(deaths)-n:]
+		}
+	}
+	return deaths
+}
+
+// reported is a suspect that may be part of a report.
+type reported struct {
+	suspect Suspect
+	blocked bool
+	// isNew says that the suspect changed a short time ago, and reports is the number of reports since.
+	isNew   bool
+	reports int
+}
+
+// compare orders suspects by their importance to peers.
+func (r reported) compare(other reported) int {
+	if r.blocked != other.blocked {
+		if r.blocked {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(r.reports, other.reports),
+		cmp.Compare(len(other.suspect.Deaths), len(r.suspect.Deaths)),
+		bytes.Compare(r.suspect.Fingerprint[:], other.suspect.Fingerprint[:]),
+	)
+}
+
+// withDeathsToReport returns the suspect with the deaths that peers should know.
+func (r reported) withDeathsToReport() Suspect {
+	s := r.suspect
+	switch {
+	case !r.blocked:
+		s.Deaths = s.Deaths[max(0, len(s.Deaths)-reportedDeaths):]
+	case r.isNew:
+		s.Deaths = s.openDeaths()
+	default:
+		s.Deaths = enoughDeaths(s.openDeaths())
+	}
+	return s
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -11,13 +11,16 @@
 // death.
 const quarantinePeriod = 10 * clock.Minute
 
-// maxDeaths is the maximum number of deaths kept for a suspect. Two determine the verdict; more are kept because further
-// reports of the same deaths may arrive.
-const maxDeaths = 8
+// maxDeaths is the maximum number of deaths kept for a suspect: those of the few seconds until a part of prompts is blocked, on a
+// large deployment.
+const maxDeaths = 32
 
-// Suspect is a request that was running on an engine when the engine died, or whose stream had broken just before.
+// Suspect is a request, or a part of prompts, that was running on an engine when the engine died, or whose stream had broken just
+// before.
 type Suspect struct {
 	Fingerprint Fingerprint
+	// Position is the place of a part in its prompts, from 1; zero for a whole request.
+	Position int
 	// Deaths are the distinct deaths ordered by time, at most maxDeaths.
 	Deaths []Death
 }
@@ -37,16 +40,46 @@
 	return len(s.Deaths) == 0 || now-s.Deaths[len(s.Deaths)-1].At >= quarantinePeriod
 }
 
+// openDeaths returns the deaths that are not cleared, ordered by time.
+func (s *Suspect) openDeaths() []Death {
+	var open []Death
+	for _, d := range s.Deaths {
+		if !d.Cleared {
+			open = append(open, d)
+		}
+	}
+	return open
+}
+
+// with returns the suspect as known from both records of it and whether that differs from s. It does not change s. Deaths up to the
+// time sound are cleared.
+func (s Suspect) with(other Suspect, sound, now clock.Millis) (Suspect, bool) {
+	merged := s
+	merged.Fingerprint = other.Fingerprint
+	merged.Position = max(s.Position, other.Position)
+	changed := merged.Position != s.Position
+	for _, d := range other.Deaths {
+		d.At = min(d.At, now)
+		d.Cleared = d.Cleared || d.At <= sound
+		var added bool
+		merged, added = merged.withDeath(d)
+		changed = changed || added
+	}
+	return merged, changed
+}
+
 // withDeath returns the suspect with d added and whether that changed it.
 func (s Suspect) withDeath(d Death) (Suspect, bool) {
-	s.Deaths = slices.Clone(s.Deaths)
-	if i := slices.IndexFunc(s.Deaths, d.sameAs); i < 0 {
-		s.Deaths = append(s.Deaths, d)
-	} else if d.At < s.Deaths[i].At {
-		// All instances keep the earliest report of a death, so that they converge.
-		s.Deaths[i].At = d.At
+	i := slices.IndexFunc(s.Deaths, d.sameAs)
+	if i >= 0 {
+		merged := s.Deaths[i].with(d)
+		if merged == s.Deaths[i] {
+			return s, false
+		}
+		s.Deaths = slices.Clone(s.Deaths)
+		s.Deaths[i] = merged
 	} else {
-		return s, false
+		s.Deaths = append(slices.Clone(s.Deaths), d)
 	}
 	slices.SortFunc(s.Deaths, func(a, b Death) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Upstream, b.Upstream))
