Blame crashes of engines on messages at the own interface, too

Messages but the last are parts now; runs remember their parts and first token, so that answers clear them, and instances exchange both. A prompt with a blocked message is rejected as quarantined (422), not run.

--- /dev/null
+++ b/completion/parts.go
@@ -0,0 +1,45 @@
+package completion
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/poplarwinch/poplarwinch"
+)
+
+// maxSharedParts bounds the parts of a prompt that are identified: the first ones are those that requests share.
+const maxSharedParts = 32
+
+// sharedParts returns the ids of the messages of a chat that other requests may have in common: all but the last one. A text prompt
+// has none. value is the JSON text of the prompt.
+func sharedParts(format Format, value []byte) []poplarwinch.PromptPartID {
+	if format != FormatChat {
+		return nil
+	}
+	var parts []poplarwinch.PromptPartID
+	previous := []byte(nil)
+	for i := skipSeparators(value, 1); value[i] != ']' && len(parts) < maxSharedParts; {
+		end := skipValue(value, i)
+		if previous != nil {
+			parts = append(parts, partID(previous))
+		}
+		previous = value[i:end]
+		i = skipSeparators(value, end)
+	}
+	return parts
+}
+
+// partID identifies a message by its JSON text.
+func partID(text []byte) poplarwinch.PromptPartID {
+	sum := sha256.Sum256(text)
+	return poplarwinch.PromptPartID(hex.EncodeToString(sum[:8]))
+}
+
+// skipSeparators returns the index of the first byte at or after i that is neither white space nor a comma.
+func skipSeparators(text []byte, i int) int {
+	i = skipSpace(text, i)
+	for text[i] == ',' {
+		i = skipSpace(text, i+1)
+	}
+	return i
+}
--- a/completion/request.go
+++ b/completion/request.go
@@ -28,6 +28,8 @@
 	PromptBytes poplarwinch.Bytes
 	// Blocks are the hashes of the prompt's prefix blocks; see the function Blocks.
 	Blocks []uint64
+	// SharedParts identify the parts of the prompt that other requests may have in common, in order.
+	SharedParts []poplarwinch.PromptPartID
 	// Body is the request body for the engine. It always requests a stream with usage.
 	Body []byte
 }
@@ -62,6 +64,7 @@
 	}
 	r.PromptBytes = poplarwinch.Bytes(len(prompt))
 	r.Blocks = Blocks(r.Model, r.Adapter, prompt)
+	r.SharedParts = sharedParts(format, prompt)
 	r.Body = rewrite(fields, len(body), r.MaxTokens)
 	return r, nil
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -132,11 +132,11 @@
 	if err := p.awaitSuspectReports(ctx); err != nil {
 		return nil, err
 	}
+	if err := p.rejected(); err != nil {
+		return nil, err
+	}
 	var permit *quarantine.Permit
-	switch p.server.quarantine.Check(p.fingerprint) {
-	case quarantine.VerdictReject:
-		return nil, quarantine.Rejected()
-	case quarantine.VerdictIsolate:
+	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictIsolate {
 		var err error
 		if permit, err = p.server.quarantineGuard.Isolate(ctx, p.server.quarantine, p.fingerprint, clock.FromTime(p.deadline)); err != nil {
 			return nil, err
@@ -208,7 +208,7 @@
 		}
 	}
 	q := p.server.quarantine
-	release, ok := q.Start(selected.upstream.ID, p.fingerprint)
+	release, ok := q.Start(selected.upstream.ID, p.fingerprint, p.suspects.Parts...)
 	if !ok {
 		p.releasePermit(permit, false)
 		if q.Check(p.fingerprint) == quarantine.VerdictReject {
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -22,7 +22,9 @@
 	model       *manifest.Model
 	prompt      routing.Prompt
 	fingerprint quarantine.Fingerprint
-	sink        sink
+	// suspects are the fingerprints that are blamed if an engine crashes.
+	suspects quarantine.PromptSuspects
+	sink     sink
 	// mayHaveRun is set once an engine may have run a part of the prompt. The outcome can no longer be not-run then.
 	mayHaveRun bool
 	// rejectedForMemory is set once an engine rejected the prompt for lack of KV memory. The prompt needs a group of
@@ -89,6 +91,7 @@
 			Tokens: estimate, MaxNewTokens: request.MaxTokens, Blocks: request.Blocks, Class: routing.ClassOf(estimate),
 		},
 	}
+	p.suspects = quarantine.NewPromptSuspects(p.fingerprint, request.Model, request.SharedParts)
 	p.prompt.Key = binary.BigEndian.Uint64(p.fingerprint[:])
 	x.class = string(p.prompt.Class)
 	return p, nil
@@ -126,8 +129,8 @@
 
 // admitAndRun waits for admission and runs the prompt.
 func (p *promptRun) admitAndRun(ctx context.Context) error {
-	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
-		return quarantine.Rejected()
+	if err := p.rejected(); err != nil {
+		return err
 	}
 	release, err := p.server.admission.Admit(ctx, admission.Request{
 		Prompt: &p.prompt, Deadline: clock.FromTime(p.deadline), Weight: p.customer.Weight,
@@ -141,6 +144,17 @@
 	return p.runWithRetries(ctx)
 }
 
+// rejected returns the error for a prompt that must not run because it, or a part of it, has crashed engines, and nil for others.
+func (p *promptRun) rejected() error {
+	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
+		return quarantine.Rejected()
+	}
+	if part, blocked := p.server.quarantine.Blocked(p.suspects); blocked {
+		return quarantine.BlockedPart(part)
+	}
+	return nil
+}
+
 // recordUsage passes the engine's token count to the token estimator. A resumed stream is left out, since the size of
 // its prompt is unknown here.
 func (p *promptRun) recordUsage(usage completion.Usage) {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -109,6 +109,7 @@
 // predictions.
 func (a *attempt) recordFirstToken() {
 	a.ticket.FirstToken()
+	a.server.quarantine.RecordFirstToken(a.upstream.ID, a.fingerprint)
 	now := a.sinceStart()
 	if a.firstToken == 0 {
 		a.firstToken = max(1, now)
--- a/instance/convert.go
+++ b/instance/convert.go
@@ -70,9 +70,9 @@
 func suspectsToPeers(suspects []quarantine.Suspect) []peer.Suspect {
 	out := make([]peer.Suspect, len(suspects))
 	for i, s := range suspects {
-		out[i].Fingerprint = s.Fingerprint
+		out[i].Fingerprint, out[i].Position = s.Fingerprint, s.Position
 		for _, d := range s.Deaths {
-			out[i].Crashes = append(out[i].Crashes, peer.Crash{Upstream: d.Upstream, At: d.At})
+			out[i].Crashes = append(out[i].Crashes, peer.Crash(d))
 		}
 	}
 	return out
@@ -81,9 +81,9 @@
 func suspectsFromPeers(suspects []peer.Suspect) []quarantine.Suspect {
 	out := make([]quarantine.Suspect, len(suspects))
 	for i, s := range suspects {
-		out[i].Fingerprint = s.Fingerprint
+		out[i].Fingerprint, out[i].Position = s.Fingerprint, s.Position
 		for _, c := range s.Crashes {
-			out[i].Deaths = append(out[i].Deaths, quarantine.Death{Upstream: c.Upstream, At: c.At})
+			out[i].Deaths = append(out[i].Deaths, quarantine.Death(c))
 		}
 	}
 	return out
--- /dev/null
+++ b/instance/crashing_part_test.go
@@ -0,0 +1,76 @@
+package instance_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	emulatedengine "github.com/poplarwinch/poplarwinch/emulator/engine"
+)
+
+// maxCrashesByPart is the largest number of engines that requests with one message in common may crash: five until all instances have
+// to know, and three more.
+const maxCrashesByPart = 8
+
+// postChat sends a chat of the messages and returns the status.
+func postChat(n *testInstance, messages ...string) (int, error) {
+	var list []string
+	for _, m := range messages {
+		list = append(list, fmt.Sprintf(`{"role":"user","content":%q}`, m))
+	}
+	body := fmt.Sprintf(`{"model":"drafting","messages":[%s],"max_tokens":4}`, strings.Join(list, ","))
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.caller+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+// Guards against requests that crash one engine after the other, though no two are alike, because they share a message.
+func TestRequestsWithTheSameCrashingMessage(t *testing.T) {
+	t.Parallel()
+	const engines = 14
+	cluster := newCluster(t, clusterOptions{engines: engines})
+	var instances []*testInstance
+	for i := range 3 {
+		instances = append(instances, cluster.startInstance(fmt.Sprintf("entry-%d", i), "domain-a", instances...))
+	}
+	cluster.commitManifest(instances[0], manifestText(), 0)
+	for _, n := range instances {
+		cluster.awaitUpstreams(n, engines)
+	}
+	for _, e := range cluster.engines {
+		e.SetFaults(emulatedengine.Faults{CrashMarker: "crashes engines"})
+	}
+	for i := range 12 {
+		n := instances[i%len(instances)]
+		status, err := postChat(n, "instructions", "this one crashes engines", fmt.Sprintf("question %d", i))
+		if err != nil || status == http.StatusOK {
+			t.Errorf("request %d with the message: status %d, error %v", i, status, err)
+		}
+		status, err = postChat(n, "instructions", fmt.Sprintf("document %d", i), fmt.Sprintf("question %d", i))
+		if err != nil || status != http.StatusOK {
+			t.Errorf("request %d without it: status %d, error %v", i, status, err)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	crashes := 0
+	for _, e := range cluster.engines {
+		for _, r := range e.Record().Runs {
+			if r.Crashed {
+				crashes++
+			}
+		}
+	}
+	t.Logf("%d engines crashed", crashes)
+	if crashes > maxCrashesByPart {
+		t.Errorf("%d engines crashed, limit %d", crashes, maxCrashesByPart)
+	}
+}
--- a/peer/suspect.go
+++ b/peer/suspect.go
@@ -5,14 +5,18 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
-// Suspect is a request that is suspected of crashing engines.
+// Suspect is a request, or a part of prompts, that is suspected of crashing engines.
 type Suspect struct {
 	Fingerprint [16]byte
-	Crashes     []Crash
+	// Position is the place of a part in its prompts, from 1; zero for a whole request.
+	Position int
+	Crashes  []Crash
 }
 
 // Crash is the crash of an engine while it ran the request.
 type Crash struct {
 	Upstream poplarwinch.UpstreamID
 	At       clock.Millis // Unix time
+	Ran      clock.Millis // time from the sending of the request to the crash
+	Cleared  bool         // an engine has survived the suspect since
 }
--- a/peer/wiresuspect.go
+++ b/peer/wiresuspect.go
@@ -8,17 +8,20 @@
 type wireSuspect struct {
 	Fingerprint []byte      `cbor:"1,keyasint"`
 	Crashes     []wireCrash `cbor:"2,keyasint,omitempty"`
+	Position    int         `cbor:"3,keyasint,omitempty"`
 }
 
 type wireCrash struct {
 	Upstream poplarwinch.UpstreamID `cbor:"1,keyasint"`
 	At       clock.Millis           `cbor:"3,keyasint"`
+	Ran      clock.Millis           `cbor:"4,keyasint,omitempty"`
+	Cleared  bool                   `cbor:"5,keyasint,omitempty"`
 }
 
 func encodeSuspects(suspects []Suspect) []wireSuspect {
 	var list []wireSuspect
 	for _, s := range suspects {
-		w := wireSuspect{Fingerprint: s.Fingerprint[:]}
+		w := wireSuspect{Fingerprint: s.Fingerprint[:], Position: s.Position}
 		for _, c := range s.Crashes {
 			w.Crashes = append(w.Crashes, wireCrash(c))
 		}
@@ -35,6 +38,7 @@
 		if copy(s.Fingerprint[:], w.Fingerprint) != len(s.Fingerprint) || len(w.Fingerprint) != len(s.Fingerprint) {
 			continue
 		}
+		s.Position = w.Position
 		for _, c := range w.Crashes {
 			s.Crashes = append(s.Crashes, Crash(c))
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -58,9 +58,19 @@
 	g.recordSound([]Fingerprint{p.Request}, sentAt)
 }
 
-// recordSound clears the suspects of the deaths up to a time. Suspects that are reported later are cleared too.
+// recordSound clears the suspects of the deaths up to a time.
 func (g *Register) recordSound(list []Fingerprint, at clock.Millis) {
 	g.mutex.Lock()
+	changed := g.clearDeaths(list, at)
+	g.mutex.Unlock()
+	if changed {
+		g.onChange()
+	}
+}
+
+// clearDeaths clears the suspects of the deaths up to a time, also those that are reported later. It reports whether peers should be
+// told. The caller must hold the mutex.
+func (g *Register) clearDeaths(list []Fingerprint, at clock.Millis) bool {
 	now := g.clock.Now()
 	known := *g.suspects.Load()
 	var cleared []Suspect
@@ -70,11 +80,7 @@
 			cleared = append(cleared, s)
 		}
 	}
-	changed := g.merge(cleared)
-	g.mutex.Unlock()
-	if len(changed) > 0 {
-		g.onChange()
-	}
+	return len(g.merge(cleared)) > 0
 }
 
 // Blocked reports whether the request is rejected now because it, or a part of its prompt, crashes engines. The part is its position,
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -218,3 +218,12 @@
 		Message: "this request has crashed two engines", Remedy: "change the request, or ask the operators to look at the engines' logs",
 	}
 }
+
+// BlockedPart returns the error for a prompt with a part that crashes engines, at a position from 1.
+func BlockedPart(position int) *poplarwinch.Error {
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: quarantinePeriod,
+		Message: fmt.Sprintf("engines crash on prompts with message %d of this one", position),
+		Remedy:  "change this message, or ask the operators to look at the engines' logs",
+	}
+}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -59,8 +59,8 @@
 
 // Start records that the request runs on u. It reports false if the request must not run there now, because it is
 // rejected, or because it is a suspect and either u runs another suspect or this instance runs a copy of it. The caller
-// must call end when the stream has ended.
-func (g *Register) Start(u poplarwinch.UpstreamID, f Fingerprint) (end func(), ok bool) {
+// must call end when the stream has ended. The parts are those of the prompt that other requests may have in common.
+func (g *Register) Start(u poplarwinch.UpstreamID, f Fingerprint, parts ...Fingerprint) (end func(), ok bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.clock.Now()
@@ -69,7 +69,7 @@
 	if verdict == VerdictReject || verdict == VerdictIsolate && !g.mayStartIsolated(u, f, now) {
 		return func() {}, false
 	}
-	r := &run{upstream: u, fingerprint: f}
+	r := &run{upstream: u, fingerprint: f, parts: parts, startedAt: now}
 	if g.runs[u] == nil {
 		g.runs[u] = map[*run]struct{}{}
 	}
@@ -86,11 +86,25 @@
 	for r := range g.runs[u] {
 		if r.fingerprint == f && !r.completed && r.endedAt == 0 {
 			r.completed = true
+			if r.firstTokenAt != 0 {
+				g.clearDeaths(r.parts, r.firstTokenAt)
+			}
 			return
 		}
 	}
 }
 
+// RecordFirstToken records that the request has got its first token from u.
+func (g *Register) RecordFirstToken(u poplarwinch.UpstreamID, f Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for r := range g.runs[u] {
+		if r.fingerprint == f && r.firstTokenAt == 0 {
+			r.firstTokenAt = g.clock.Now()
+		}
+	}
+}
+
 // RecordDeath makes the requests that ran on u suspects. It returns the changed suspects, to be sent to peers.
 func (g *Register) RecordDeath(u poplarwinch.UpstreamID) []Suspect {
 	g.lastDeathMillis.Store(int64(g.clock.Now()))
@@ -103,9 +117,10 @@
 		if r.completed {
 			continue
 		}
-		suspects = append(suspects, Suspect{Fingerprint: r.fingerprint, Deaths: []Death{{Upstream: u, At: now}}})
+		suspects = append(suspects, r.suspects(now)...)
 	}
 	delete(g.runs, u)
+	g.recordSurvivors(now)
 	return g.merge(suspects)
 }
 
@@ -113,9 +128,23 @@
 func (g *Register) Merge(suspects []Suspect) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if len(suspects) > 0 {
+		g.recordSurvivors(g.clock.Now())
+	}
 	g.merge(suspects)
 }
 
+// recordSurvivors clears the parts of the prompts whose engines have answered for SurvivalTime. The caller must hold the mutex.
+func (g *Register) recordSurvivors(now clock.Millis) {
+	for _, runs := range g.runs {
+		for r := range runs {
+			if r.survived(now) {
+				g.clearDeaths(r.parts, r.firstTokenAt)
+			}
+		}
+	}
+}
+
 // Suspects returns all suspects that have not expired, ordered by fingerprint.
 func (g *Register) Suspects() []Suspect {
 	now := g.clock.Now()
