Treat a stream that ends inside an event as broken off

Callers would see a stream that ends like a complete one, with part of an event, when a server crashes whose response has neither a length nor chunks: the end of the connection was taken for the end of the stream. The rest of the event was even forwarded. Now it counts as broken: the stream is resumed, or the caller's connection is aborted. Responses of another type than an event stream pass as before.

Other occurrences: streams of the own interface end with [DONE] only.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 )
 
 // Answer is the response of a server. The receiver closes Body.
@@ -14,6 +15,12 @@
 	Body   io.ReadCloser
 }
 
+// isEventStream reports whether the response to a streaming request is an event stream: it says so, or has no type.
+func (a *Answer) isEventStream() bool {
+	kind := a.Header.Get("Content-Type")
+	return kind == "" || strings.HasPrefix(kind, "text/event-stream")
+}
+
 // Reply writes the response to the caller.
 type Reply struct {
 	// Begin sends the status and the headers. It is called at most once.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -40,6 +40,9 @@
 // errSilentServer is the cancellation cause of a call whose server sent nothing within the limit.
 var errSilentServer = errors.New("the server sent nothing within the time limit")
 
+// errInsideEvent is the cause of a broken stream whose connection was closed as if the response were complete.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // attempt selects a server and sends the request to it.
 func (x *run) attempt(ctx context.Context) error {
 	selected, err := x.pick(ctx)
@@ -209,6 +212,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			if a.isEventStream() && x.splitter.insideEvent() {
+				return &CallError{Failure: FailureBroken, Cause: errInsideEvent}
+			}
 			x.begin(a)
 			return x.write(x.splitter.flush())
 		case err != nil:
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -53,6 +53,9 @@
 	return false
 }
 
+// insideEvent reports whether the bytes received last are part of an event that is not complete.
+func (s *splitter) insideEvent() bool { return len(bytes.Trim(s.partial, "\r\n")) > 0 }
+
 // flush returns the bytes of an incomplete event and clears the buffer.
 func (s *splitter) flush() []byte {
 	data := s.partial
