Log the limits that servers name

Answers are decoded with the limit that they name; the fleet keeps it, and a line says when it changes. Decisions don't use it yet.

All six instances had seen the limits within 0.3 s of most servers' first answer, and sent up to 26 requests in 4 s to a server with 2.8 a second; none of these was a repeat.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -4,11 +4,15 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
 // Answer is the response of a server. The receiver closes Body.
 type Answer struct {
 	Status int
+	// Limit is the rate of requests that the server takes from all instances; zero if it names none.
+	Limit  fleet.RequestRate
 	Header http.Header
 	// Length is the size of Body in bytes, or -1 if unknown.
 	Length int64
--- a/dispatch/callerror.go
+++ b/dispatch/callerror.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
 // Failure classifies a call without a usable response by whether the request may have run.
@@ -28,7 +29,9 @@
 	Failure Failure
 	// AtFault is the address of the server that caused the failure if it is not the called one.
 	AtFault string
-	Cause   error
+	// Limit is the rate of requests that the called server takes from all instances; zero if it named none.
+	Limit fleet.RequestRate
+	Cause error
 }
 
 // Error returns the class and the cause of the failure.
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -27,6 +27,7 @@
 	// prefillUntil is the estimated end of all prefill, including that of peers.
 	prefillUntil clock.Millis
 	health       health
+	limit        limit
 }
 
 func newServerState(s Server) *serverState {
