Count the first bucket of a window of retries as a whole

A retry budget that was used up at once was open again up to 0.6 s before its window had passed, so that twice the retries fell into one window: the sum left out the bucket in which the window begins.

--- a/admission/sharedbudget.go
+++ b/admission/sharedbudget.go
@@ -23,6 +23,7 @@
 	sharedRetries float64
 	// windowLength is the length of the sliding window.
 	windowLength clock.Millis
+	bucketWidth  clock.Millis
 	// instances returns the number of instances that divide sharedRetries.
 	instances func() int
 	requests  *window.Counter
@@ -34,7 +35,7 @@
 func NewSharedRetryBudget(c *clock.Clock, retriesPerRequest, sharedRetries float64, windowLength clock.Millis, instances func() int) *SharedRetryBudget {
 	width := max(windowLength*2/budgetBuckets, 1)
 	return &SharedRetryBudget{
-		clock: c, retriesPerRequest: retriesPerRequest, sharedRetries: sharedRetries, windowLength: windowLength, instances: instances,
+		clock: c, retriesPerRequest: retriesPerRequest, sharedRetries: sharedRetries, windowLength: windowLength, bucketWidth: width, instances: instances,
 		requests: window.New(width, budgetBuckets), retries: window.New(width, budgetBuckets),
 	}
 }
@@ -47,7 +48,8 @@
 	now := b.clock.Now()
 	ownRetries := b.sharedRetries / float64(max(b.instances(), 1))
 	allowed := (1 - unusedRetriesFraction) * (b.retriesPerRequest*float64(b.requests.Sum(now, b.windowLength)) + ownRetries)
-	if float64(b.retries.Sum(now, b.windowLength)+1) > allowed {
+	// The bucket in which the window begins counts as a whole.
+	if float64(b.retries.Sum(now, b.windowLength+b.bucketWidth)+1) > allowed {
 		return false
 	}
 	b.retries.Add(now, 1)
--- a/admission/sharedbudget_test.go
+++ b/admission/sharedbudget_test.go
@@ -47,3 +47,28 @@
 		}
 	}
 }
+
+// Guards against retries that are allowed again a little before the window since the last ones has passed: all of them are taken at once,
+// as soon as they are allowed.
+func TestSharedBudgetTakenAtOnce(t *testing.T) {
+	const windowLength, sharedRetries, steps = 10 * clock.Second, 100, 6000
+	const step clock.Millis = 10
+	for _, start := range []clock.Millis{100_000, 100_310, 100_620} {
+		now := clock.NewManual(start)
+		b := admission.NewSharedRetryBudget(now.Clock(), 0.2, sharedRetries, windowLength, func() int { return 1 })
+		taken, sum := make([]int, steps), 0
+		for i := range steps {
+			now.Advance(step)
+			for b.Take() {
+				taken[i]++
+			}
+			sum += taken[i]
+			if first := i - int(windowLength/step); first >= 0 {
+				sum -= taken[first]
+			}
+			if sum > sharedRetries {
+				t.Fatalf("started at %d: %d retries in the 10 s before step %d, %d are allowed", start, sum, i, sharedRetries)
+			}
+		}
+	}
+}
