Keep the shares of the retry budget while the number of instances changes

Cause: the shared part is divided by the instances that count as alive. Three seconds after a cut each side divides it among its own only; a process that has just started knows no other, and its predecessor has used its part. Change: peers that were heard in the last 30 s count unless they left, also those of the store's table that were not heard yet; the part of a new process grows over one window.

--- a/admission/sharedbudget.go
+++ b/admission/sharedbudget.go
@@ -28,16 +28,29 @@
 	instances func() int
 	requests  *window.Counter
 	retries   *window.Counter
+	// startedAt is the time from which this instance's part of sharedRetries grows to its whole, over one window.
+	startedAt clock.Millis
 }
 
+// SharedOption configures a SharedRetryBudget.
+type SharedOption func(*SharedRetryBudget)
+
+// WithStart sets the time at which the process started. Its predecessor may have used its part of the shared retries just before, so
+// this one grows from zero, over one window. Without it, the whole part is available at once.
+func WithStart(at clock.Millis) SharedOption { return func(b *SharedRetryBudget) { b.startedAt = at } }
+
 // NewSharedRetryBudget returns a budget that allows retriesPerRequest retries for each request and, over all instances,
 // sharedRetries more in each window.
-func NewSharedRetryBudget(c *clock.Clock, retriesPerRequest, sharedRetries float64, windowLength clock.Millis, instances func() int) *SharedRetryBudget {
+func NewSharedRetryBudget(c *clock.Clock, retriesPerRequest, sharedRetries float64, windowLength clock.Millis, instances func() int, opts ...SharedOption) *SharedRetryBudget {
 	width := max(windowLength*2/budgetBuckets, 1)
-	return &SharedRetryBudget{
-		clock: c, retriesPerRequest: retriesPerRequest, sharedRetries: sharedRetries, windowLength: windowLength, bucketWidth: width, instances: instances,
+	b := &SharedRetryBudget{
+		clock: c, startedAt: c.Now() - windowLength, retriesPerRequest: retriesPerRequest, sharedRetries: sharedRetries, windowLength: windowLength, bucketWidth: width, instances: instances,
 		requests: window.New(width, budgetBuckets), retries: window.New(width, budgetBuckets),
 	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // Earn counts a request.
@@ -46,7 +59,8 @@
 // Take reports whether a retry is allowed now, and counts it if so.
 func (b *SharedRetryBudget) Take() bool {
 	now := b.clock.Now()
-	ownRetries := b.sharedRetries / float64(max(b.instances(), 1))
+	grown := min(float64(now-b.startedAt)/float64(b.windowLength), 1)
+	ownRetries := grown * b.sharedRetries / float64(max(b.instances(), 1))
 	allowed := (1 - unusedRetriesFraction) * (b.retriesPerRequest*float64(b.requests.Sum(now, b.windowLength)) + ownRetries)
 	// The bucket in which the window begins counts as a whole.
 	if float64(b.retries.Sum(now, b.windowLength+b.bucketWidth)+1) > allowed {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,6 +29,8 @@
 	heartbeatInterval clock.Millis = 1000
 	// maxMissedHeartbeats is the number of missed heartbeats after which a peer counts as dead.
 	maxMissedHeartbeats = 3
+	// sharerRetention is the time for which a silent peer counts as one that uses its share of a limit.
+	sharerRetention = 30 * clock.Second
 	// smallDeploymentDistantPeers is the number of peers in other cells up to which these are sent all changes and every
 	// heartbeat.
 	smallDeploymentDistantPeers = 16
@@ -136,7 +138,7 @@
 			continue
 		}
 		if p := g.peers[m.ID]; p == nil || p.heardAt == 0 {
-			g.peers[m.ID] = &peerState{Member: m}
+			g.peers[m.ID] = &peerState{Member: m, addedAt: g.clock.Now()}
 		}
 	}
 	g.countDistantPeers()
@@ -155,6 +157,21 @@
 	return count
 }
 
+// Sharers returns the number of instances among which a shared limit is divided, including this one. Peers that are not heard any more
+// count for sharerRetention: they may be cut off and use their shares. So do peers that are known from the store and were not heard yet.
+func (g *Gossip) Sharers() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	count := 1
+	for _, p := range g.peers {
+		if g.alive(p) || !p.left && now-max(p.heardAt, p.addedAt) < sharerRetention {
+			count++
+		}
+	}
+	return count
+}
+
 // alive reports whether the peer is alive. The caller holds the lock.
 func (g *Gossip) alive(peer *peerState) bool {
 	return peer.heardAt != 0 && g.clock.Now()-peer.heardAt < maxMissedHeartbeats*g.heartbeatIntervalOf(peer)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -31,6 +31,10 @@
 	sequence uint64
 	// heardAt is the time of the last datagram; zero if there was none or the peer has left.
 	heardAt clock.Millis
+	// addedAt is the time at which the peer became known without a datagram; zero otherwise.
+	addedAt clock.Millis
+	// left is set if the peer has announced that it stops.
+	left bool
 	// cell is the peer's cell as of its last datagram.
 	cell fleet.Cell
 	// follows is set if the peer follows the platform's tables itself.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -63,7 +63,7 @@
 		followersChanged = true
 		g.countDistantPeers()
 	}
-	if m.Leaving {
+	if peer.left = m.Leaving; m.Leaving {
 		peer.heardAt = 0
 	}
 	delete(g.unidentified, from)
