Leave a process that has just started some retries

A fifth of the part is there at once now; TestSharesHoldWhileTheNumberOfInstancesChanges holds with it.

--- a/admission/sharedbudget.go
+++ b/admission/sharedbudget.go
@@ -11,6 +11,8 @@
 	// unusedRetriesFraction is the fraction of the allowed retries that an instance leaves unused, since the number of
 	// instances varies.
 	unusedRetriesFraction = 0.2
+	// firstPartFraction is the fraction of its part of the shared retries that a process has at its start.
+	firstPartFraction = 0.2
 )
 
 // SharedRetryBudget limits the retries of all instances together in a sliding window: to a ratio of the requests plus a
@@ -36,7 +38,7 @@
 type SharedOption func(*SharedRetryBudget)
 
 // WithStart sets the time at which the process started. Its predecessor may have used its part of the shared retries just before, so
-// this one grows from zero, over one window. Without it, the whole part is available at once.
+// this process has a fraction of it at first, which grows over one window. Without it, the whole part is available at once.
 func WithStart(at clock.Millis) SharedOption { return func(b *SharedRetryBudget) { b.startedAt = at } }
 
 // NewSharedRetryBudget returns a budget that allows retriesPerRequest retries for each request and, over all instances,
@@ -59,7 +61,7 @@
 // Take reports whether a retry is allowed now, and counts it if so.
 func (b *SharedRetryBudget) Take() bool {
 	now := b.clock.Now()
-	grown := min(float64(now-b.startedAt)/float64(b.windowLength), 1)
+	grown := min(max(float64(now-b.startedAt)/float64(b.windowLength), firstPartFraction), 1)
 	ownRetries := grown * b.sharedRetries / float64(max(b.instances(), 1))
 	allowed := (1 - unusedRetriesFraction) * (b.retriesPerRequest*float64(b.requests.Sum(now, b.windowLength)) + ownRetries)
 	// The bucket in which the window begins counts as a whole.
