Fault soak of the platform's role

cmd/soak runs six instances as separate processes before an emulated store and servers, injects a seeded series of faults that overlap, and checks what callers and servers see. The emulated store of platform's tests has moved to platform/emulator and serves both.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # All targets need only Go, make, bash and curl.
 
-MODULES := . cmd/poplarwinch cmd/standin cmd/load
-PACKAGES := ./... ./cmd/poplarwinch/... ./cmd/standin/... ./cmd/load/...
+MODULES := . cmd/poplarwinch cmd/standin cmd/load cmd/soak
+PACKAGES := ./... ./cmd/poplarwinch/... ./cmd/standin/... ./cmd/load/... ./cmd/soak/...
 DEPLOYMENT ?= maraval
 
 # A regular expression of tests to skip; .ci/run sets it to those of KNOWN-RED.txt.
@@ -9,7 +9,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: demo chaos soak test lint race bench build tools gopls fmt
+.PHONY: demo chaos soak platform-soak test lint race bench build tools gopls fmt
 
 demo: build
 	scripts/demo $(DEPLOYMENT)
@@ -20,6 +20,10 @@
 soak: build
 	scripts/chaos $(SEED) $(SECONDS) soak
 
+# A soak of the platform's role with separate processes; see docs/chaos.md.
+platform-soak: build
+	bin/soak --seed $(SEED) --seconds $(SECONDS)
+
 test:
 	go test $(if $(SKIP),-skip '$(SKIP)') $(PACKAGES)
 
@@ -34,7 +38,7 @@
 	go test -run '^$$' -bench . -benchmem ./...
 
 build:
-	go build -o bin/ ./cmd/poplarwinch ./cmd/standin ./cmd/load
+	go build -o bin/ ./cmd/poplarwinch ./cmd/standin ./cmd/load ./cmd/soak
 
 tools:
 	cd tools && GOWORK=off go build -o ../bin/ mvdan.cc/gofumpt github.com/mgechev/revive
--- /dev/null
+++ b/cmd/soak/callers.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch/platform/emulator"
+)
+
+const (
+	callerCount = 48
+	// thinkTime is the longest time between two requests of a caller.
+	thinkTime = 300 * time.Millisecond
+	// badShare is the share of prompts with crashingPart.
+	badShare = 0.05
+	// balancerInterval is the time between two readiness questions of the load balancer, and balancerMisses the number of misses after
+	// which an instance gets no new connections.
+	balancerInterval = 500 * time.Millisecond
+	balancerMisses   = 2
+	// settleTime is the time after the last fault until the deployment must serve as usual, and calmTime the time for which it is
+	// then watched.
+	settleTime = 12 * time.Second
+	calmTime   = 4 * time.Second
+)
+
+// result is one request of a caller and its answer.
+type result struct {
+	request  emulator.Request
+	answer   emulator.Answer
+	instance string
+	from     time.Time
+	until    time.Time
+	bad      bool
+}
+
+// callers send requests on kept connections until the process at the other end is gone.
+type callers struct {
+	deployment *deployment
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	// calmFrom is the time from which the deployment must serve as usual.
+	calmFrom time.Time
+
+	mutex sync.Mutex
+	list  []result
+	// misses has the readiness misses in a row of each instance.
+	misses []int
+}
+
+func startCallers(ctx context.Context, d *deployment, seed uint64) *callers {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &callers{deployment: d, cancel: cancel, misses: make([]int, len(d.instances))}
+	for n := range d.instances {
+		c.running.Go(func() { c.runBalancer(ctx, n) })
+	}
+	for n := range callerCount {
+		random := rand.New(rand.NewPCG(seed, 100+uint64(n)))
+		c.running.Go(func() { c.runCaller(ctx, n, random) })
+	}
+	return c
+}
+
+// runBalancer asks one instance for its readiness until ctx ends.
+func (c *callers) runBalancer(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		ready := isReady(ctx, c.deployment.instances[n].ReadinessURL())
+		c.mutex.Lock()
+		c.misses[n]++
+		if ready {
+			c.misses[n] = 0
+		}
+		c.mutex.Unlock()
+		select {
+		case <-time.After(balancerInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// choose returns the instance that gets a caller's next new connection.
+func (c *callers) choose(random *rand.Rand) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var list []int
+	for n, misses := range c.misses {
+		if misses < balancerMisses {
+			list = append(list, n)
+		}
+	}
+	if len(list) == 0 {
+		return random.IntN(len(c.misses))
+	}
+	return list[random.IntN(len(list))]
+}
+
+// runCaller sends requests one after the other until ctx ends.
+func (c *callers) runCaller(ctx context.Context, n int, random *rand.Rand) {
+	instance := c.choose(random)
+	var transport *http.Transport
+	reconnect := func() {
+		if transport != nil {
+			transport.CloseIdleConnections()
+		}
+		instance = c.choose(random)
+		transport = &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 1}
+	}
+	reconnect()
+	for k := 0; ctx.Err() == nil; k++ {
+		q := nextRequest(random, fmt.Sprintf("c%d-%d", n, k))
+		p := c.deployment.instances[instance]
+		r := result{request: q, instance: p.Name, from: time.Now(), bad: len(q.Parts) == 3}
+		r.answer = emulator.Send(ctx, &http.Client{Transport: transport}, p.CallerAddress(), q)
+		r.until = time.Now()
+		if ctx.Err() != nil {
+			break
+		}
+		c.mutex.Lock()
+		c.list = append(c.list, r)
+		c.mutex.Unlock()
+		if r.answer.Err != nil || r.answer.Status >= http.StatusInternalServerError || random.IntN(20) == 0 {
+			reconnect()
+		}
+		select {
+		case <-time.After(time.Duration(random.Int64N(int64(thinkTime)))):
+		case <-ctx.Done():
+		}
+	}
+	transport.CloseIdleConnections()
+}
+
+// nextRequest draws a request.
+func nextRequest(random *rand.Rand, attempt string) emulator.Request {
+	switch x := random.Float64(); {
+	case x < 0.15:
+		return emulator.Request{Attempt: attempt, Kind: emulator.KindNonIdempotent, Timeout: 4 * time.Second}
+	case x < 0.3:
+		return emulator.Request{Attempt: attempt, Kind: emulator.KindIdempotent, Timeout: 4 * time.Second}
+	}
+	q := emulator.Request{Attempt: attempt, Kind: emulator.KindStreaming, Parts: []string{"instructions", "own-" + attempt}, Timeout: 10 * time.Second}
+	if random.Float64() < badShare {
+		q.Parts = []string{"instructions", crashingPart, "own-" + attempt}
+	}
+	return q
+}
+
+// awaitCalm waits until the deployment had time to settle and was watched for a while.
+func (c *callers) awaitCalm(ctx context.Context) {
+	c.calmFrom = time.Now().Add(settleTime)
+	select {
+	case <-time.After(settleTime + calmTime):
+	case <-ctx.Done():
+	}
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.running.Wait()
+}
+
+// outcome is everything that the callers saw.
+type outcome struct {
+	results  []result
+	calmFrom time.Time
+}
+
+func (c *callers) results() outcome {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return outcome{results: append([]result{}, c.list...), calmFrom: c.calmFrom}
+}
+
+// closedWithoutAnswer reports whether the connection ended before or within the answer.
+func (r *result) closedWithoutAnswer() bool {
+	return r.answer.Err != nil && !errors.Is(r.answer.Err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/cmd/soak/checks.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch/platform/emulator"
+)
+
+// Bounds of the checks, from the users' pages.
+const (
+	// contactTime is the time after which undisturbed instances have to know of a change.
+	contactTime = 3 * time.Second
+	// drainTime is the time after which a leaving server gets no new requests.
+	drainTime = 2 * time.Second
+	// crashesToLearn is the number of crashes after which, and after contactTime, at most sendsAfterLearning requests with the part may
+	// reach servers.
+	crashesToLearn     = 5
+	sendsAfterLearning = 3
+	limitWindow        = 4 * time.Second
+	limitFactor        = 1.5
+	limitSlack         = 5.0
+	// calmShare is the share of requests that are answered once the faults have ended.
+	calmShare = 0.97
+)
+
+// violation is a broken promise.
+type violation struct {
+	rule   string
+	detail string
+}
+
+// String returns the violation for the report.
+func (v violation) String() string { return "VIOLATION " + v.rule + ": " + v.detail }
+
+// check returns the broken promises of a run.
+func check(o outcome, e evidence) []violation {
+	list := checkAnswers(o, &e)
+	list = append(list, checkRepeats(&e)...)
+	list = append(list, checkLeaving(&e)...)
+	list = append(list, checkCrashingParts(&e)...)
+	list = append(list, checkLimits(&e)...)
+	list = append(list, checkCalm(o)...)
+	if e.unexpected > 0 {
+		list = append(list, violation{"ended", fmt.Sprintf("%d processes ended by themselves", e.unexpected)})
+	}
+	return list
+}
+
+// checkAnswers finds answers that are partial or foreign but look complete, rejections of requests that have run, and requests that a
+// planned stop cut off.
+func checkAnswers(o outcome, e *evidence) []violation {
+	runs := map[string][]emulator.Run{}
+	for _, r := range e.runs {
+		runs[r.Attempt] = append(runs[r.Attempt], r)
+	}
+	var list []violation
+	for i := range o.results {
+		r := &o.results[i]
+		own := runs[r.request.Attempt]
+		switch a := r.answer; {
+		case a.Status == http.StatusOK && a.Ended && !a.Complete:
+			list = append(list, violation{"partial", fmt.Sprintf("%s at %s got an answer that looks complete and is not", r.request.Attempt, r.instance)})
+		case (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) && len(own) > 0:
+			list = append(list, violation{"refused", fmt.Sprintf("%s at %s was rejected with %d and has run on %s", r.request.Attempt, r.instance, a.Status, own[0].Server)})
+		case a.Status >= 400 && a.Status < 500 && a.Status != http.StatusTooManyRequests:
+			list = append(list, violation{"denied", fmt.Sprintf("%s at %s got %d", r.request.Attempt, r.instance, a.Status)})
+		case r.closedWithoutAnswer() && e.cutByStop(r, own):
+			list = append(list, violation{"cut off", fmt.Sprintf("%s at %s ended without an answer: %v", r.request.Attempt, r.instance, a.Err)})
+		}
+	}
+	return list
+}
+
+// cutByStop reports whether a request was cut off although only a planned stop disturbed its instance and its server completed it.
+func (e *evidence) cutByStop(r *result, runs []emulator.Run) bool {
+	for _, v := range e.events {
+		if v.kind == eventInstance && v.name == r.instance && !isPlannedStop(v) && v.at.Before(r.until) && v.until.Add(contactTime).After(r.from) {
+			return false
+		}
+	}
+	return len(runs) > 0 && runs[len(runs)-1].Completed && r.until.Sub(runs[len(runs)-1].At) < stopGrace
+}
+
+func isPlannedStop(v event) bool { return len(v.text) > 7 && v.text[:7] == "SIGTERM" }
+
+// checkRepeats finds requests that must not be repeated and ran twice.
+func checkRepeats(e *evidence) []violation {
+	count := map[string]int{}
+	for _, r := range e.runs {
+		if r.Kind == emulator.KindNonIdempotent {
+			count[r.Attempt]++
+		}
+	}
+	var list []violation
+	for attempt, n := range count {
+		if n > 1 {
+			list = append(list, violation{"twice", fmt.Sprintf("%s ran %d times", attempt, n)})
+		}
+	}
+	return list
+}
+
+// checkLeaving finds requests to servers that left, while nothing kept the instances from knowing.
+func checkLeaving(e *evidence) []violation {
+	var list []violation
+	for _, a := range e.arrivals {
+		at, leaves := e.leaving[a.Server]
+		if leaves && a.At.After(at.Add(drainTime)) && !e.disturbed(at.Add(-contactTime), a.At) {
+			list = append(list, violation{"drain", fmt.Sprintf("%s got a request %d ms after it began to leave", a.Server, a.At.Sub(at).Milliseconds())})
+		}
+	}
+	return list
+}
+
+// checkCrashingParts finds parts that go on crashing servers after undisturbed instances have to know them.
+func checkCrashingParts(e *evidence) []violation {
+	var list []violation
+	for _, part := range e.crashingParts {
+		var crashes []time.Time
+		for _, r := range e.runs {
+			if slices.Contains(r.Parts, part) && !r.Completed {
+				crashes = append(crashes, r.At)
+			}
+		}
+		if len(crashes) < crashesToLearn {
+			continue
+		}
+		from, sends := crashes[crashesToLearn-1].Add(contactTime), 0
+		for _, a := range e.arrivals {
+			if slices.Contains(a.Parts, part) && a.At.After(from) && !e.disturbed(a.At.Add(-contactTime), a.At) {
+				sends++
+			}
+		}
+		if sends > sendsAfterLearning {
+			list = append(list, violation{"budget", fmt.Sprintf("%d requests with part %s reached servers 3 s after the fifth crash", sends, part)})
+		}
+	}
+	return list
+}
+
+// checkLimits finds servers that got more than the limit they named, in spans without a disturbed instance.
+func checkLimits(e *evidence) []violation {
+	var list []violation
+	for _, l := range e.limits {
+		allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+		from := l.from.Add(contactTime)
+		for _, first := range e.arrivals {
+			begin, end := first.At, first.At.Add(limitWindow)
+			if first.Server != l.server || begin.Before(from) || end.After(l.until) || e.disturbed(begin.Add(-contactTime), end) {
+				continue
+			}
+			n := 0
+			for _, a := range e.arrivals {
+				if a.Server == l.server && !a.At.Before(begin) && a.At.Before(end) {
+					n++
+				}
+			}
+			if float64(n) > allowed {
+				list = append(list, violation{"limit", fmt.Sprintf("%s with a limit of %.1f/s got %d requests in 4 s, %.0f are allowed", l.server, l.perSecond, n, allowed)})
+				break
+			}
+		}
+	}
+	return list
+}
+
+// checkCalm finds deployments that don't serve as usual after the faults.
+func checkCalm(o outcome) []violation {
+	asked, served := 0, 0
+	for _, r := range o.results {
+		if r.from.Before(o.calmFrom) || r.bad {
+			continue
+		}
+		asked++
+		if r.answer.Complete && r.answer.Status == http.StatusOK {
+			served++
+		}
+	}
+	if asked == 0 || float64(served) < calmShare*float64(asked) {
+		return []violation{{"recovery", fmt.Sprintf("%d of %d requests were served after the faults", served, asked)}}
+	}
+	return nil
+}
+
+// summarize returns the numbers of answers.
+func summarize(o outcome) string {
+	complete, refused, failed, closed := 0, 0, 0, 0
+	for i := range o.results {
+		switch a := o.results[i].answer; {
+		case a.Complete && a.Status == http.StatusOK:
+			complete++
+		case a.Status == http.StatusServiceUnavailable:
+			refused++
+		case a.Status > 0 && a.Ended:
+			failed++
+		default:
+			closed++
+		}
+	}
+	return fmt.Sprintf("%d requests: %d answered, %d refused, %d failed, %d closed", len(o.results), complete, refused, failed, closed)
+}
--- /dev/null
+++ b/cmd/soak/deployment.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch/platform/emulator"
+)
+
+const (
+	instanceCount = 6
+	poolServers   = 9
+	plainServers  = 3
+	// restartDelay is the time from the end of a process, or the crash of a server, to the next start.
+	restartDelay       = 500 * time.Millisecond
+	serverRestartDelay = 2500 * time.Millisecond
+	// stopGrace is the time from SIGTERM to SIGKILL.
+	stopGrace = 8 * time.Second
+	// readyTimeout bounds the wait until all instances are ready.
+	readyTimeout = 20 * time.Second
+	// leavingTime is the time for which a leaving server goes on serving.
+	leavingTime = 5 * time.Second
+)
+
+// zones are the failure domains.
+var zones = []string{"north", "middle", "south"}
+
+// deployment is the store, the servers and the instances of one run.
+type deployment struct {
+	store     *emulator.Store
+	record    *emulator.Record
+	address   string
+	instances []*instance
+	started   time.Time
+
+	mutex   sync.Mutex
+	servers map[string]*emulator.Server
+	faults  emulator.Faults
+	// named is the number of servers that were started.
+	named  int
+	closed bool
+	events []event
+	// limits has the limits that servers named.
+	limits []limitEvent
+	// leaving has the times at which servers were marked as leaving.
+	leaving map[string]time.Time
+}
+
+func newDeployment(binary, directory string, seed uint64) (*deployment, error) {
+	d := &deployment{
+		store: emulator.NewStore(), record: &emulator.Record{}, started: time.Now(), servers: map[string]*emulator.Server{}, leaving: map[string]time.Time{},
+	}
+	network := fmt.Sprintf("127.%d.%d", 60+seed%60, seed/60%250)
+	l, err := net.Listen("tcp", network+".1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for the store: %w", err)
+	}
+	d.address = l.Addr().String()
+	go func() { _ = http.Serve(l, d.store) }()
+	d.store.Put(emulator.OperatorTable, emulator.ConfigurationKey, emulator.Configuration(1))
+	for n := range poolServers + plainServers {
+		service := "pool"
+		if n >= poolServers {
+			service = "bookings"
+		}
+		d.startServer(service, zones[n%len(zones)])
+	}
+	seeds := []string{network + ".10", network + ".11", network + ".12"}
+	for n := range instanceCount {
+		p, err := newInstance(emulator.Instance{
+			Name: fmt.Sprintf("instance-%d", n), Zone: zones[n%len(zones)], IP: fmt.Sprintf("%s.%d", network, 10+n), Seeds: seeds, Store: d.address,
+		}, binary, directory)
+		if err != nil {
+			d.close()
+			return nil, err
+		}
+		d.instances = append(d.instances, p)
+	}
+	return d, nil
+}
+
+// startServer starts a server and lists it.
+func (d *deployment) startServer(service, zone string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.closed {
+		return
+	}
+	d.named++
+	id := fmt.Sprintf("%s-%d", service, d.named)
+	s, err := emulator.StartServer(id, service, zone, "127.0.0.1", d.record)
+	if err != nil {
+		panic(err)
+	}
+	s.SetFaults(d.faultsOf(s))
+	d.servers[id] = s
+	d.store.Put(emulator.ServersTable, id, s.Entry(false))
+}
+
+// faultsOf returns the faults that all servers have, for one of them. The caller holds the lock.
+func (d *deployment) faultsOf(s *emulator.Server) emulator.Faults {
+	f := d.faults
+	f.OnCrash = func() { d.replaceCrashed(s) }
+	return f
+}
+
+// replaceCrashed removes a crashed server from the list and starts another one after a while.
+func (d *deployment) replaceCrashed(s *emulator.Server) {
+	d.log(eventServer, "crash of "+s.ID)
+	time.AfterFunc(serverRestartDelay, func() {
+		d.mutex.Lock()
+		delete(d.servers, s.ID)
+		d.mutex.Unlock()
+		d.store.Put(emulator.ServersTable, s.ID, "")
+		d.startServer(s.Service, s.Zone)
+	})
+}
+
+// crashServer ends a server without notice.
+func (d *deployment) crashServer(s *emulator.Server) {
+	s.Close()
+	d.replaceCrashed(s)
+}
+
+// removeServer lets a server leave and starts another one.
+func (d *deployment) removeServer(s *emulator.Server) {
+	d.startServer(s.Service, s.Zone)
+	d.mutex.Lock()
+	d.leaving[s.ID] = time.Now()
+	delete(d.servers, s.ID)
+	d.mutex.Unlock()
+	d.store.Put(emulator.ServersTable, s.ID, s.Entry(true))
+	time.AfterFunc(leavingTime, func() {
+		d.store.Put(emulator.ServersTable, s.ID, "")
+		time.AfterFunc(leavingTime, s.Close)
+	})
+}
+
+// live returns the servers that run, in no particular order.
+func (d *deployment) live() []*emulator.Server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var list []*emulator.Server
+	for _, s := range d.servers {
+		if !s.Crashed() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// setFaults changes the faults that all servers have, also those that start later.
+func (d *deployment) setFaults(change func(f *emulator.Faults)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	change(&d.faults)
+	for _, s := range d.servers {
+		s.SetFaults(d.faultsOf(s))
+	}
+}
+
+// calm ends all faults that last.
+func (d *deployment) calm() {
+	d.setFaults(func(f *emulator.Faults) { *f = emulator.Faults{} })
+	d.store.SetUnavailable(false)
+	d.store.SetSilent(false)
+	d.log(eventCalm, "all faults have ended")
+}
+
+// awaitReady waits until all instances are ready.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		ready := 0
+		for _, p := range d.instances {
+			if isReady(ctx, p.ReadinessURL()) {
+				ready++
+			}
+		}
+		if ready == len(d.instances) {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.New("the instances did not become ready")
+}
+
+// isReady asks an instance like the load balancer.
+func isReady(ctx context.Context, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *deployment) close() {
+	d.mutex.Lock()
+	d.closed = true
+	servers := d.servers
+	d.mutex.Unlock()
+	for _, p := range d.instances {
+		p.close()
+	}
+	for _, s := range servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/cmd/soak/evidence.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch/platform/emulator"
+)
+
+// eventKind says what an event disturbs.
+type eventKind string
+
+// The kinds of events.
+const (
+	eventInstance eventKind = "instance"
+	eventServer   eventKind = "server"
+	eventStore    eventKind = "store"
+	eventCalm     eventKind = "calm"
+)
+
+// event is a fault of the series, or its consequence.
+type event struct {
+	at   time.Time
+	kind eventKind
+	text string
+	// name is the instance, if the event is about one.
+	name string
+	// until is the end of the disturbance.
+	until time.Time
+}
+
+// limitEvent is a limit that a server named for a time.
+type limitEvent struct {
+	server      string
+	perSecond   float64
+	from, until time.Time
+}
+
+// evidence is what the checks need to know of the deployment.
+type evidence struct {
+	events     []event
+	limits     []limitEvent
+	leaving    map[string]time.Time
+	runs       []emulator.Run
+	arrivals   []emulator.Arrival
+	unexpected int
+	// crashingParts are the parts that crash servers.
+	crashingParts []string
+}
+
+func (d *deployment) log(kind eventKind, text string) { d.logEvent(event{kind: kind, text: text}) }
+
+func (d *deployment) logEvent(e event) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e.at = time.Now()
+	if e.until.IsZero() {
+		e.until = e.at
+	}
+	d.events = append(d.events, e)
+	fmt.Printf("%6.2f %s\n", e.at.Sub(d.started).Seconds(), e.text)
+}
+
+func (d *deployment) evidence() evidence {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e := evidence{events: append([]event{}, d.events...), limits: append([]limitEvent{}, d.limits...), leaving: map[string]time.Time{}}
+	for id, at := range d.leaving {
+		e.leaving[id] = at
+	}
+	e.runs, e.arrivals = d.record.Runs(), d.record.Arrivals()
+	for _, p := range d.instances {
+		e.unexpected += p.unexpectedEnds()
+	}
+	e.crashingParts = []string{crashingPart}
+	return e
+}
+
+// disturbed reports whether an instance or the store was disturbed in the span.
+func (e *evidence) disturbed(from, until time.Time) bool {
+	for _, v := range e.events {
+		if (v.kind == eventInstance || v.kind == eventStore) && v.at.Before(until) && v.until.After(from) {
+			return true
+		}
+	}
+	return false
+}
