--- a/assignment/limit.go
+++ b/assignment/limit.go
@@ -25,7 +25,7 @@
 		wait = min(wait, s.Wait)
 	}
 	if float64(timeLeft-wait) < minPatienceFraction*float64(fullTime) {
-		return VerdictYield
+		return VerdictLimited
 	}
 	return VerdictWait
 }
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -70,6 +70,8 @@
 	VerdictWait Verdict = "wait"
 	// VerdictYield means that the prompt is turned away because the engines are too busy; the caller may retry later.
 	VerdictYield Verdict = "yield"
+	// VerdictLimited means that the prompt is turned away because the limits of all servers are used up; the caller may retry later.
+	VerdictLimited Verdict = "limited"
 	// VerdictReject means that the prompt can't be answered before its deadline.
 	VerdictReject Verdict = "reject"
 )
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -120,62 +120,71 @@
 	d := x.d
 	d.decisionMutex.Lock()
 	defer d.decisionMutex.Unlock()
-	candidates := d.fleet.Candidates(x.Service)
+	candidates := x.candidates()
+	if len(candidates) == 0 {
+		return nil, x.noServer()
+	}
+	plan, verdict := x.plan(candidates)
+	if verdict != assignment.VerdictRun {
+		return nil, verdictError(verdict)
+	}
+	return x.apply(candidates, &plan), nil
+}
+
+// candidates returns the servers of the service; those that have failed the request are to be avoided.
+func (x *run) candidates() []fleet.Candidate {
+	candidates := x.d.fleet.Candidates(x.Service)
 	for i := range candidates {
 		if x.excluded[candidates[i].ID] {
 			candidates[i].Avoid = true
 		}
 	}
-	if len(candidates) == 0 {
-		if !d.listLoaded() && d.clock.Now()-x.Started < maxListWait {
-			return nil, nil
-		}
-		return nil, &poplarwinch.Error{
-			Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second,
-			Message: "the service has no server", Remedy: "retry later",
-		}
+	return candidates
+}
+
+// noServer returns the error for a service without servers, or nil while their list may be on the way.
+func (x *run) noServer() error {
+	if !x.d.listLoaded() && x.d.clock.Now()-x.Started < maxListWait {
+		return nil
 	}
-	var plan assignment.Plan
-	pool, isPool := x.pool()
-	if isPool {
-		var verdict assignment.Verdict
-		if plan, verdict = assignment.Choose(&pool, candidates, x.prompt()); verdict != assignment.VerdictRun {
-			return nil, verdictError(verdict)
-		}
-	} else {
-		var verdict assignment.Verdict
-		switch plan, verdict = assignment.Server(candidates, d.domain, x.Deadline-d.clock.Now(), x.Deadline-x.Started); verdict {
-		case assignment.VerdictWait:
-			return nil, nil
-		case assignment.VerdictYield:
-			return nil, fullError("the limits of all servers are used up")
-		}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second,
+		Message: "the service has no server", Remedy: "retry later",
 	}
-	return x.apply(candidates, &plan), nil
+}
+
+// plan chooses among the candidates: engines for a prompt, or a server of a plain service.
+func (x *run) plan(candidates []fleet.Candidate) (assignment.Plan, assignment.Verdict) {
+	if pool, isPool := x.pool(); isPool {
+		return assignment.Choose(&pool, candidates, x.prompt())
+	}
+	return assignment.Server(candidates, x.d.domain, x.Deadline-x.d.clock.Now(), x.Deadline-x.Started)
 }
 
 // verdictError returns the error for a request that is rejected now, or nil if it waits.
 func verdictError(v assignment.Verdict) error {
 	switch v {
 	case assignment.VerdictYield:
-		return fullError("the engines are full")
+		return &poplarwinch.Error{
+			Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
+			RetryAfter: retryAfterFull + clock.Millis(rand.Int64N(int64(retryAfterFull/2))),
+			Message:    "the engines are full", Remedy: "retry later",
+		}
 	case assignment.VerdictReject:
 		return &poplarwinch.Error{
 			Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterReject,
 			Message: "the engines can't answer a prompt of this size in the time that is left", Remedy: "retry with more time",
 		}
+	case assignment.VerdictLimited:
+		return &poplarwinch.Error{
+			Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
+			RetryAfter: retryAfterFull + clock.Millis(rand.Int64N(int64(retryAfterFull/2))),
+			Message:    "the limits of all servers are used up", Remedy: "retry later",
+		}
 	}
 	return nil
 }
 
-// fullError returns the error for a request that is turned away because the servers take no more now.
-func fullError(message string) *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
-		RetryAfter: retryAfterFull + clock.Millis(rand.Int64N(int64(retryAfterFull/2))), Message: message, Remedy: "retry later",
-	}
-}
-
 // pool returns the parameters of the service's engine pool. It reports false for plain services and requests without prompt
 // tokens.
 func (x *run) pool() (route.Pool, bool) {
--- a/gossip/announce.go
+++ b/gossip/announce.go
@@ -27,9 +27,9 @@
 // cell and to instances elsewhere that follow the tables. In a small deployment all peers are told.
 func (g *Gossip) AnnounceTables() {
 	g.mutex.Lock()
-	earlier := g.tablesDue == 0
+	earlier := g.due.tables == 0
 	if earlier {
-		g.tablesDue = max(g.clock.Now()+localDelay, g.announcedAt+announceInterval)
+		g.due.tables = max(g.clock.Now()+localDelay, g.announcedAt+announceInterval)
 	}
 	g.mutex.Unlock()
 	if earlier {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -73,25 +73,15 @@
 	// cellUpdatedAt is the time at which cell was last determined; zero if it was not.
 	cellUpdatedAt clock.Millis
 	sequence      uint64
-	// localDue is the time of the next datagrams to peers of the same cell. Here and below, zero means that none are due.
-	localDue clock.Millis
+	due           dueTimes
 	// helloAt is the time of the last datagrams to the peers of the same cell that are not alive.
 	helloAt clock.Millis
-	// affectedDue is the time of the next datagrams to distant peers that this instance's load in other cells affects.
-	affectedDue clock.Millis
-	// remoteDue is the time of the next datagrams to all distant peers.
-	remoteDue clock.Millis
 	// followingSince is the time since which this instance sends summaries; zero while it does not.
 	followingSince clock.Millis
-	// followersDue is the time of the next datagrams from this instance, as a follower, to those of other cells.
-	followersDue clock.Millis
-	// tablesDue is the time of the next announcement of tables, and announcedAt that of the last one.
-	tablesDue   clock.Millis
+	// announcedAt is the time of the last announcement of tables.
 	announcedAt clock.Millis
 	// announced has the versions that were announced last, by table name.
 	announced map[string]replica.Version
-	// summaryDue is the time of the next summaries.
-	summaryDue clock.Millis
 	// affected has the servers that had load of this instance when distant peers were last sent its report.
 	affected []fleet.Place
 	// wake ends the wait of Run after a datagram became due earlier.
@@ -219,15 +209,15 @@
 			earlier = true
 		}
 	}
-	set(&g.localDue, localDelay)
+	set(&g.due.local, localDelay)
 	few := g.isSmall()
 	switch {
 	case reach == fleet.ReachAll, few && (reach == fleet.ReachDistant || reach == fleet.ReachCrowded):
-		set(&g.remoteDue, localDelay)
+		set(&g.due.remote, localDelay)
 	case few:
-		set(&g.remoteDue, remoteDelay)
+		set(&g.due.remote, remoteDelay)
 	case reach == fleet.ReachDistant:
-		set(&g.affectedDue, localDelay)
+		set(&g.due.affected, localDelay)
 	}
 	g.mutex.Unlock()
 	if earlier {
@@ -280,7 +270,7 @@
 	versions := map[string]replica.Version{}
 	for name, r := range g.replicas {
 		version, loaded := r.ContentVersion()
-		if announced := g.announced[name]; g.tablesDue != 0 && announced != 0 {
+		if announced := g.announced[name]; g.due.tables != 0 && announced != 0 {
 			version = min(version, announced)
 		}
 		if loaded {
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -16,62 +16,43 @@
 func (g *Gossip) untilNextSend() clock.Millis {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := g.clock.Now()
-	wait := heartbeatInterval
-	for _, due := range []clock.Millis{g.localDue, g.affectedDue, g.remoteDue, g.followersDue, g.summaryDue, g.tablesDue} {
-		if due != 0 {
-			wait = min(wait, max(due-now, 0))
-		}
-	}
-	return wait
+	return g.due.wait(g.clock.Now(), heartbeatInterval)
 }
 
 // sendDue sends the datagrams that are due.
 func (g *Gossip) sendDue(connection *net.UDPConn) {
-	sendsSummaries := g.sendsSummaries()
-	g.mutex.Lock()
-	now := g.clock.Now()
-	passed := func(due clock.Millis) bool { return due != 0 && due <= now }
-	toLocal, toAffected, toRemote, summarize := passed(g.localDue), passed(g.affectedDue), passed(g.remoteDue), sendsSummaries && passed(g.summaryDue)
-	toFollowers, announce := sendsSummaries && passed(g.followersDue), passed(g.tablesDue)
-	if toLocal {
-		g.localDue = now + heartbeatInterval
-	}
-	if toAffected || toRemote {
-		g.affectedDue = 0
+	due := g.takeDue(g.sendsSummaries())
+	if due.local || due.affected || due.remote {
+		g.sendWork(connection, due.local, due.affected, due.remote)
 	}
-	if toRemote {
-		g.remoteDue = now + g.distantSendInterval()
+	if due.tables {
+		g.sendTables(connection)
 	}
-	if announce {
-		g.tablesDue, g.announcedAt = 0, now
+	if due.followers && !due.remote {
+		g.send(connection, g.message(), func(p *peerState) bool { return p.follows && !g.isNear(p) })
 	}
-	if sendsSummaries && g.followingSince == 0 {
-		g.followingSince = now
-		g.remoteDue = now + localDelay
+	if due.summaries {
+		g.sendSummaries(connection)
 	}
-	if sendsSummaries && (toFollowers || g.followersDue == 0) {
-		g.followersDue = now + heartbeatInterval
+}
+
+// takeDue returns the datagrams that are due. An instance that begins to send summaries tells all distant peers at once.
+func (g *Gossip) takeDue(sendsSummaries bool) dueNow {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	due := g.due.take(now, g.distantSendInterval(), sendsSummaries)
+	if due.tables {
+		g.announcedAt = now
 	}
 	switch {
 	case !sendsSummaries:
-		g.summaryDue, g.followersDue, g.followingSince = 0, 0, 0
-	case summarize || g.summaryDue == 0:
-		g.summaryDue = now + summaryInterval
-	}
-	g.mutex.Unlock()
-	if toLocal || toAffected || toRemote {
-		g.sendWork(connection, toLocal, toAffected, toRemote)
-	}
-	if announce {
-		g.sendTables(connection)
-	}
-	if toFollowers && !toRemote {
-		g.send(connection, g.message(), func(p *peerState) bool { return p.follows && !g.isNear(p) })
-	}
-	if summarize {
-		g.sendSummaries(connection)
+		g.followingSince = 0
+	case g.followingSince == 0:
+		g.followingSince = now
+		g.due.remote = now + localDelay
 	}
+	return due
 }
 
 // sendWork sends this instance's report to the peers of its cell if toLocal, to distant peers in whose cells it has or had load if
@@ -95,7 +76,7 @@
 		g.affected = report.Places()
 		affected = append(affected, g.affected...)
 		if !g.isSmall() && slices.ContainsFunc(g.affected, g.isDistant) {
-			g.affectedDue = now + affectedInterval
+			g.due.affected = now + affectedInterval
 		}
 	}
 	small := g.isSmall()
--- a/gossip/send_internal_test.go
+++ b/gossip/send_internal_test.go
@@ -33,9 +33,9 @@
 	defer func() { _ = connection.Close() }()
 	for server, repeated := range map[poplarwinch.UpstreamID]bool{"near": false, "far": true} {
 		ticket := servers.Begin(fleet.Work{First: server})
-		g.affectedDue = 0
+		g.due.affected = 0
 		g.sendWork(connection, true, true, false)
-		if due := g.affectedDue; (due != 0) != repeated || due > time.Now()+3*clock.Second {
+		if due := g.due.affected; (due != 0) != repeated || due > time.Now()+3*clock.Second {
 			t.Errorf("load on the %s server: the next report is due at %d, now is %d", server, due, time.Now())
 		}
 		ticket.End()
