--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -121,7 +121,7 @@
 	for _, part := range e.crashingParts {
 		var crashes []time.Time
 		for _, r := range e.runs {
-			if slices.Contains(r.Parts, part) && !r.Completed {
+			if slices.Contains(r.Parts, part) && r.Crashed {
 				crashes = append(crashes, r.At)
 			}
 		}
--- a/cmd/soak/checks_test.go
+++ b/cmd/soak/checks_test.go
@@ -38,7 +38,7 @@
 	}
 	crashes := func(e *evidence, sends int) {
 		for n := range 5 {
-			e.runs = append(e.runs, emulator.Run{Attempt: "x", Kind: emulator.KindStreaming, At: at(20 + float64(n)), Parts: []string{"i", "bad", "o"}})
+			e.runs = append(e.runs, emulator.Run{Attempt: "x", Kind: emulator.KindStreaming, At: at(20 + float64(n)), Crashed: true, Parts: []string{"i", "bad", "o"}})
 		}
 		for n := range sends {
 			e.arrivals = append(e.arrivals, emulator.Arrival{Server: "pool-2", At: at(28 + float64(n)), Parts: []string{"i", "bad", "o"}})
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -41,6 +41,9 @@
 	mutex   sync.Mutex
 	servers map[string]*emulator.Server
 	faults  emulator.Faults
+	// named limits and hanging servers, by id.
+	limitOf map[string]float64
+	hanging map[string]bool
 	// named is the number of servers that were started.
 	named  int
 	closed bool
@@ -54,6 +57,7 @@
 func newDeployment(binary, directory string, seed uint64) (*deployment, error) {
 	d := &deployment{
 		store: emulator.NewStore(), record: &emulator.Record{}, started: time.Now(), servers: map[string]*emulator.Server{}, leaving: map[string]time.Time{},
+		limitOf: map[string]float64{}, hanging: map[string]bool{},
 	}
 	network := fmt.Sprintf("127.%d.%d", 60+seed%60, seed/60%250)
 	l, err := net.Listen("tcp", network+".1:0")
@@ -102,9 +106,10 @@
 	d.store.Put(emulator.ServersTable, id, s.Entry(false))
 }
 
-// faultsOf returns the faults that all servers have, for one of them. The caller holds the lock.
+// faultsOf returns the faults of a server: those of all, and its own. The caller holds the lock.
 func (d *deployment) faultsOf(s *emulator.Server) emulator.Faults {
 	f := d.faults
+	f.Limit, f.Silent = d.limitOf[s.ID], d.hanging[s.ID]
 	f.OnCrash = func() { d.replaceCrashed(s) }
 	return f
 }
@@ -154,7 +159,7 @@
 	return list
 }
 
-// setFaults changes the faults that all servers have, also those that start later.
+// setFaults changes the faults of all servers, also of those that start later, or the own ones of single servers.
 func (d *deployment) setFaults(change func(f *emulator.Faults)) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -164,9 +169,25 @@
 	}
 }
 
+// hasLimit reports whether the server names a limit.
+func (d *deployment) hasLimit(s *emulator.Server) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.limitOf[s.ID] > 0
+}
+
 // calm ends all faults that last.
 func (d *deployment) calm() {
-	d.setFaults(func(f *emulator.Faults) { *f = emulator.Faults{} })
+	d.setFaults(func(f *emulator.Faults) {
+		*f = emulator.Faults{}
+		clear(d.limitOf)
+		clear(d.hanging)
+		for i := range d.limits {
+			if now := time.Now(); d.limits[i].until.After(now) {
+				d.limits[i].until = now
+			}
+		}
+	})
 	d.store.SetUnavailable(false)
 	d.store.SetSilent(false)
 	d.log(eventCalm, "all faults have ended")
--- a/cmd/soak/series.go
+++ b/cmd/soak/series.go
@@ -142,8 +142,9 @@
 	}
 	length := s.between(time.Second, 3*time.Second)
 	s.deployment.logEvent(event{kind: eventServer, text: o.ID + " hangs", until: time.Now().Add(length)})
-	o.SetFaults(emulator.Faults{Silent: true})
-	time.AfterFunc(length, func() { s.deployment.setFaults(func(*emulator.Faults) {}) })
+	d := s.deployment
+	d.setFaults(func(*emulator.Faults) { d.hanging[o.ID] = true })
+	time.AfterFunc(length, func() { d.setFaults(func(*emulator.Faults) { delete(d.hanging, o.ID) }) })
 }
 
 func (s *series) changeConfiguration() {
@@ -194,19 +195,17 @@
 // limitServers lets a server name a limit for some seconds.
 func (s *series) limitServers() {
 	o, ok := s.pick("pool")
-	if !ok {
+	if !ok || s.deployment.hasLimit(o) {
 		return
 	}
 	length, rate := s.between(8*time.Second, 14*time.Second), 1+2*s.random.Float64()
 	d := s.deployment
 	d.logEvent(event{kind: eventServer, text: fmt.Sprintf("%s names a limit of %.1f/s", o.ID, rate)})
-	d.mutex.Lock()
-	d.limits = append(d.limits, limitEvent{server: o.ID, perSecond: rate, from: time.Now(), until: time.Now().Add(length)})
-	f := d.faultsOf(o)
-	f.Limit = rate
-	d.mutex.Unlock()
-	o.SetFaults(f)
-	time.AfterFunc(length, func() { d.setFaults(func(*emulator.Faults) {}) })
+	d.setFaults(func(*emulator.Faults) {
+		d.limitOf[o.ID] = rate
+		d.limits = append(d.limits, limitEvent{server: o.ID, perSecond: rate, from: time.Now(), until: time.Now().Add(length)})
+	})
+	time.AfterFunc(length, func() { d.setFaults(func(*emulator.Faults) { delete(d.limitOf, o.ID) }) })
 }
 
 // crashByPart makes servers crash on a part of prompts, from now to the end of the series.
