--- /dev/null
+++ b/gossip/reach_test.go
@@ -0,0 +1,75 @@
+package gossip_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/gossip"
+	"github.com/poplarwinch/poplarwinch/quarantine"
+)
+
+// deploymentSize is the number of instances of the tests of large deployments. The race detector bears no more than the default.
+var deploymentSize = flag.Int("instances", 120, "instances of a large deployment")
+
+// learningTime is the time in which all instances have to learn of a part that crashes servers.
+const learningTime = 3 * time.Second
+
+// Guards against a part of prompts that goes on crashing servers because a large deployment learns of it late, or only in part: five
+// crashes, each seen by another instance, among many more suspects, block it at all instances, and no sound part at any.
+func TestCrashingPartReachesAllInstances(t *testing.T) {
+	instances := *deploymentSize
+	now := clock.Monotonic()
+	var list []*instance
+	var suspects []*quarantine.Register
+	var members []gossip.Member
+	for n := range instances {
+		var i *instance
+		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachCrowded) }))
+		domain := poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%3))
+		i = start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), domain, snapshotAt(3), gossip.WithSuspects(register))
+		list, suspects, members = append(list, i), append(suspects, register), append(members, i.gossip.Self())
+	}
+	for _, i := range list {
+		i.gossip.Add(members)
+		i.gossip.ScheduleUpdate(fleet.ReachAll) // as after the registration
+	}
+	eventually(t, "all know most of the others", func() bool {
+		for _, i := range list {
+			if i.gossip.Alive() < instances*9/10 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second) // the cells are determined once a second
+	prompt := func(name string, parts ...poplarwinch.PromptPartID) quarantine.PromptSuspects {
+		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", parts)
+	}
+	for n := range 5 {
+		crash := quarantine.Crash{Death: quarantine.Death{Upstream: poplarwinch.UpstreamID(fmt.Sprintf("e%d", n)), At: now.Now(), Ran: 50}}
+		suspects[n*61%instances].RecordCrash(prompt(fmt.Sprint("r", n), "instructions", "bad"), crash)
+		for b := range 40 {
+			suspects[(n*61+7*b)%instances].RecordCrash(prompt(fmt.Sprint("b", n, b), "instructions", poplarwinch.PromptPartID(fmt.Sprint("s", n, b))), crash)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	suspects[17].RecordSurvival(prompt("sound", "instructions"), now.Now())
+	time.Sleep(learningTime)
+	missing, wrong := 0, 0
+	for _, r := range suspects {
+		if _, blocked := r.Blocked(prompt("new", "instructions", "bad")); !blocked {
+			missing++
+		}
+		if _, blocked := r.Blocked(prompt("new", "instructions", "good")); blocked {
+			wrong++
+		}
+	}
+	if missing > 0 || wrong > 0 {
+		t.Errorf("3 s after the fifth crash %d of %d instances don't block the part, and %d block a sound one", missing, instances, wrong)
+	}
+}
