Keep messages without limits as small as before

Cause: each server in a message between instances had four more fields, one of them a float of nine bytes.

--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -145,14 +145,14 @@
 }
 
 // mergeLimit applies what a peer has sent to the server, and has seen of its limit, since the report before.
-func (m *serverState) mergeLimit(w, before ServerWork, isFirst bool, now clock.Millis) {
+func (m *serverState) mergeLimit(w, before ServerWork, now clock.Millis) {
 	sent := w.Sent - before.Sent
-	if sent < 0 {
+	switch {
+	case before.Sent == 0:
+		sent = min(sent, w.Load.Requests) // the earlier ones were sent before the limit was known
+	case sent < 0:
 		sent = w.Sent // the peer has restarted
 	}
-	if isFirst {
-		sent = min(sent, w.Load.Requests)
-	}
 	m.limit.add(sent, now)
 	if w.Limit.Known {
 		m.limit.observe(w.Limit.Rate, now-w.Limit.Age, false)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -24,7 +24,7 @@
 	SubmittedPrefill clock.Millis
 	// Unreachable says that the instance can't connect to the server.
 	Unreachable bool
-	// Sent is the number of requests that the instance has sent to the server since it started.
+	// Sent is the number of requests that the instance has sent to the server since it started; zero if the server has no limit.
 	Sent int
 	// Limit is what the instance has seen of the server's limit.
 	Limit LimitReport
@@ -72,7 +72,10 @@
 	r := Report{Waiting: f.waiting}
 	for id, m := range f.servers {
 		w := ServerWork{
-			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable, Sent: m.sent,
+			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable,
+		}
+		if m.limit.rate > 0 {
+			w.Sent = m.sent
 		}
 		listed := w.Load != (Load{}) || w.Unreachable
 		w.Limit = m.limit.report(now, listed)
@@ -129,10 +132,13 @@
 
 // mergeServerWork replaces a peer's work on one server and reports whether it has become less. The caller holds the lock.
 func (f *Fleet) mergeServerWork(p *peerReport, w ServerWork, now clock.Millis) (freed bool) {
-	before, listedBefore := p.servers[w.ID]
+	before := p.servers[w.ID]
+	if w.Sent == 0 {
+		w.Sent = before.Sent
+	}
 	p.servers[w.ID] = w
 	if m := f.servers[w.ID]; m != nil {
-		m.mergeLimit(w, before, !listedBefore, now)
+		m.mergeLimit(w, before, now)
 		m.mergeReport(w, before.SubmittedPrefill, now)
 		m.setPeerLoad(p, w.Load)
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"slices"
+
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
@@ -17,6 +19,7 @@
 	Sequence uint64
 	Versions map[string]replica.Version
 	Servers  []serverWork
+	Limits   []serverLimit
 	// Waiting is the number of the sender's requests that are queued for a server.
 	Waiting  int
 	Suspects []suspect
@@ -53,11 +56,17 @@
 	Memory           poplarwinch.Tokens
 	SubmittedPrefill clock.Millis
 	Unreachable      bool
-	Sent             int
-	// LimitKnown, Limit and LimitAge are fleet.LimitReport.
-	LimitKnown bool
-	Limit      fleet.RequestRate
-	LimitAge   clock.Millis
+}
+
+// serverLimit is what the sender knows of a server with a limit; see fleet.ServerWork and fleet.LimitReport. It is apart from
+// serverWork because few servers have limits.
+type serverLimit struct {
+	_     struct{} `cbor:",toarray"`
+	ID    poplarwinch.UpstreamID
+	Sent  int
+	Known bool
+	Rate  fleet.RequestRate
+	Age   clock.Millis
 }
 
 // summary is the load of all instances on the servers of one cell; see fleet.Summary.
@@ -69,6 +78,7 @@
 	Partial   bool
 	Age       clock.Millis
 	Servers   []serverWork
+	Limits    []serverLimit
 }
 
 // suspect is a request or a part of prompts that was running on servers when they crashed; see quarantine.Suspect.
@@ -95,7 +105,6 @@
 		list = append(list, serverWork{
 			ID: s.ID, Requests: load.Requests, Decoding: load.Decoding, Prefilling: load.Prefilling, Prefill: load.Prefill, PendingPrefill: load.PendingPrefill, PendingDue: load.PendingDue, Due: load.Due,
 			MinPause: load.MinPause, MaxPause: load.MaxPause, Memory: load.Memory, SubmittedPrefill: s.SubmittedPrefill, Unreachable: s.Unreachable,
-			Sent: s.Sent, LimitKnown: s.Limit.Known, Limit: s.Limit.Rate, LimitAge: s.Limit.Age,
 		})
 	}
 	return list
@@ -104,8 +113,7 @@
 func decodeWork(list []serverWork) []fleet.ServerWork {
 	servers := make([]fleet.ServerWork, 0, len(list))
 	for _, s := range list {
-		limit := fleet.LimitReport{Known: s.LimitKnown, Rate: s.Limit, Age: s.LimitAge}
-		servers = append(servers, fleet.ServerWork{ID: s.ID, SubmittedPrefill: s.SubmittedPrefill, Unreachable: s.Unreachable, Sent: s.Sent, Limit: limit, Load: fleet.Load{
+		servers = append(servers, fleet.ServerWork{ID: s.ID, SubmittedPrefill: s.SubmittedPrefill, Unreachable: s.Unreachable, Load: fleet.Load{
 			Requests: s.Requests, Decoding: s.Decoding, Prefilling: s.Prefilling, Prefill: s.Prefill, PendingPrefill: s.PendingPrefill, PendingDue: s.PendingDue, Due: s.Due,
 			MinPause: s.MinPause, MaxPause: s.MaxPause, Memory: s.Memory,
 		}})
@@ -113,11 +121,34 @@
 	return servers
 }
 
+// encodeLimits returns what a report says of limits.
+func encodeLimits(servers []fleet.ServerWork) []serverLimit {
+	var list []serverLimit
+	for _, s := range servers {
+		if s.Sent > 0 || s.Limit.Known {
+			list = append(list, serverLimit{ID: s.ID, Sent: s.Sent, Known: s.Limit.Known, Rate: s.Limit.Rate, Age: s.Limit.Age})
+		}
+	}
+	return list
+}
+
+// withLimits adds what a message says of limits to the work on the same servers.
+func withLimits(servers []fleet.ServerWork, limits []serverLimit) []fleet.ServerWork {
+	for _, l := range limits {
+		i := slices.IndexFunc(servers, func(s fleet.ServerWork) bool { return s.ID == l.ID })
+		if i >= 0 {
+			servers[i].Sent, servers[i].Limit = l.Sent, fleet.LimitReport{Known: l.Known, Rate: l.Rate, Age: l.Age}
+		}
+	}
+	return servers
+}
+
 func encodeSummaries(list []fleet.Summary) []summary {
 	var cells []summary
 	for _, s := range list {
 		cells = append(cells, summary{
 			Domain: s.Domain, CellIndex: s.Cell.Index, CellCount: s.Cell.Count, Partial: s.Partial, Age: s.Age, Servers: encodeWork(s.Servers),
+			Limits: encodeLimits(s.Servers),
 		})
 	}
 	return cells
@@ -125,7 +156,8 @@
 
 func decodeSummary(s summary) fleet.Summary {
 	return fleet.Summary{
-		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Age: s.Age, Servers: decodeWork(s.Servers),
+		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Age: s.Age,
+		Servers: withLimits(decodeWork(s.Servers), s.Limits),
 	}
 }
 
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -88,7 +88,7 @@
 	}
 	g.mutex.Unlock()
 	m := g.message()
-	m.OwnWork, m.Servers, m.Waiting = true, encodeWork(report.Servers), report.Waiting
+	m.OwnWork, m.Servers, m.Limits, m.Waiting = true, encodeWork(report.Servers), encodeLimits(report.Servers), report.Waiting
 	due := func(p *peerState) bool {
 		switch {
 		case p.needsUpdate:
@@ -103,7 +103,8 @@
 	g.send(connection, m, func(p *peerState) bool { return whole(p) && due(p) })
 	g.sendTo(connection, m, unidentified)
 	for _, c := range cells {
-		m.Servers = encodeWork(report.In(c.domain, c.cell))
+		servers := report.In(c.domain, c.cell)
+		m.Servers, m.Limits = encodeWork(servers), encodeLimits(servers)
 		g.send(connection, m, func(p *peerState) bool { return !whole(p) && c == distantCell{p.Domain, p.cell} && due(p) })
 	}
 }
