Soak: end the check of a part with its fault, and excuse crashed servers

Parts are counted while they crash servers now, and a request whose server crashed during it is not held against a planned stop.

--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -74,13 +74,19 @@
 	return list
 }
 
-// cutByStop reports whether a request was cut off although only a planned stop disturbed its instance and its server completed it.
+// cutByStop reports whether a request was cut off although only a planned stop disturbed its instance, its server completed it and none of
+// its servers crashed meanwhile.
 func (e *evidence) cutByStop(r *result, runs []emulator.Run) bool {
 	for _, v := range e.events {
 		if v.kind == eventInstance && v.name == r.instance && !isPlannedStop(v) && v.at.Before(r.until) && v.until.Add(contactTime).After(r.from) {
 			return false
 		}
 	}
+	for _, run := range runs {
+		if at, crashed := e.crashes[run.Server]; crashed && !at.Before(run.At) && !at.After(r.until) {
+			return false
+		}
+	}
 	return len(runs) > 0 && runs[len(runs)-1].Completed && r.until.Sub(runs[len(runs)-1].At) < stopGrace
 }
 
@@ -130,7 +136,7 @@
 		}
 		from, sends := crashes[crashesToLearn-1].Add(contactTime), 0
 		for _, a := range e.arrivals {
-			if slices.Contains(a.Parts, part) && a.At.After(from) && !e.disturbed(a.At.Add(-contactTime), a.At) {
+			if slices.Contains(a.Parts, part) && a.At.After(from) && a.At.Before(e.partsUntil) && !e.disturbed(a.At.Add(-contactTime), a.At) {
 				sends++
 			}
 		}
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -50,6 +50,9 @@
 	events []event
 	// limits has the limits that servers named.
 	limits []limitEvent
+	// crashes has the times at which servers crashed, and calmedAt the end of all faults.
+	crashes  map[string]time.Time
+	calmedAt time.Time
 	// leaving has the times at which servers were marked as leaving.
 	leaving map[string]time.Time
 }
@@ -57,7 +60,7 @@
 func newDeployment(binary, directory string, seed uint64) (*deployment, error) {
 	d := &deployment{
 		store: emulator.NewStore(), record: &emulator.Record{}, started: time.Now(), servers: map[string]*emulator.Server{}, leaving: map[string]time.Time{},
-		limitOf: map[string]float64{}, hanging: map[string]bool{},
+		crashes: map[string]time.Time{}, limitOf: map[string]float64{}, hanging: map[string]bool{},
 	}
 	network := fmt.Sprintf("127.%d.%d", 60+seed%60, seed/60%250)
 	l, err := net.Listen("tcp", network+".1:0")
@@ -117,6 +120,9 @@
 // replaceCrashed removes a crashed server from the list and starts another one after a while.
 func (d *deployment) replaceCrashed(s *emulator.Server) {
 	d.log(eventServer, "crash of "+s.ID)
+	d.mutex.Lock()
+	d.crashes[s.ID] = time.Now()
+	d.mutex.Unlock()
 	time.AfterFunc(serverRestartDelay, func() {
 		d.mutex.Lock()
 		delete(d.servers, s.ID)
@@ -180,6 +186,7 @@
 func (d *deployment) calm() {
 	d.setFaults(func(f *emulator.Faults) {
 		*f = emulator.Faults{}
+		d.calmedAt = time.Now()
 		clear(d.limitOf)
 		clear(d.hanging)
 		for i := range d.limits {
--- a/cmd/soak/evidence.go
+++ b/cmd/soak/evidence.go
@@ -44,8 +44,11 @@
 	runs       []emulator.Run
 	arrivals   []emulator.Arrival
 	unexpected int
-	// crashingParts are the parts that crash servers.
+	// crashingParts are the parts that crash servers, until partsUntil.
 	crashingParts []string
+	partsUntil    time.Time
+	// crashes has the times at which servers crashed.
+	crashes map[string]time.Time
 }
 
 func (d *deployment) log(kind eventKind, text string) { d.logEvent(event{kind: kind, text: text}) }
@@ -72,7 +75,11 @@
 	for _, p := range d.instances {
 		e.unexpected += p.unexpectedEnds()
 	}
-	e.crashingParts = []string{crashingPart}
+	e.crashingParts, e.partsUntil = []string{crashingPart}, d.calmedAt
+	e.crashes = map[string]time.Time{}
+	for id, at := range d.crashes {
+		e.crashes[id] = at
+	}
 	return e
 }
 
