Don't hold an answer beyond its deadline to settle its claim

Callers got a late answer. Cause: at least 50 ms are spent on settling a claim, however little remains. Change: at most half of what remains, unless more than 100 ms do. The write goes on in the background as before.

Test: entry TestSettleTimeEndsBeforeTheDeadline, fails before: 50 ms with 10 ms left.

--- a/entry/services.go
+++ b/entry/services.go
@@ -29,7 +29,7 @@
 	// answerReserve is the part of the time limit that is reserved for writing the answer. It also covers what the caller
 	// measures beyond the instance's own time: opening the connection, the way of the answer and late timers.
 	answerReserve = 100 * time.Millisecond
-	// minSettleTime is the least time for settling a claim, if less than that remains.
+	// minSettleTime is the least time for settling a claim, unless it is more than half of what remains.
 	minSettleTime = 50 * time.Millisecond
 )
 
@@ -211,7 +211,7 @@
 
 // settleTime returns how long an answer may wait for its claim when left remains until the deadline.
 func settleTime(left time.Duration) time.Duration {
-	return max(minSettleTime, min(settleTimeout, left-answerReserve))
+	return max(min(minSettleTime, left/2), min(settleTimeout, left-answerReserve), 0)
 }
 
 // runUnclaimed sends the call without a claim.
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -15,3 +15,12 @@
 		}
 	}
 }
+
+// Guards against an answer that is held beyond its deadline because the service answered shortly before it and the table is slow.
+func TestSettleTimeEndsBeforeTheDeadline(t *testing.T) {
+	for _, left := range []time.Duration{-time.Second, 0, 10 * time.Millisecond, 40 * time.Millisecond, 90 * time.Millisecond, time.Second} {
+		if settle := settleTime(left); settle > max(left/2, left-answerReserve, 0) {
+			t.Errorf("with %s left, an answer waits %s", left, settle)
+		}
+	}
+}
