--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -25,6 +25,16 @@
 // errCallerWrite marks the error of a failed write to the caller.
 var errCallerWrite = errors.New("the response could not be written to the caller")
 
+// denial is the reason for which a request is not sent to another server.
+type denial string
+
+const (
+	denialNotRepeatable denial = "not-repeatable"
+	denialMaxAttempts   denial = "max-attempts"
+	denialNotResumable  denial = "not-resumable"
+	denialBudget        denial = "retry-budget"
+)
+
 // run is the state of one running request.
 type run struct {
 	*Request
@@ -96,19 +106,40 @@
 	if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !errors.As(err, &failed) || x.sends >= maxSends {
 		return false
 	}
-	allowed := false
+	denied := x.denyRetry(failed)
+	x.log.WithFields(log.Fields{
+		"upstream": x.last.ID, "attempt": x.sends, "ran": x.possibleRuns, "again": denied == "", "denied": denied,
+		"silent": errors.Is(failed, errSilentServer), "last-event": x.splitter.last, "servers": x.usableServers(),
+	}).WithError(err).Warn("attempt failed")
+	return denied == ""
+}
+
+// denyRetry returns the reason against another attempt, or an empty one. It takes a retry from the budget if it finds none.
+func (x *run) denyRetry(failed *CallError) denial {
 	switch {
 	case failed.Failure == FailureNotSent:
-		allowed = true
-	case !failed.MayHaveRun():
-		allowed = x.d.budget(x.Service).Take()
-	default:
-		allowed = x.Route.MayRepeat() && x.possibleRuns < max(x.Route.MaxAttempts, 1) && x.resumable() && x.d.budget(x.Service).Take()
+		return ""
+	case failed.MayHaveRun() && !x.Route.MayRepeat():
+		return denialNotRepeatable
+	case failed.MayHaveRun() && x.possibleRuns >= max(x.Route.MaxAttempts, 1):
+		return denialMaxAttempts
+	case failed.MayHaveRun() && !x.resumable():
+		return denialNotResumable
+	case !x.d.budget(x.Service).Take():
+		return denialBudget
 	}
-	x.log.WithFields(log.Fields{
-		"upstream": x.last.ID, "attempt": x.sends, "ran": x.possibleRuns, "again": allowed, "last-event": x.splitter.last,
-	}).WithError(err).Warn("attempt failed")
-	return allowed
+	return ""
+}
+
+// usableServers returns the number of servers that are not to be avoided.
+func (x *run) usableServers() int {
+	count := 0
+	for _, c := range x.candidates() {
+		if !c.Avoid {
+			count++
+		}
+	}
+	return count
 }
 
 // resumable reports whether another server can continue the response: nothing was sent to the caller yet, or the stream can
