Tests of servers that are silent for a moment while nothing can take over: they fail

In virtual time, on the present code:

TestSilentStreamWithoutSuccessor/retry_budget_used_up: got "id: 1 data: a" and upstream-failed: ... the server sent nothing within the time limit TestSilentStreamWithoutSuccessor/other_engines_full: got "id: 1 data: a" and upstream-failed: ... overloaded: the engines are full TestSilentAnswerWithoutSuccessor: got "" and upstream-failed: ... the server sent nothing within the time limit TestSilentStreamThatCannotBeResumed (both cases): broken off after the first event or comment TestManySilentStreams: 24 streams at once with a budget of 20%; most break off TestSilentStreamMovesOnceAnEngineIsFree: broken off after 1.2 s, though an engine is free after 2 s

The other two cases of the first test and TestDeadServerWithoutSuccessor pass.

--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -49,6 +49,8 @@
 	onReserve func()
 	// reservationsUsed makes all engines report that their reservations are in use.
 	reservationsUsed bool
+	// retriesPerRequest and sharedRetries are the limits of the retry budgets.
+	retriesPerRequest, sharedRetries float64
 	// listMissing says that the server list was not loaded yet.
 	listMissing bool
 }
@@ -56,6 +58,7 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{
 		t: t, log: memory.New(), unreachable: map[poplarwinch.UpstreamID]bool{}, reserved: map[engine.ReservationID]poplarwinch.Tokens{},
+		retriesPerRequest: 0.2, sharedRetries: 100,
 	}
 	c := clock.System()
 	l := &log.Logger{Handler: f.log, Level: log.DebugLevel}
@@ -84,7 +87,7 @@
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
 		dispatch.WithUnusedLimit(9000, f.reservationInUse), dispatch.WithListLoaded(f.listLoaded),
 		dispatch.WithBudget(func() *admission.SharedRetryBudget {
-			return admission.NewSharedRetryBudget(c, 0.2, 100, 10*clock.Second, func() int { return 9 })
+			return admission.NewSharedRetryBudget(c, f.retriesPerRequest, f.sharedRetries, 10*clock.Second, func() int { return 9 })
 		}),
 	)
 	return f
--- /dev/null
+++ b/dispatch/silence_test.go
@@ -0,0 +1,224 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/dispatch"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+const (
+	// silentTime is the time for which a sound server falls silent.
+	silentTime = 1300 * time.Millisecond
+	// wholeStream is the stream that the servers send.
+	wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+)
+
+// pausing is a response body that pauses once, after its first part.
+type pausing struct {
+	ctx   context.Context
+	parts []string
+	pause time.Duration
+	reads int
+}
+
+// Read returns the next part, the second one after the pause, or an error if the call ends meanwhile.
+func (b *pausing) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	if b.reads == 1 {
+		select {
+		case <-b.ctx.Done():
+			return 0, context.Cause(b.ctx)
+		case <-time.After(b.pause):
+		}
+	}
+	b.reads++
+	n := copy(p, b.parts[0])
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+// Close does nothing.
+func (b *pausing) Close() error { return nil }
+
+// pausingStream returns a stream whose server falls silent after the first part.
+func pausingStream(ctx context.Context, pause time.Duration, parts ...string) (*dispatch.Answer, error) {
+	return &dispatch.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: &pausing{ctx: ctx, parts: parts, pause: pause}}, nil
+}
+
+// resumedStream returns wholeStream from the event after the one that the caller has received, with a pause after its first event.
+func resumedStream(ctx context.Context, c *dispatch.Call, pause time.Duration) (*dispatch.Answer, error) {
+	events := strings.SplitAfter(wholeStream, "\n\n")[:3]
+	for i, e := range events {
+		if c.ResumeAfter != "" && strings.HasPrefix(e, "id: "+c.ResumeAfter+"\n") {
+			events = events[i+1:]
+			break
+		}
+	}
+	return pausingStream(ctx, pause, events...)
+}
+
+// noRetries uses up the retry budgets.
+func (f *fixture) noRetries() { f.retriesPerRequest, f.sharedRetries = 0, 0 }
+
+// fill occupies all slots of an engine until the returned function is called.
+func (f *fixture) fill(id poplarwinch.UpstreamID) (end func()) {
+	var tickets []*fleet.Ticket
+	for range 16 {
+		tickets = append(tickets, f.fleet.Begin(fleet.Work{First: id}))
+	}
+	return func() {
+		for _, t := range tickets {
+			t.End()
+		}
+	}
+}
+
+// Guards against a stream that is broken off, because its sound server was silent for a moment, while no other server can take over.
+func TestSilentStreamWithoutSuccessor(t *testing.T) {
+	for name, prepare := range map[string]func(f *fixture) (end func()){
+		"retry budget used up": func(f *fixture) func() { f.noRetries(); return func() {} },
+		"other engines full": func(f *fixture) func() {
+			ends := []func(){f.fill("e2"), f.fill("e3"), f.fill("e4")}
+			return func() {
+				for _, end := range ends {
+					end()
+				}
+			}
+		},
+		"no other engine": func(f *fixture) func() {
+			f.fleet.Apply([]fleet.Server{{ID: "e1", Address: "e1:80", Domain: "north", Service: "pool", Slots: 16}})
+			return func() {}
+		},
+		"other engines unreachable": func(f *fixture) func() {
+			for _, id := range []poplarwinch.UpstreamID{"e2", "e3", "e4"} {
+				f.fleet.Unreachable(id)
+			}
+			return func() {}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, f *fixture) {
+				defer prepare(f)()
+				f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+					return resumedStream(ctx, c, silentTime)
+				}
+				if o := f.run(t.Context(), f.request(route.KindStreaming)); o.err != nil || o.body != wholeStream {
+					t.Errorf("got %q and %+v, want the whole stream", o.body, o.err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a plain request that fails, because its sound server was silent for a moment, while no other server can take over.
+func TestSilentAnswerWithoutSuccessor(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.noRetries()
+		f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
+			if f.sleep(ctx, 1200*time.Millisecond) != nil {
+				return nil, &dispatch.CallError{Failure: dispatch.FailureBroken, Cause: context.Cause(ctx)}
+			}
+			return complete(http.StatusOK, "answer")
+		}
+		if o := f.run(t.Context(), f.request(route.KindIdempotent)); o.err != nil || o.body != "answer" || len(f.calls) != 1 {
+			t.Errorf("got %q and %+v after %d calls, want the answer", o.body, o.err, len(f.calls))
+		}
+	})
+}
+
+// Guards against a stream that is cut for silence although nothing can continue it: it began with a comment, or its events have no ids.
+func TestSilentStreamThatCannotBeResumed(t *testing.T) {
+	for name, first := range map[string]string{"comment": ": waiting\n\n", "event without an id": "data: a\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
+					return pausingStream(ctx, 2500*time.Millisecond, first, "data: b\n\n")
+				}
+				if o := f.run(t.Context(), f.request(route.KindStreaming)); o.err != nil || o.body != first+"data: b\n\n" {
+					t.Errorf("got %q and %+v, want the whole stream", o.body, o.err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against many streams that are cut at once, because their sound servers were silent at the same time: all of them end complete,
+// and those that are resumed elsewhere stay within the retry budget.
+func TestManySilentStreams(t *testing.T) {
+	const streams = 24
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.sharedRetries = 0
+		f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			return resumedStream(ctx, c, silentTime)
+		}
+		var requests sync.WaitGroup
+		for i := range streams {
+			r := f.request(route.KindStreaming)
+			r.ID, r.Route.Target = poplarwinch.RequestID(fmt.Sprintf("r%d", i)), 500
+			requests.Go(func() {
+				if o := f.run(t.Context(), r); o.err != nil || o.body != wholeStream {
+					t.Errorf("%s: got %q and %+v, want the whole stream", r.ID, o.body, o.err)
+				}
+			})
+		}
+		requests.Wait()
+		if repeats := len(f.calls) - streams; float64(repeats) > f.retriesPerRequest*streams {
+			t.Errorf("%d repeats, want %.0f%% of %d requests at most", repeats, 100*f.retriesPerRequest, streams)
+		}
+	})
+}
+
+// Guards against a wait for a dead server: one that is silent and accepts no connections is given up although no other can take over.
+func TestDeadServerWithoutSuccessor(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindIdempotent, route.KindStreaming} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.noRetries()
+			f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+				f.mutex.Lock()
+				f.unreachable[c.Server.ID] = true
+				f.mutex.Unlock()
+				return silence(ctx)
+			}
+			began := time.Now()
+			o := f.run(t.Context(), f.request(kind))
+			if waited := time.Since(began); o.err == nil || o.err.Kind != poplarwinch.KindUpstreamFailed || waited > 2500*time.Millisecond {
+				t.Errorf("%s: got %+v after %s, want a failure soon", kind, o.err, waited)
+			}
+			f.mutex.Lock()
+			f.unreachable = map[poplarwinch.UpstreamID]bool{}
+			f.mutex.Unlock()
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
+// Guards against a request that stays on a silent server although another one has become free meanwhile.
+func TestSilentStreamMovesOnceAnEngineIsFree(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{
+			{ID: "e1", Address: "e1:80", Domain: "north", Service: "pool", Slots: 16}, {ID: "e2", Address: "e2:80", Domain: "north", Service: "pool", Slots: 16},
+		})
+		end := f.fill("e2")
+		time.AfterFunc(2*time.Second, end)
+		f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			return resumedStream(ctx, c, map[poplarwinch.UpstreamID]time.Duration{"e1": time.Hour}[c.Server.ID])
+		}
+		began := time.Now()
+		o := f.run(t.Context(), f.request(route.KindStreaming))
+		if waited := time.Since(began); o.err != nil || o.body != wholeStream || waited > 2600*time.Millisecond {
+			t.Errorf("got %q and %+v after %s, want the rest from the other engine within 2.6 s", o.body, o.err, waited)
+		}
+	})
+}
