Give up a silent server only when another one is ready to take over

Cause: the watchdog canceled the call when the limit had passed, and only then it was found out whether anything could take its place. If the retry budget was used up, the engines were full or the only other servers were out of reach, the answer was lost. The limit was taken as proof of a failure; it is only a reason to look for another server.

Now the decision is made in this order, on the watchdog's goroutine and without its lock: other servers are chosen, as if the silent attempt had ended; their load, and their memory if need be, is recorded; a retry is taken from the budget; then the call ends, and the next attempt uses what was prepared. Without a successor the attempt waits on and asks again every 250 ms. A silent server that accepts no connection in two probes is given up as before. If the answer comes after all, the successor is released.

TestAnswerWhileSuccessorIsPrepared guards the release of a successor.

--- a/admission/sharedbudget.go
+++ b/admission/sharedbudget.go
@@ -59,16 +59,23 @@
 // Earn counts a request.
 func (b *SharedRetryBudget) Earn() { b.requests.Add(b.clock.Now(), 1) }
 
+// Allows reports whether a retry is allowed now, without counting it.
+func (b *SharedRetryBudget) Allows() bool { return b.allows(b.clock.Now()) }
+
 // Take reports whether a retry is allowed now, and counts it if so.
 func (b *SharedRetryBudget) Take() bool {
 	now := b.clock.Now()
-	grown := min(max(float64(now-b.startedAt)/float64(b.windowLength), firstPartFraction), 1)
-	ownRetries := grown * b.sharedRetries / float64(max(b.instances(), 1))
-	allowed := (1 - unusedRetriesFraction) * (b.retriesPerRequest*float64(b.requests.Sum(now, b.windowLength)) + ownRetries)
-	// The bucket in which the window begins counts as a whole.
-	if float64(b.retries.Sum(now, b.windowLength+b.bucketWidth)+1) > allowed {
+	if !b.allows(now) {
 		return false
 	}
 	b.retries.Add(now, 1)
 	return true
 }
+
+func (b *SharedRetryBudget) allows(now clock.Millis) bool {
+	grown := min(max(float64(now-b.startedAt)/float64(b.windowLength), firstPartFraction), 1)
+	ownRetries := grown * b.sharedRetries / float64(max(b.instances(), 1))
+	allowed := (1 - unusedRetriesFraction) * (b.retriesPerRequest*float64(b.requests.Sum(now, b.windowLength)) + ownRetries)
+	// The bucket in which the window begins counts as a whole.
+	return float64(b.retries.Sum(now, b.windowLength+b.bucketWidth)+1) <= allowed
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -53,8 +53,7 @@
 	selected.sentAt = x.d.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatchdog(x.firstEventTimeout(selected), x.firstEventExtension(selected), cancel)
-	defer w.stop()
+	w := x.watch(selected, cancel)
 	defer x.watchUsage(ctx, selected, cancel)()
 	answer, err := x.d.send(ctx, &Call{
 		Request: x.Request, Server: selected.first, Helpers: selected.helpers, ResumeAfter: x.resumeFrom(),
@@ -64,9 +63,18 @@
 	if err == nil {
 		err = x.relay(answer, selected, w)
 	}
+	x.successor = w.stop()
 	return x.finishAttempt(ctx, selected, err)
 }
 
+// watch starts the watchdog of an attempt.
+func (x *run) watch(selected *selection, cancel context.CancelCauseFunc) *watchdog {
+	s := &silence{x: x, selected: selected, extension: x.firstEventExtension(selected)}
+	w := &watchdog{decide: s.decide, discard: func(s *selection) { s.release(x.d) }, cancel: cancel}
+	w.reset(x.firstEventTimeout(selected))
+	return w
+}
+
 // observeLimit tells the fleet which limit the server named in its answer or rejection. A rejection without one ends no limit, since
 // another server may have written it.
 func (x *run) observeLimit(answer *Answer, err error, selected *selection) {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -78,6 +78,9 @@
 
 // pick selects the servers of the next attempt and records its load on them. It waits while no engine has capacity.
 func (x *run) pick(ctx context.Context) (*selection, error) {
+	if s := x.takeSuccessor(); s != nil {
+		return s, nil
+	}
 	started := x.d.clock.Now()
 	defer func() { x.waited += x.d.clock.Now() - started }()
 	defer x.d.fleet.CountWaiting()()
@@ -131,8 +134,10 @@
 }
 
 // candidates returns the servers of the service; those that have failed the request are to be avoided.
-func (x *run) candidates() []fleet.Candidate {
-	candidates := x.d.fleet.Candidates(x.Service)
+func (x *run) candidates() []fleet.Candidate { return x.markExcluded(x.d.fleet.Candidates(x.Service)) }
+
+// markExcluded marks the servers that have failed the request as to be avoided.
+func (x *run) markExcluded(candidates []fleet.Candidate) []fleet.Candidate {
 	for i := range candidates {
 		if x.excluded[candidates[i].ID] {
 			candidates[i].Avoid = true
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -22,15 +22,16 @@
 
 // runProbe probes the server, marks it unreachable if the probe fails, and calls done with the result.
 func (d *Dispatcher) runProbe(s fleet.Server, done func(alive bool)) {
-	alive := d.probe(s)
+	alive := d.probe(context.Background(), s)
 	if !alive {
 		d.markUnreachable(s)
 	}
 	done(alive)
 }
 
-func (d *Dispatcher) probe(s fleet.Server) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+// probe reports whether the server accepts a connection before ctx ends.
+func (d *Dispatcher) probe(ctx context.Context, s fleet.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return d.reachable(ctx, s)
 }
@@ -51,7 +52,7 @@
 // runRecoveryProbes probes an unreachable server until it accepts connections or is removed from the server list.
 func (d *Dispatcher) runRecoveryProbes(s fleet.Server) {
 	for d.clock.Sleep(context.Background(), probeInterval) == nil && d.fleet.IsListed(s) {
-		if d.probe(s) {
+		if d.probe(context.Background(), s) {
 			d.fleet.Reachable(s.ID)
 			d.log.WithField("upstream", s.ID).Info("dependency regained: server accepts connections")
 			return
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -33,6 +33,8 @@
 	denialMaxAttempts   denial = "max-attempts"
 	denialNotResumable  denial = "not-resumable"
 	denialBudget        denial = "retry-budget"
+	denialBlocked       denial = "blocked"
+	denialNoServer      denial = "no-server"
 )
 
 // run is the state of one running request.
@@ -56,6 +58,8 @@
 	firstEvent clock.Millis
 	// last is the server of the latest attempt.
 	last fleet.Server
+	// successor has the servers that were prepared to take over from the latest attempt, or is nil.
+	successor *selection
 	// waited is the total time spent selecting servers, including waits for capacity.
 	waited clock.Millis
 }
@@ -72,6 +76,7 @@
 func (x *run) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, (x.Deadline - x.d.clock.Now()).Duration())
 	defer cancel()
+	defer x.discardSuccessor()
 	for {
 		err := x.attempt(ctx)
 		if err == nil {
@@ -114,7 +119,8 @@
 	return denied == ""
 }
 
-// denyRetry returns the reason against another attempt, or an empty one. It takes a retry from the budget if it finds none.
+// denyRetry returns the reason against another attempt, or an empty one. It takes a retry from the budget if it finds none, unless that
+// was done with the choice of a successor.
 func (x *run) denyRetry(failed *CallError) denial {
 	switch {
 	case failed.Failure == FailureNotSent:
@@ -125,7 +131,7 @@
 		return denialMaxAttempts
 	case failed.MayHaveRun() && !x.resumable():
 		return denialNotResumable
-	case !x.d.budget(x.Service).Take():
+	case x.successor == nil && !x.d.budget(x.Service).Take():
 		return denialBudget
 	}
 	return ""
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/dispatch"
+	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -222,3 +223,42 @@
 		}
 	})
 }
+
+// Guards against a successor that is prepared and then forgotten, with its load and its reservations, when the answer comes after all.
+func TestAnswerWhileSuccessorIsPrepared(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		first, preparing := map[engine.ReservationID]bool{}, make(chan struct{})
+		var once sync.Once
+		f.builder.Reserve = func(ctx context.Context, address string, r engine.Reservation) error {
+			f.mutex.Lock()
+			if len(f.calls) == 0 {
+				first[r.ID] = true
+			}
+			isSuccessor := !first[r.ID]
+			f.mutex.Unlock()
+			if isSuccessor {
+				once.Do(func() { close(preparing) })
+				time.Sleep(100 * time.Millisecond) // the reservation takes effect even if ctx ends meanwhile
+			}
+			return f.reserve(ctx, address, r)
+		}
+		f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
+			select {
+			case <-ctx.Done():
+				return nil, &dispatch.CallError{Failure: dispatch.FailureBroken, Cause: context.Cause(ctx)}
+			case <-preparing:
+				return complete(http.StatusOK, wholeStream)
+			}
+		}
+		for _, id := range []poplarwinch.UpstreamID{"e1", "e2", "e3", "e4"} {
+			other := f.fleet.Begin(fleet.Work{First: id, Memory: 300_000})
+			other.FirstEvent()
+			defer other.End()
+		}
+		r := f.request(route.KindStreaming)
+		r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 120_000, 10_000, 1000, r.Started+15_000
+		if o := f.run(t.Context(), r); o.err != nil || o.body != wholeStream || len(f.calls) != 1 || len(first) < 2 {
+			t.Errorf("got %q and %+v after %d calls, want the answer of the first engine", o.body, o.err, len(f.calls))
+		}
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -113,6 +113,44 @@
 func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return f.candidates(service)
+}
+
+// CandidatesWithout returns the servers that Candidates would return after the end of the ticket, apart from its first one.
+func (f *Fleet) CandidatesWithout(t *Ticket, service poplarwinch.ServiceName) []Candidate {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	defer f.suspend(t)()
+	return slices.DeleteFunc(f.candidates(service), func(c Candidate) bool { return c.ID == t.work.First })
+}
+
+// suspend takes the prefill and the memory of the ticket from the servers other than the first one, until the returned function is
+// called. The caller holds the lock.
+func (f *Fleet) suspend(t *Ticket) (resume func()) {
+	var resumes []func()
+	for _, id := range t.work.Helpers {
+		if m := f.servers[id]; m != nil && m.isPrefilling(t) {
+			m.endPrefill(t)
+			resumes = append(resumes, func() { m.prefilling[t] = struct{}{} })
+		}
+	}
+	for id := range t.work.Shares {
+		if m := f.servers[id]; m != nil {
+			if tokens, ok := m.shares[t]; ok {
+				delete(m.shares, t)
+				resumes = append(resumes, func() { m.shares[t] = tokens })
+			}
+		}
+	}
+	return func() {
+		for _, r := range resumes {
+			r()
+		}
+	}
+}
+
+// candidates is Candidates for a caller that holds the lock.
+func (f *Fleet) candidates(service poplarwinch.ServiceName) []Candidate {
 	now := f.clock.Now()
 	usable := f.usable[service]
 	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -80,6 +80,12 @@
 	m.prefillUntil = max(m.prefillUntil, now) + prefill
 }
 
+// isPrefilling reports whether the server prefills the prompt of the ticket, or a part of it.
+func (m *serverState) isPrefilling(t *Ticket) bool {
+	_, ok := m.prefilling[t]
+	return ok
+}
+
 func (m *serverState) endPrefill(t *Ticket) { delete(m.prefilling, t) }
 
 // ownLoad returns this instance's load on the server, except for Prefill.
