Don't cut a stream for silence once it has begun and nothing can continue it

Cause: a comment begins the response to the caller, so the stream can't be started again elsewhere, and without an id it can't be resumed either; but the limit for the first event, or between events, still ended its call.

Such a stream now has only its deadline. It costs the time until the deadline, or until the caller leaves, if the server hangs.

Evidence: TestSilentStreamThatCannotBeResumed failed before in both cases ('got ": waiting" and upstream-failed: ... the server sent nothing within the time limit') and passes; TestStalledStream and TestAnswersWithoutEnd pass unchanged.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -253,13 +253,16 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if hasContent(events) {
+	switch {
+	case hasContent(events):
 		if x.firstEvent == 0 {
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
 		x.recordEvent(selected)
 		selected.ticket.FirstEvent()
 		w.reset(x.eventTimeout())
+	case x.splitter.last == "":
+		w.reset(0) // once it has begun, nothing can continue it
 	}
 	x.begin(a)
 	return x.write(events)
@@ -294,7 +297,7 @@
 // eventTimeout returns the longest time between events before the stream is resumed on another server, or zero if it is not
 // resumed.
 func (x *run) eventTimeout() clock.Millis {
-	if !x.Route.Resumable || x.possibleRuns+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
+	if !x.Route.Resumable || x.splitter.last == "" || x.possibleRuns+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
 		return 0
 	}
 	return clock.Millis(patienceFraction * float64(x.patience()))
