Find that a retry is allowed and count it in one step

Cause: Take read the counters and then added to them, so that several requests could use the last retry.

Evidence: TestSharedBudgetTakenBySeveralRequests failed in two of three runs before ('81 retries at once, want the 80 that are allowed') and passes in three with the race detector.

--- a/admission/sharedbudget.go
+++ b/admission/sharedbudget.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"sync"
+
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/internal/window"
 )
@@ -33,6 +35,8 @@
 	retries   *window.Counter
 	// startedAt is the time from which this instance's part of sharedRetries grows to its whole, over one window.
 	startedAt clock.Millis
+	// mutex makes finding that a retry is allowed and counting it one step.
+	mutex sync.Mutex
 }
 
 // SharedOption configures a SharedRetryBudget.
@@ -64,6 +68,8 @@
 
 // Take reports whether a retry is allowed now, and counts it if so.
 func (b *SharedRetryBudget) Take() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	now := b.clock.Now()
 	if !b.allows(now) {
 		return false
--- a/admission/sharedbudget_test.go
+++ b/admission/sharedbudget_test.go
@@ -1,6 +1,8 @@
 package admission_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch/admission"
@@ -72,3 +74,26 @@
 		}
 	}
 }
+
+// Guards against more retries than are allowed when many requests ask for one at the same time, as they do when their servers fall silent.
+func TestSharedBudgetTakenBySeveralRequests(t *testing.T) {
+	const sharedRetries, requests, rounds = 100, 64, 200
+	for range rounds {
+		b := admission.NewSharedRetryBudget(clock.NewManual(100_000).Clock(), 0, sharedRetries, 10*clock.Second, func() int { return 1 })
+		var taken atomic.Int64
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() {
+				for range 3 {
+					if b.Take() {
+						taken.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		if taken.Load() != 80 {
+			t.Fatalf("%d retries at once, want the 80 that are allowed", taken.Load())
+		}
+	}
+}
