--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -54,6 +54,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := x.watch(selected, cancel)
+	defer w.reset(0)
 	defer x.watchUsage(ctx, selected, cancel)()
 	answer, err := x.d.send(ctx, &Call{
 		Request: x.Request, Server: selected.first, Helpers: selected.helpers, ResumeAfter: x.resumeFrom(),
