--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -51,6 +51,8 @@
 	reservationsUsed bool
 	// retriesPerRequest and sharedRetries are the limits of the retry budgets.
 	retriesPerRequest, sharedRetries float64
+	// table is the active configuration.
+	table *route.Table
 	// listMissing says that the server list was not loaded yet.
 	listMissing bool
 }
@@ -78,12 +80,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = f.builder.Run(ctx) }()
-	table := (&route.Table{Pools: map[poplarwinch.ServiceName]route.Pool{"pool": {
+	f.table = (&route.Table{Pools: map[poplarwinch.ServiceName]route.Pool{"pool": {
 		Slots: 16, MemoryTokens: 405_000, StepMillis: 1.31, PrefillRate: 154, PairMillis: 0.162, ChunkTokens: 2048, Stride: 34,
 	}}}).Compile()
 	f.dispatcher = dispatch.New(
 		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"),
-		dispatch.WithActive(func() *route.Table { return table }), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
+		dispatch.WithActive(f.active), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
 		dispatch.WithUnusedLimit(9000, f.reservationInUse), dispatch.WithListLoaded(f.listLoaded),
 		dispatch.WithBudget(func() *admission.SharedRetryBudget {
@@ -120,6 +122,19 @@
 	return f.reservationsUsed && f.reserved[id] != 0, nil
 }
 
+func (f *fixture) active() *route.Table {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.table
+}
+
+// activate makes another configuration the active one.
+func (f *fixture) activate(t *route.Table) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.table = t.Compile()
+}
+
 func (f *fixture) listLoaded() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
