Ask a silent engine again before a prompt is taken for not begun

Cause: no answer was taken for the answer 'not in use'.

Now the engine is asked again every 250 ms, until 85% of the limit have passed; the rest is left for the releases.

--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -49,6 +49,8 @@
 	onReserve func()
 	// reservationsUsed makes all engines report that their reservations are in use.
 	reservationsUsed bool
+	// mute makes all engines answer no question about reservations.
+	mute bool
 	// retriesPerRequest and sharedRetries are the limits of the retry budgets.
 	retriesPerRequest, sharedRetries float64
 	// table is the active configuration.
@@ -119,6 +121,9 @@
 func (f *fixture) reservationInUse(_ context.Context, _ string, id engine.ReservationID) (bool, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.mute {
+		return false, errors.New("no answer")
+	}
 	return f.reservationsUsed && f.reserved[id] != 0, nil
 }
 
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -21,6 +21,10 @@
 	// unusedFraction is the fraction of the limit for unused reservations after which an attempt whose request is not shown to
 	// use its reservations ends. The rest is left for the answer of the engine and for the releases.
 	unusedFraction = 0.7
+	// maxUnusedFraction is the fraction of that limit until which an engine that does not answer is asked again.
+	maxUnusedFraction = 0.85
+	// usageRetryInterval is the time between two such questions.
+	usageRetryInterval clock.Millis = 250
 	// usageTimeout is the timeout for asking an engine whether a reservation is in use.
 	usageTimeout clock.Millis = 500
 )
@@ -90,8 +94,8 @@
 		if selected.ticket.Prefilled() {
 			return
 		}
-		used, err := x.reservationUsed(ctx, selected)
-		if ctx.Err() != nil {
+		used, err := x.awaitUsage(ctx, selected)
+		if ctx.Err() != nil || selected.ticket.Prefilled() {
 			return
 		}
 		entry := x.log.WithField("upstream", selected.first.ID).WithField("used", used)
@@ -108,6 +112,18 @@
 	}
 }
 
+// awaitUsage asks the first engine of a selection whether its reservation is in use, until it answers or the time for that has passed:
+// a sound engine may be silent for a moment.
+func (x *run) awaitUsage(ctx context.Context, selected *selection) (bool, error) {
+	last := x.d.clock.Now() + clock.Millis((maxUnusedFraction-unusedFraction)*float64(x.d.unusedLimit))
+	for {
+		used, err := x.reservationUsed(ctx, selected)
+		if err == nil || x.d.clock.Now() >= last || x.d.clock.Sleep(ctx, usageRetryInterval) != nil {
+			return used, err
+		}
+	}
+}
+
 // reservationUsed asks the first engine of a selection whether its reservation is in use.
 func (x *run) reservationUsed(ctx context.Context, selected *selection) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout.Duration())
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -262,3 +262,34 @@
 		}
 	})
 }
+
+// Guards against a long prompt whose attempt is ended, because its sound engine was silent when it was asked whether the reserved memory is
+// in use. One that never answers is given up while the limit for unused reservations still leaves time for the releases.
+func TestSilentEngineHoldsReservations(t *testing.T) {
+	for _, recovers := range []bool{true, false} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.reservationsUsed, f.mute = true, true
+			if recovers {
+				time.AfterFunc(7*time.Second, func() {
+					f.mutex.Lock()
+					f.mute = false
+					f.mutex.Unlock()
+				})
+			}
+			f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
+				if f.sleep(ctx, 8500*time.Millisecond) != nil {
+					return nil, &dispatch.CallError{Failure: dispatch.FailureBroken, Cause: context.Cause(ctx)}
+				}
+				return complete(http.StatusOK, wholeStream)
+			}
+			r := f.request(route.KindStreaming)
+			r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+			r.Route.Resumable, r.Route.MaxAttempts = false, 1
+			began := time.Now()
+			o := f.run(t.Context(), r)
+			if waited := time.Since(began); recovers != (o.err == nil) || !recovers && waited > 8*time.Second {
+				t.Errorf("recovers %t: got %q and %+v after %s", recovers, o.body, o.err, waited)
+			}
+		})
+	}
+}
