Own interface: read the body of a refused request before its connection is closed

Evidence: TestRefusalBeforeTheBodyIsRead failed before ('part 1 of the body: write: broken pipe') and passes; on Linux the refusal itself could be read before, too.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/earlyresponse"
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
@@ -141,8 +142,7 @@
 	x.writeError(failure)
 }
 
-// writeError sends the error response. If the request body was not read, it also closes the connection: to keep it
-// open, net/http would first read the rest of the body, and a slow upload would delay the response.
+// writeError sends the error response. If the request body was not read, it does not wait for the rest of it.
 func (x *exchange) writeError(failure *poplarwinch.Error) {
 	control := http.NewResponseController(x.writer)
 	deadline := time.Now().Add(errorGrace)
@@ -150,8 +150,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !x.bodyRead && x.request.ContentLength != 0 {
-		x.writer.Header().Set("Connection", "close")
-		_ = control.SetReadDeadline(deadline)
+		defer earlyresponse.Begin(x.writer, x.request, x.server.bodies.maxBody, errorGrace)()
 	}
 	writeError(x.writer, failure)
 }
--- a/instance/closed_side_test.go
+++ b/instance/closed_side_test.go
@@ -49,3 +49,32 @@
 		t.Errorf("the response was cut off: %v", err)
 	}
 }
+
+// TestRefusalBeforeTheBodyIsRead guards against a refusal that is lost because the connection is reset: the request is refused before its body
+// has been read, and bytes that are not read reset a connection when it is closed.
+func TestRefusalBeforeTheBodyIsRead(t *testing.T) {
+	t.Parallel()
+	const size, parts = 8_000_000, 4
+	cluster := newCluster(t, clusterOptions{engines: 1})
+	n := cluster.startInstance("entry-1", "domain-a")
+	cluster.commitManifest(n, manifestText(), 0)
+	c := dialCaller(t, n)
+	_, err := fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer wrong\r\nContent-Length: %d\r\n\r\n", size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range parts {
+		if _, err := c.Write(make([]byte, size/parts)); err != nil {
+			t.Errorf("part %d of the body: %v", i, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusUnauthorized {
+		t.Fatalf("got %+v and %v, want 401", response, err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Errorf("the response was cut off: %v", err)
+	}
+}
