--- a/dispatch/configuration_change_test.go
+++ b/dispatch/configuration_change_test.go
@@ -46,7 +46,7 @@
 		} {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				runInVirtualTime(t, func(t *testing.T, f *fixture) {
-					f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+					f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
 						if f.sleep(ctx, 2500*time.Millisecond) != nil {
 							return nil, &dispatch.CallError{Failure: dispatch.FailureBroken, Cause: context.Cause(ctx)}
 						}
