Begin no stream that has just been given up

What callers saw: a stream that breaks off after its first bytes, if these were read in the moment in which its call was given up for silence and nothing can continue them.

Cause: they began the response to the caller, though a successor was ready to begin from the start.

Evidence: TestStreamThatBeginsAsItIsGivenUp failed before for a comment and for an event without an id ('got ": waiting" and upstream-failed') and passes; an event with an id was resumed before, too.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -265,6 +265,9 @@
 	case x.splitter.last == "":
 		w.reset(0) // once it has begun, nothing can continue it
 	}
+	if !x.begun && x.splitter.last == "" && w.hasEnded() {
+		return &CallError{Failure: FailureBroken, Cause: errSilentServer}
+	}
 	x.begin(a)
 	return x.write(events)
 }
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -155,6 +155,46 @@
 	}
 }
 
+// late is a response body whose data is read in the moment in which the call ends.
+type late struct {
+	ctx  context.Context
+	data string
+}
+
+// Read returns the data once the call has ended, and then an error.
+func (b *late) Read(p []byte) (int, error) {
+	<-b.ctx.Done()
+	if b.data == "" {
+		return 0, context.Cause(b.ctx)
+	}
+	n := copy(p, b.data)
+	b.data = ""
+	return n, nil
+}
+
+// Close does nothing.
+func (b *late) Close() error { return nil }
+
+// Guards against a stream that breaks off because it begins, with something that can't be continued, in the moment in which a successor
+// takes over.
+func TestStreamThatBeginsAsItIsGivenUp(t *testing.T) {
+	for name, first := range map[string]string{"comment": ": waiting\n\n", "event without an id": "data: a\n\n", "event": "id: 1\ndata: a\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.answer = func(ctx context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error) {
+					if n > 1 {
+						return resumedStream(ctx, c, 0)
+					}
+					return &dispatch.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: &late{ctx: ctx, data: first}}, nil
+				}
+				if o := f.run(t.Context(), f.request(route.KindStreaming)); o.err != nil || o.body != wholeStream || len(f.calls) != 2 {
+					t.Errorf("got %q and %+v after %d calls, want the whole stream", o.body, o.err, len(f.calls))
+				}
+			})
+		})
+	}
+}
+
 // Guards against many streams that are cut at once, because their sound servers were silent at the same time: all of them end complete,
 // and those that are resumed elsewhere stay within the retry budget.
 func TestManySilentStreams(t *testing.T) {
--- a/dispatch/watchdog.go
+++ b/dispatch/watchdog.go
@@ -33,7 +33,9 @@
 	// endDecision ends the context of the present decision; nil if there is none.
 	endDecision context.CancelFunc
 	decisions   sync.WaitGroup
-	successor   *selection
+	// ended is set once the call was ended.
+	ended     bool
+	successor *selection
 }
 
 // reset sets a new limit; zero disables it.
@@ -93,12 +95,19 @@
 	}
 	w.set(r.wait)
 	if r.wait == 0 {
-		w.successor = r.successor
+		w.successor, w.ended = r.successor, true
 		w.cancel(errSilentServer)
 	}
 	return true
 }
 
+// hasEnded reports whether the call was ended for silence.
+func (w *watchdog) hasEnded() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.ended
+}
+
 // stop disables the watchdog, waits for the present decision and returns the successor of the call, or nil.
 func (w *watchdog) stop() *selection {
 	w.reset(0)
