Answer the requests that wait or run before the process exits

Cause: the connections were closed before the requests were ended; what had no response by then could get none. Requests without a server were left to wait until that moment.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,13 @@
 	decisionMutex sync.Mutex
 	budgets       sync.Map // poplarwinch.ServiceName to *admission.SharedRetryBudget
 	inFlight      atomic.Int64
+	// waitingEnds is closed once requests that wait for a server are rejected.
+	waitingEnds chan struct{}
+	// ending is done once requests without a response are ended.
+	ending context.Context
+	// rejectWaiting and endRequests take effect once.
+	rejectWaiting func()
+	endRequests   func()
 	// background tracks goroutines that may outlive their request.
 	background sync.WaitGroup
 }
@@ -63,12 +70,25 @@
 		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(),
 		listVersion: func() replica.Version { return 0 }, listLoaded: func() bool { return true }, memory: bytebudget.New(defaultMemory),
 	}
+	d.waitingEnds = make(chan struct{})
+	d.rejectWaiting = sync.OnceFunc(func() { close(d.waitingEnds) })
+	d.ending, d.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(d)
 	}
 	return d
 }
 
+// RejectWaiting rejects the requests that wait for a server and were sent to none: the process may exit before they are answered. It can't
+// be undone.
+func (d *Dispatcher) RejectWaiting() { d.rejectWaiting() }
+
+// EndRequests ends all requests, so that those without a response get an error before the process exits. It can't be undone.
+func (d *Dispatcher) EndRequests() {
+	d.rejectWaiting()
+	d.endRequests()
+}
+
 // version returns the version of the active configuration, or zero if there is none.
 func (d *Dispatcher) version() route.Version {
 	if t := d.active(); t != nil {
--- a/dispatch/finalerror.go
+++ b/dispatch/finalerror.go
@@ -23,6 +23,10 @@
 		return upstreamFailed(result, err)
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), errShutdown) && x.possibleRuns > 0:
+		return upstreamFailed(result, errShutdown)
+	case errors.Is(context.Cause(ctx), errShutdown):
+		return shuttingDown()
 	case errors.Is(err, errCallerWrite), errors.Is(ctx.Err(), context.Canceled):
 		return &poplarwinch.Error{
 			Kind: poplarwinch.KindCallerGone, Outcome: result, Cause: err,
@@ -39,6 +43,14 @@
 	}
 }
 
+// shuttingDown returns the error of a request that was not sent before the process exits.
+func shuttingDown() error {
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterShutdown,
+		Message: "this instance is shutting down", Remedy: "retry on a new connection",
+	}
+}
+
 // upstreamFailed returns the error of a request that may have run.
 func upstreamFailed(result poplarwinch.Outcome, cause error) error {
 	return &poplarwinch.Error{
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -98,6 +98,9 @@
 		}
 		due, stop := x.d.clock.After(pollInterval)
 		select {
+		case <-x.waitingEnds():
+			stop()
+			return nil, shuttingDown()
 		case <-changed:
 			_ = x.d.clock.Sleep(ctx, x.d.jitter())
 		case <-due:
@@ -109,6 +112,14 @@
 	}
 }
 
+// waitingEnds returns the channel that is closed when the request should no longer wait for a server, or nil if it has been sent to one.
+func (x *run) waitingEnds() <-chan struct{} {
+	if x.begun || x.possibleRuns > 0 {
+		return nil
+	}
+	return x.d.waitingEnds
+}
+
 // jitter returns a random delay before a waiting request reacts to a change of the fleet. The waiting requests of all
 // instances see the same change; the delays let most of them learn of the others' decisions before they decide.
 func (d *Dispatcher) jitter() clock.Millis {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// retryAfterShutdown is the Retry-After hint of an instance that exits. It is short because a new connection reaches another one.
+	retryAfterShutdown clock.Millis = 50
 	// retryAfterSuspect is the Retry-After hint for a request rejected because it, or a part of its prompt, crashes servers.
 	retryAfterSuspect = 10 * clock.Second
 	// neighbourProbeDelay is the time in which the probes of a server's neighbours have ended.
@@ -22,6 +24,9 @@
 	maxSends = 6
 )
 
+// errShutdown is the cancellation cause of requests that are ended because the process exits.
+var errShutdown = errors.New("this instance is shutting down")
+
 // errCallerWrite marks the error of a failed write to the caller.
 var errCallerWrite = errors.New("the response could not be written to the caller")
 
@@ -76,6 +81,9 @@
 func (x *run) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, (x.Deadline - x.d.clock.Now()).Duration())
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.d.ending, func() { end(errShutdown) })()
 	defer x.discardSuccessor()
 	for {
 		err := x.attempt(ctx)
