Tell peers which rows an instance keeps or holds back, in place of counting its decisions

Cause: a decision on a row that is missing or held back has no place in the order of the source's versions, and the count of decisions ordered those of different instances against each other.

Change: rows that are missing or held back are marked as such in what peers get, a position says whether there are any (unsettled), and an unsettled instance asks one that is settled for the whole table. A row that is known to have been removed isn't taken from a peer that only keeps it. Changes count only if the era is that of the question.

--- a/gossip/announce.go
+++ b/gossip/announce.go
@@ -65,7 +65,9 @@
 		if !continued || after.Compare(position) >= 0 {
 			continue
 		}
-		batch := r.Since(after)
+		from := after
+		from.Unsettled = false // peers find out by the positions what became of rows that were missing
+		batch := r.Since(from)
 		if batch.Complete || rowBytes(batch.Rows) > maxChangeBytes {
 			continue
 		}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -135,12 +135,12 @@
 	for name, r := range g.replicas {
 		own, loaded := r.Position()
 		theirs := positions[name]
-		if loaded && theirs.Compare(own) <= 0 || theirs == (replica.Position{}) {
+		if loaded && !own.IsBehind(theirs) || theirs == (replica.Position{}) {
 			continue
 		}
 		g.mutex.Lock()
 		l, behind := g.behind[name]
-		if !behind || l.position.Compare(own) <= 0 || now-l.since > maxMissedHeartbeats*heartbeatInterval {
+		if !behind || !own.IsBehind(l.position) || now-l.since > maxMissedHeartbeats*heartbeatInterval {
 			l = lag{position: theirs, since: now}
 			g.behind[name] = l
 		}
--- a/replica/era.go
+++ b/replica/era.go
@@ -31,7 +31,7 @@
 		row.Version = carriedOver
 		r.rows[key] = row
 	}
-	r.version, r.revision, r.contentVersion, r.historyStart = 0, 0, 0, to.Version
+	r.version, r.contentVersion, r.historyStart = 0, 0, to.Version
 	clear(r.deleted)
 	clear(r.held)
 }
@@ -72,29 +72,33 @@
 // holdBack reports whether a row of a batch is not to be installed yet: a restored source has it from its copy, and it is about the same as a
 // row that this instance, or the peer which holds it back too, knows to have been removed. It is installed once it is written
 // again, or after a grace period. The caller holds the lock.
-func (r *Replica) holdBack(row *Row, complete bool, mode readMode, restored bool) bool {
+func (r *Replica) holdBack(row *Row, complete, restored bool) bool {
 	now := r.clock.Now()
 	h, held := r.held[row.Key]
-	_, known := r.rows[row.Key]
+	old, known := r.rows[row.Key]
 	switch {
 	case held && complete && !row.Held && now-h.since >= removedRowGrace:
 		delete(r.held, row.Key)
-		if mode != fromPeer {
-			row.Version = r.decided()
-		}
 		return false
 	case held && complete && r.identity(*row) == r.identity(h.row):
 		return true
+	case row.Held && known && old.Version != carriedOver:
+		return true
 	case row.Held:
-		if !known {
-			row.Held = false
-			r.held[row.Key] = heldRow{row: *row, since: now}
-		}
+		row.Held = false
+		delete(r.rows, row.Key) // a state of an earlier era, which the source does not have
+		r.held[row.Key] = heldRow{row: *row, since: now}
 		return true
 	}
 	delete(r.held, row.Key)
-	old, removed := r.removed[row.Key]
-	if !restored || !removed || row.Deleted || r.identity(old.row) != r.identity(*row) {
+	gone, removed := r.removed[row.Key]
+	if !removed || row.Deleted || r.identity(gone.row) != r.identity(*row) {
+		return false
+	}
+	if row.Missing {
+		return true // the sender has missed the removal
+	}
+	if !restored {
 		return false
 	}
 	r.held[row.Key] = heldRow{row: *row, since: now}
@@ -113,15 +117,20 @@
 	}
 }
 
-// decided counts a decision on a row that was missing or held back, and returns the version that the row or its tombstone gets: peers
-// may know the changes up to there. The caller holds the lock.
-func (r *Replica) decided() Version {
-	r.revision++
-	return r.version
+// noteMissing records whether the source has the row of a batch. The caller holds the lock.
+func (r *Replica) noteMissing(row *Row) {
+	if !row.Missing {
+		delete(r.missingSince, row.Key)
+		return
+	}
+	row.Missing = false
+	if _, known := r.missingSince[row.Key]; !known {
+		r.missingSince[row.Key] = r.clock.Now()
+	}
 }
 
-// installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. It is no decision for
-// others, who hold back what they know to have been removed.
+// installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. They count as missing
+// until a peer that follows it confirms them.
 func (r *Replica) installHeld() {
 	r.mutex.Lock()
 	now := r.clock.Now()
@@ -131,7 +140,8 @@
 			continue
 		}
 		delete(r.held, key)
-		h.row.Version = r.version
+		h.row.Version = carriedOver
+		r.missingSince[key] = now
 		changed = r.applyRow(h.row) || changed
 	}
 	if changed {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -66,8 +66,6 @@
 	// era is the era of all versions below.
 	era     Era
 	version Version
-	// revision counts the decisions at version on rows that were missing or held back; see Position.
-	revision int
 	// contentVersion is the largest version of a row that was seen.
 	contentVersion Version
 	loaded         bool
@@ -122,15 +120,14 @@
 func (r *Replica) ContentPosition() (Position, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.contentVersion == r.version {
-		return r.position(), r.loaded
-	}
-	return Position{Era: r.era, Version: r.contentVersion}, r.loaded
+	position := r.position()
+	position.Version = r.contentVersion
+	return position, r.loaded
 }
 
 // position returns the position up to which changes are known. The caller holds the lock.
 func (r *Replica) position() Position {
-	return Position{Era: r.era, Version: r.version, Revision: r.revision}
+	return Position{Era: r.era, Version: r.version, Unsettled: len(r.missingSince)+len(r.held) > 0}
 }
 
 // Failing reports whether this instance can't read the source, as of its last attempt. A failure is forgotten some time after
@@ -141,27 +138,26 @@
 	return r.failing && !(r.passive && r.clock.Now()-r.failedAt >= failureRetention)
 }
 
-// Since returns the changes after a position, or all rows if it is zero, of another era, or precedes the known changes.
+// Since returns the changes after a position, or all rows if it is zero, unsettled or of another era, or precedes the known changes. Rows
+// that are missing or held back are always part of it.
 func (r *Replica) Since(after Position) Batch {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	batch := Batch{Era: r.era, Version: r.version, Revision: r.revision}
-	batch.Complete = after.Version == 0 || after.Era != r.era || after.Version < r.historyStart ||
-		after.Version == r.version && after.Revision < r.revision
+	complete := after.Version == 0 || after.Era != r.era || after.Unsettled || after.Version < r.historyStart
+	batch := NewBatch(r.position(), nil, complete)
 	for _, row := range r.list() {
-		if batch.Complete || row.Version > after.Version {
+		_, row.Missing = r.missingSince[row.Key]
+		if complete || row.Missing || row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
 	for _, row := range r.deleted {
-		if !batch.Complete && row.Version > after.Version {
+		if !complete && row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
 	for _, h := range r.held {
-		if batch.Complete {
-			batch.Rows = append(batch.Rows, h.passedOn())
-		}
+		batch.Rows = append(batch.Rows, h.passedOn())
 	}
 	return batch
 }
@@ -314,8 +310,12 @@
 	defer close(stop)
 	go r.endWait(stop, confirmAt, cancel)
 	batch, err := r.changes(wait, position.Version)
-	if cause := context.Cause(wait); err != nil && (errors.Is(cause, errRechecked) || errors.Is(cause, errConfirmDue)) {
+	cause := context.Cause(wait)
+	switch {
+	case err != nil && (errors.Is(cause, errRechecked) || errors.Is(cause, errConfirmDue)):
 		return Batch{}, cause
+	case err == nil && batch.Era > position.Era:
+		return Batch{}, errRestored // the changes are those after a version of another era
 	}
 	return batch, err
 }
@@ -343,9 +343,6 @@
 	era, loaded := r.era, r.loaded
 	switch {
 	case !loaded:
-	case batch.Era > era && !batch.Complete:
-		r.mutex.Unlock()
-		return errRestored
 	case batch.Era < era || batch.Era == era && batch.Version < r.version:
 		r.mutex.Unlock()
 		return errOlderSource
@@ -368,17 +365,16 @@
 		r.carryOver(batch.Position())
 	}
 	r.era = batch.Era
-	if batch.Version > r.version {
-		r.version, r.revision = batch.Version, batch.Revision
-	}
-	r.revision = max(r.revision, batch.Revision)
+	r.version = max(r.version, batch.Version)
 	seen := make(map[string]bool, len(batch.Rows))
+	before := len(r.rows)
 	for _, row := range batch.Rows {
 		seen[row.Key] = true
-		delete(r.missingSince, row.Key)
-		if r.holdBack(&row, batch.Complete, mode, restored) {
+		if r.holdBack(&row, batch.Complete, restored) {
+			changed = changed || len(r.rows) != before
 			continue
 		}
+		r.noteMissing(&row)
 		r.contentVersion = max(r.contentVersion, row.Version)
 		changed = r.applyRow(row) || changed
 	}
@@ -453,9 +449,6 @@
 		}
 		delete(r.missingSince, key)
 		r.remove(Row{Key: key, Version: r.version, Deleted: true})
-		if missing && mode != fromPeer {
-			r.decided()
-		}
 		r.contentVersion = r.version
 		removed = true
 	}
--- a/replica/row.go
+++ b/replica/row.go
@@ -15,13 +15,26 @@
 	_       struct{} `cbor:",toarray"`
 	Era     Era
 	Version Version
-	// Revision counts the decisions that an instance has made at this version, on rows that did not come back, or did.
-	Revision int
+	// Unsettled says that the instance keeps rows which the source does not have and which may come back, or holds back rows that it has.
+	Unsettled bool
 }
 
-// Compare returns -1 if p is older than q, 1 if it is newer, and 0 otherwise. A later era is newer, whatever its versions.
+// Compare returns -1 if p is older than q, 1 if it is newer, and 0 otherwise. A later era is newer, whatever its versions, and of two
+// positions at the same version the one that is settled.
 func (p Position) Compare(q Position) int {
-	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version), cmp.Compare(p.Revision, q.Revision))
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version), cmp.Compare(p.settled(), q.settled()))
+}
+
+func (p Position) settled() int {
+	if p.Unsettled {
+		return 0
+	}
+	return 1
+}
+
+// IsBehind reports whether an instance at p can learn something from one at q, which may say the version of its latest change only.
+func (p Position) IsBehind(q Position) bool {
+	return p.Compare(q) < 0 || p.Era == q.Era && p.Unsettled && !q.Unsettled
 }
 
 // Row is one row of the table.
@@ -32,7 +45,9 @@
 	Version Version `cbor:"version"`
 	// Deleted marks the tombstone of a row that no longer exists.
 	Deleted bool `cbor:"deleted,omitempty"`
-	// Held is set, between instances, if the sender holds the row back; see Replica.
+	// Missing is set, between instances, if the sender keeps the row although the source does not have it.
+	Missing bool `cbor:"missing,omitempty"`
+	// Held is set, between instances, if the sender holds the row back although the source has it.
 	Held bool `cbor:"held,omitempty"`
 }
 
@@ -46,18 +61,18 @@
 	Era Era
 	// Version is the source's version at the time of the read.
 	Version Version
-	// Revision is that of the instance which passes the batch on; zero in batches from the source.
-	Revision int
+	// Unsettled is that of the position of the instance which passes the batch on.
+	Unsettled bool
 	// Complete is set if Rows holds every row of the table, not only changes.
 	Complete bool
 }
 
 // NewBatch returns a batch of the rows that are known at a position.
 func NewBatch(at Position, rows []Row, complete bool) Batch {
-	return Batch{Rows: rows, Era: at.Era, Version: at.Version, Revision: at.Revision, Complete: complete}
+	return Batch{Rows: rows, Era: at.Era, Version: at.Version, Unsettled: at.Unsettled, Complete: complete}
 }
 
 // Position returns the position of the rows.
 func (b *Batch) Position() Position {
-	return Position{Era: b.Era, Version: b.Version, Revision: b.Revision}
+	return Position{Era: b.Era, Version: b.Version, Unsettled: b.Unsettled}
 }
