Open test sockets on a port that is free for connections and datagrams

Seen: TestCrashingPartReachesAllInstances failed once beside load with 120 instances, at reach_test.go:34: address already in use.

cmd/soak uses fixed ports on addresses of its own, and cmd/standin ports serves scripts of the own interface, which uses no datagrams: nothing to change.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/emulator/loopback"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/gossip"
 	"github.com/poplarwinch/poplarwinch/quarantine"
@@ -30,15 +31,11 @@
 // start starts an instance; read is its source of the table "servers", and nil if the source rejects its reads.
 func start(t *testing.T, id poplarwinch.InstanceID, domain poplarwinch.FailureDomain, read func() replica.Batch, opts ...gossip.Option) *instance {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, udp, err := loopback.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := l.Addr().(*net.TCPAddr).AddrPort()
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		t.Fatal(err)
-	}
 	logger := &log.Logger{Handler: discard.New()}
 	i := &instance{address: address}
 	i.fleet = fleet.New(fleet.WithDomain(domain), fleet.WithNotify(func(r fleet.Reach) { i.gossip.ScheduleUpdate(r) }))
