Pause between two reads of the whole instance list

Seen: while the platform expires each version at once, as after a restore that some of its servers don't know yet, an instance reads the whole list (650 KB at the design scale) as fast as it can.

Cause: 410 led to a new read at once, however soon after the last one.

--- FAIL: TestExpiredVersionsAreReadWithPauses the whole list was read 6811 times in 1.5 s, want once a second

Whole reads are now at least a second apart; the first one after a longer watch still follows at once. The emulated list can be restored: its versions go back and are given out again, open watches end, and versions that it doesn't have get 410. TestRestoredList (the list follows a restore) passed before too.

--- a/emulator/roster/server.go
+++ b/emulator/roster/server.go
@@ -31,6 +31,8 @@
 	currentVersions *history.Store[int]
 	mutex           sync.Mutex
 	versions        [][]Endpoint
+	// restores is the number of restores. Watches from before the last one have ended.
+	restores int
 }
 
 // New returns a server. Its list is empty without WithEndpoints.
@@ -40,7 +42,7 @@
 		o(s)
 	}
 	s.currentVersions = history.New[int](s.clock)
-	s.gate = fault.NewGate(fault.WithClock(s.clock), fault.WithSeed(s.seed), fault.WithRestore(s.currentVersions.Restore))
+	s.gate = fault.NewGate(fault.WithClock(s.clock), fault.WithSeed(s.seed), fault.WithRestore(s.restore))
 	s.SetEndpoints(s.initial)
 	return s
 }
@@ -60,6 +62,20 @@
 	s.currentVersions.Do(func(v *history.View[int]) { v.Put(listKey, resourceVersion) })
 }
 
+// Restore resets the list to the state that it had the given time ago, as the fault of the same name does. Resource versions go
+// back too and are given out again.
+func (s *Server) Restore(age clock.Millis) { s.restore(s.clock.Now() - age) }
+
+func (s *Server) restore(at clock.Millis) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.currentVersions.Restore(at)
+	current := 0
+	s.currentVersions.Do(func(v *history.View[int]) { current, _ = v.Get(listKey) })
+	s.versions = s.versions[:current+1]
+	s.restores++
+}
+
 // Record returns the counts of reads, as GET /record does.
 func (s *Server) Record() fault.Record { return s.gate.Record() }
 
@@ -109,6 +125,13 @@
 	return resourceVersion
 }
 
+// restoreCount returns the number of restores, and whether the resource version is known.
+func (s *Server) restoreCount(resourceVersion int) (restores int, known bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.restores, resourceVersion >= 0 && resourceVersion < len(s.versions)
+}
+
 // listAt returns the list with the given resource version, an empty one if the version is unknown.
 func (s *Server) listAt(resourceVersion int) endpointSliceList {
 	s.mutex.Lock()
--- a/emulator/roster/watch.go
+++ b/emulator/roster/watch.go
@@ -20,7 +20,8 @@
 	Object *endpointSlice `json:"object"`
 }
 
-// watch sends the changes of the list after the requested resource version until the requested timeout.
+// watch sends the changes of the list after the requested resource version until the requested timeout or a restore. It
+// answers 410 if it doesn't have the version.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	knownVersion, err := strconv.Atoi(r.URL.Query().Get("resourceVersion"))
 	if err != nil {
@@ -29,9 +30,16 @@
 	}
 	seconds, _ := strconv.Atoi(r.URL.Query().Get("timeoutSeconds"))
 	end := s.clock.Now() + clock.FromDuration(time.Duration(max(1, seconds))*time.Second)
+	restores, known := s.restoreCount(knownVersion)
 	s.gate.Serve(w, r, func([]byte) fault.Class { return fault.Reads }, func([]byte) fault.Response {
+		if !known {
+			return fault.Response{Status: http.StatusGone}
+		}
 		return fault.Response{Status: http.StatusOK, Header: map[string]string{"Content-Type": "application/json"}}
 	})
+	if !known {
+		return
+	}
 	control := http.NewResponseController(w)
 	_ = control.Flush()
 	encoder := json.NewEncoder(w)
@@ -42,6 +50,9 @@
 		if s.gate.OutageActive() {
 			continue
 		}
+		if now, _ := s.restoreCount(knownVersion); now != restores {
+			return
+		}
 		nextVersion := s.resourceVersion()
 		if nextVersion == knownVersion {
 			continue
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -18,6 +18,8 @@
 	watchTimeout = 30 * time.Second
 	// watchTimeoutGrace is the further time that the client gives the platform to end the watch after watchTimeout.
 	watchTimeoutGrace = 3 * time.Second
+	// minReadInterval is the shortest time between two reads of the whole list.
+	minReadInterval = time.Second
 )
 
 // errExpired means that the platform no longer has the resource version from which a watch should continue.
@@ -34,6 +36,7 @@
 // *UnavailableError.
 func (r *Roster) Follow(ctx context.Context, apply func([]Endpoint)) error {
 	for {
+		nextRead := time.NewTimer(minReadInterval)
 		var list endpointSliceList
 		if _, err := r.pool.Call(ctx, r.timeout, func(ctx context.Context) error { return r.read(ctx, &list) }); err != nil {
 			return &UnavailableError{Cause: err}
@@ -48,6 +51,11 @@
 				return &UnavailableError{Cause: err}
 			}
 		}
+		select {
+		case <-ctx.Done():
+			return &UnavailableError{Cause: ctx.Err()}
+		case <-nextRead.C:
+		}
 	}
 }
 
