Read the instance list again after a watch that ended early, and every five minutes

Seen: after a restore of the platform an instance kept endpoints that the list no longer had and missed others for ever.

Cause: the instance continued its watch from the version that it knew. The restored platform had given that version out again for another list, so the changes up to it were never sent. A platform that isn't that far yet may also wait silently until it is.

A restored platform has closed its watches, so a watch that ends before its timeout is followed by a read of the whole list. For those that end in time, or never notice, the list is read whole every 4 to 5 minutes; by its size at the design scale (650 KB) that is 2 to 3 KB/s of the 28 KB/s for control.

--- a/roster/follow.go
+++ b/roster/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -14,12 +15,17 @@
 )
 
 const (
-	// watchTimeout bounds one watch, so that a connection that no longer delivers data is replaced.
-	watchTimeout = 30 * time.Second
-	// watchTimeoutGrace is the further time that the client gives the platform to end the watch after watchTimeout.
+	// defaultWatchTimeout bounds one watch, so that a connection that no longer delivers data is replaced.
+	defaultWatchTimeout = 30 * time.Second
+	// watchTimeoutGrace is the further time that the client gives the platform to end a watch at its timeout.
 	watchTimeoutGrace = 3 * time.Second
 	// minReadInterval is the shortest time between two reads of the whole list.
 	minReadInterval = time.Second
+	// defaultMaxReadInterval is the longest time for which changes are applied to a list. It ends a difference that no watch shows: a
+	// restored platform may wait silently until its versions reach the requested one.
+	defaultMaxReadInterval = 5 * time.Minute
+	// readJitter is the fraction of the interval by which instances differ, so that they don't read at the same time.
+	readJitter = 0.2
 )
 
 // errExpired means that the platform no longer has the resource version from which a watch should continue.
@@ -32,8 +38,9 @@
 }
 
 // Follow passes the list to apply at the start and after each change, until ctx ends or the platform fails to answer.
-// It watches for changes instead of reading the whole list, which grows with the fleet, each time. Its errors are
-// *UnavailableError.
+// It watches for changes instead of reading the whole list, which grows with the fleet, each time. It reads the whole list again
+// after a watch that the platform ended early, since a platform that was restored gives out known versions again. Its errors
+// are *UnavailableError.
 func (r *Roster) Follow(ctx context.Context, apply func([]Endpoint)) error {
 	for {
 		nextRead := time.NewTimer(minReadInterval)
@@ -42,14 +49,8 @@
 			return &UnavailableError{Cause: err}
 		}
 		apply(list.endpoints())
-		for {
-			err := r.watch(ctx, &list, apply)
-			if errors.Is(err, errExpired) {
-				break
-			}
-			if err != nil {
-				return &UnavailableError{Cause: err}
-			}
+		if err := r.watchUntilExpired(ctx, &list, apply); err != nil {
+			return &UnavailableError{Cause: err}
 		}
 		select {
 		case <-ctx.Done():
@@ -59,15 +60,31 @@
 	}
 }
 
+// watchUntilExpired applies changes to the list until it must be read again.
+func (r *Roster) watchUntilExpired(ctx context.Context, list *endpointSliceList, apply func([]Endpoint)) error {
+	interval := time.Duration(float64(r.maxReadInterval) * (1 - readJitter*rand.Float64()))
+	for end := time.Now().Add(interval); time.Now().Before(end); {
+		started := time.Now()
+		err := r.watch(ctx, list, apply)
+		if errors.Is(err, errExpired) || err == nil && time.Since(started) < r.watchTimeout {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // watch applies changes to the list until the watch ends.
 func (r *Roster) watch(ctx context.Context, list *endpointSliceList, apply func([]Endpoint)) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutGrace)
+	ctx, cancel := context.WithTimeout(ctx, r.watchTimeout+watchTimeoutGrace)
 	defer cancel()
 	query := url.Values{}
 	query.Set("watch", "true")
 	query.Set("allowWatchBookmarks", "true")
 	query.Set("resourceVersion", list.Metadata.ResourceVersion)
-	query.Set("timeoutSeconds", strconv.Itoa(int(watchTimeout.Seconds())))
+	query.Set("timeoutSeconds", strconv.Itoa(int(r.watchTimeout.Seconds())))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.endpoint+listPath+"&"+query.Encode(), nil)
 	if err != nil {
 		return err
--- a/roster/restore_test.go
+++ b/roster/restore_test.go
@@ -66,6 +66,23 @@
 	t.Fatalf("the list has %v, want %v", last(), want)
 }
 
+// Guards against a follower that keeps endpoints which a restored list doesn't have and misses others for ever, since versions that
+// it knows were given out again for other lists.
+func TestRestoredListWithVersionsGivenOutAgain(t *testing.T) {
+	server, client, _ := startEmulator(t)
+	server.SetEndpoints(engines(1))
+	time.Sleep(300 * time.Millisecond)
+	server.SetEndpoints(engines(1, 2))
+	server.SetEndpoints(engines(1, 2, 3))
+	last := follow(t, client)
+	awaitList(t, last, "e1", "e2", "e3")
+	server.Restore(clock.FromDuration(250 * time.Millisecond))
+	server.SetEndpoints(engines(1, 4))
+	server.SetEndpoints(engines(1, 4, 5))
+	server.SetEndpoints(engines(1, 4, 5, 6))
+	awaitList(t, last, "e1", "e4", "e5", "e6")
+}
+
 // Guards against a follower that keeps the list of before a restore.
 func TestRestoredList(t *testing.T) {
 	server, client, _ := startEmulator(t)
@@ -100,3 +117,26 @@
 		t.Errorf("the whole list was read %d times in 1.5 s, want once a second", n)
 	}
 }
+
+// Guards against a follower that keeps an old list for ever because a restored platform waits until its versions reach the known one.
+func TestSilentWatchesDontKeepAnOldList(t *testing.T) {
+	var lists atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") == "true" {
+			http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+			return
+		}
+		lists.Add(1)
+		_, _ = w.Write([]byte(emptyList)) // a failed write is an error of the client
+	}))
+	defer server.Close()
+	follow(t, roster.New(roster.WithEndpoint(server.URL), roster.WithWatchTimeout(time.Second), roster.WithMaxReadInterval(1500*time.Millisecond)))
+	time.Sleep(5 * time.Second)
+	if n := lists.Load(); n < 2 || n > 4 {
+		t.Errorf("the whole list was read %d times in 5 s, want after each second watch", n)
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,11 +24,17 @@
 	timeout  time.Duration
 	maxBytes poplarwinch.Bytes
 	pool     *connection.Pool
+
+	watchTimeout    time.Duration
+	maxReadInterval time.Duration
 }
 
 // New returns a client of the instance list.
 func New(opts ...Option) *Roster {
-	r := &Roster{timeout: 2 * time.Second, maxBytes: 32 << 20, pool: connection.New()}
+	r := &Roster{
+		timeout: 2 * time.Second, maxBytes: 32 << 20, pool: connection.New(),
+		watchTimeout: defaultWatchTimeout, maxReadInterval: defaultMaxReadInterval,
+	}
 	for _, o := range opts {
 		o(r)
 	}
