Ask the peers for their version before a commit

Seen: after a restore of the table two different manifests with the same version were both confirmed. The operator's commit had gone through an instance that had just started.

Cause: a commit was checked against the row and the own active version. An instance without a manifest, or one that hasn't heard of the last version, takes a restored row for the newest and gives its number out again.

--- FAIL: TestCommitThroughFreshInstanceAfterRestore the commit that replaces a replaced version returned <nil>, want a conflict

A commit now asks some peers first, as a starting instance does; the newest record known counts, and a repeated commit is found in theirs too. Without any answer it goes on, since a domain that is cut off must be changeable.

--- a/configuration/attempt.go
+++ b/configuration/attempt.go
@@ -18,10 +18,11 @@
 	// An invalid row lists no commits, but its version is enough for a conditional put that replaces it.
 	record, _ := DecodeRecord(row.Body)
 	record.Version = manifest.Version(row.Version)
-	if version, err := c.findAccepted(record); version > 0 || err != nil {
+	known := c.knownRecords(ctx)
+	if version, err := c.findAccepted(record, known); version > 0 || err != nil {
 		return version, true, err
 	}
-	base, err := c.base(record)
+	base, err := c.base(record, known)
 	if err != nil {
 		return 0, true, err
 	}
@@ -51,15 +52,28 @@
 	return c.store.table.Get(readCtx, rowKey)
 }
 
-// findAccepted looks up the commit id in the commits of the row and of the active record. It returns the version of the
+// knownRecords returns the active records of this instance and of the peers that answer. After a restore of the table they can be
+// newer than the row. Without an answer of any peer the commit goes on: a failure domain that is cut off can be changed.
+func (c *commit) knownRecords(ctx context.Context) []Record {
+	peersCtx, cancel := c.store.withTimeout(ctx, requestTimeout)
+	defer cancel()
+	records, err := c.store.peers.Records(peersCtx)
+	if err != nil {
+		c.store.alarms.logger.WithError(err).Warn("no peer was asked for its manifest version before the commit")
+	}
+	if active, ok := c.store.Record(); ok {
+		records = append(records, active)
+	}
+	return records
+}
+
+// findAccepted looks up the commit id in the commits of the row and of the known records. It returns the version of the
 // commit, zero if the id is not found, or a conflict if the id belongs to a different manifest. The version is activated if
 // it is the row's, and otherwise left to the next poll.
-func (c *commit) findAccepted(record Record) (manifest.Version, error) {
+func (c *commit) findAccepted(record Record, known []Record) (manifest.Version, error) {
 	accepted, ok := record.commit(c.commitRef.ID)
-	if !ok {
-		if current := c.store.active.Load(); current != nil {
-			accepted, ok = current.record.commit(c.commitRef.ID)
-		}
+	for i := 0; i < len(known) && !ok; i++ {
+		accepted, ok = known[i].commit(c.commitRef.ID)
 	}
 	switch {
 	case !ok:
@@ -74,23 +88,26 @@
 	return accepted.Version, nil
 }
 
-// base returns the record that the commit replaces: the row's, or the active one if a restore of the table left an older
+// base returns the record that the commit replaces: the row's, or the newest known one if a restore of the table left an older
 // row.
-func (c *commit) base(record Record) (Record, error) {
-	active, _ := c.store.Record()
-	if latest := max(record.Version, active.Version); latest != c.replaces {
-		err := c.conflictError("another commit was accepted first: the current version is "+latest.String(),
+func (c *commit) base(record Record, known []Record) (Record, error) {
+	latest, listed := record, record.hasCommitOf(c.commitRef.Version)
+	for _, r := range known {
+		listed = listed || r.hasCommitOf(c.commitRef.Version)
+		if r.Version > latest.Version {
+			latest = r
+		}
+	}
+	if latest.Version != c.replaces {
+		err := c.conflictError("another commit was accepted first: the current version is "+latest.Version.String(),
 			"apply the change to the current manifest and commit it with the current version as the replaced one")
-		if latest > c.replaces && !record.hasCommitOf(c.commitRef.Version) && !active.hasCommitOf(c.commitRef.Version) {
+		if latest.Version > c.replaces && !listed {
 			// No record lists the commit that produced version c.replaces+1 any more; it may have been this one.
 			err.Outcome = poplarwinch.OutcomeUnknown
 		}
 		return Record{}, err
 	}
-	if record.Version == c.replaces {
-		return record, nil
-	}
-	return active, nil
+	return latest, nil
 }
 
 // uploadMissing uploads the sections that the row's record doesn't list.
