Give a manifest the next version if a restore gave its version out twice

Seen: after a restore of the table, instances kept different manifests with the same version, until an operator noticed the alarm. One of two confirmed changes was in force here, the other one there.

Cause: manifests are ordered by their number alone. An instance that is cut off from its peers can't know that a restored table gives a number out again, so the check of the peers doesn't prevent this.

Records list their commits, so an instance sees that the row's history lacks its own commit. It then writes the row's manifest again under the next version, on the condition that the row hasn't changed; all activate that. The new alarm lost-commit names the replaced commit. Rows without commits raise only the alarm as before.

--- a/configuration/alarm.go
+++ b/configuration/alarm.go
@@ -12,4 +12,7 @@
 	// AlarmStaleTable is raised when the table holds no version or an older one than this instance, as after a restore
 	// from a backup.
 	AlarmStaleTable Alarm = "stale-table"
+	// AlarmLostCommit is raised when a confirmed commit is no longer part of the current manifest, since the table was restored
+	// from a backup and another commit got its version.
+	AlarmLostCommit Alarm = "lost-commit"
 )
--- a/configuration/commit_ref.go
+++ b/configuration/commit_ref.go
@@ -8,3 +8,8 @@
 	Version manifest.Version `json:"version"`
 	Digest  string           `json:"digest"`
 }
+
+// sameManifest reports whether both commits produced the same version of the same manifest.
+func (c CommitRef) sameManifest(other CommitRef) bool {
+	return c.Version == other.Version && c.Digest == other.Digest
+}
--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -22,28 +22,37 @@
 
 // applyRecord fetches the sections of a record, validates the manifest and activates it.
 func (s *Store) applyRecord(ctx context.Context, record Record, from recordSource) error {
+	next, err := s.prepare(ctx, record, from)
+	if err != nil {
+		return err
+	}
+	if s.activate(next) && from == sourceTable {
+		signal(s.announceRequested)
+	}
+	return nil
+}
+
+// prepare fetches the sections of a record and validates the manifest.
+func (s *Store) prepare(ctx context.Context, record Record, from recordSource) (*activeManifest, error) {
 	if err := record.check(); err != nil {
 		s.alarms.raise(AlarmInvalidManifest, record, "the manifest record is invalid and was not activated", err)
-		return err
+		return nil, err
 	}
 	if lastRejected := s.lastRejected.Load(); lastRejected != nil && lastRejected.digest == record.Digest {
 		s.alarms.raise(AlarmInvalidManifest, record, invalidManifestMessage, lastRejected.err)
-		return lastRejected.err
+		return nil, lastRejected.err
 	}
 	sections, err := s.fetchSections(ctx, record.Sections, from)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	index, err := s.compile(record, sections)
 	if err != nil {
 		s.lastRejected.Store(&rejectedManifest{digest: record.Digest, err: err})
 		s.alarms.raise(AlarmInvalidManifest, record, invalidManifestMessage, err)
-		return err
-	}
-	if s.activate(&activeManifest{record: record, index: index, sections: sections}) && from == sourceTable {
-		signal(s.announceRequested)
+		return nil, err
 	}
-	return nil
+	return &activeManifest{record: record, index: index, sections: sections}, nil
 }
 
 func (s *Store) compile(record Record, sections map[string][]byte) (*manifest.Index, error) {
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -8,6 +8,9 @@
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
+// renumberedIDLength is the number of digits of the digest in the commit id of a renumbered manifest.
+const renumberedIDLength = 16
+
 // poll reads the manifest row and activates its version if it is new. It writes the active record back if the row is
 // older or missing.
 func (s *Store) poll(ctx context.Context) {
@@ -35,6 +38,9 @@
 	}
 	if current != nil && record.Version == current.record.Version {
 		s.checkDigest(current, record)
+		if len(record.lostCommits(current.record)) > 0 {
+			s.renumber(ctx, row, record)
+		}
 		return
 	}
 	if err := s.applyRecord(ctx, record, sourceTable); err != nil {
@@ -76,6 +82,26 @@
 	}
 }
 
+// renumber gives the manifest of the row the next version, so that it replaces the active one, which has the same version. Both were
+// accepted: the active one before a restore of the table, the row's after it. The table decides, as in all other conflicts.
+func (s *Store) renumber(ctx context.Context, row Row, record Record) {
+	commit := CommitRef{ID: "renumbered-" + record.Digest[:renumberedIDLength], Version: record.Version + 1, Digest: record.Digest}
+	next, err := s.prepare(ctx, record.next(commit, record.Sections), sourceTable)
+	if err != nil {
+		s.alarms.logger.WithError(err).Warn("failed to fetch the manifest that the table has under the active version")
+		return
+	}
+	putCtx, cancel := s.withTimeout(ctx, requestTimeout)
+	defer cancel()
+	err = s.putRecord(putCtx, next.record, Condition{Version: row.Version})
+	if err == nil && s.activate(next) {
+		signal(s.announceRequested)
+	}
+	if err != nil && !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
+		s.alarms.logger.WithError(err).Warn("failed to write the next version of the manifest to the table")
+	}
+}
+
 func (s *Store) putRecord(ctx context.Context, record Record, condition Condition) error {
 	body, err := record.Encode()
 	if err != nil {
--- a/configuration/record.go
+++ b/configuration/record.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
@@ -69,6 +70,17 @@
 	return false
 }
 
+// lostCommits returns the commits of other that the history of r should contain but doesn't. There are none if r lists no commits.
+func (r Record) lostCommits(other Record) []CommitRef {
+	var lost []CommitRef
+	for _, c := range other.Commits {
+		if len(r.Commits) > 0 && c.Version >= r.Commits[0].Version && c.Version <= r.Version && !slices.ContainsFunc(r.Commits, c.sameManifest) {
+			lost = append(lost, c)
+		}
+	}
+	return lost
+}
+
 // next returns the record of a commit that replaces r. r is the zero Record before the first commit.
 func (r Record) next(c CommitRef, sections []manifest.SectionRef) Record {
 	commits := append([]CommitRef{}, r.Commits...)
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/configuration"
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
@@ -66,6 +67,60 @@
 	s.platformCut[i] = cut
 }
 
+// isolate cuts instance i off from its peers, or ends that for all.
+func (s *simulation) isolate(i int, isolated bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.group = [instanceCount]int{}
+	if isolated {
+		s.group[i] = 1
+	}
+	s.viewedGroup = s.group
+}
+
+// commitAfterRestore restores the first row and commits through instance 4 while only it reaches the platform.
+func (s *simulation) commitAfterRestore(id string) {
+	for i := range instanceCount {
+		s.setCut(i, i != 4)
+	}
+	s.restoreFirstRow()
+	s.commit(4, id, 1)
+	for i := range instanceCount {
+		s.setCut(i, false)
+	}
+}
+
+func digestOf(t *testing.T, id string) string {
+	t.Helper()
+	m, err := manifest.Parse(document(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := manifest.Compile(1, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x.Digest
+}
+
+// Guards against instances that keep different manifests for ever, when a commit after a restore got the version of a lost one.
+func TestVersionGivenOutAgainAfterRestore(t *testing.T) {
+	cluster := runRestore(t, func(s *simulation) {
+		s.isolate(4, true)
+		s.setCut(4, true)
+		s.commit(0, "lost", 1)
+		time.Sleep(time.Second)
+		s.commitAfterRestore("kept")
+		s.isolate(4, false)
+	})
+	if got := cluster.instances[0].store.Active().Digest; got != digestOf(t, "kept") {
+		t.Errorf("the instances end with digest %.8s, want that of the commit that the table has", got)
+	}
+	if cluster.alarms[configuration.AlarmLostCommit] == 0 {
+		t.Error("no alarm tells the operators of the lost commit")
+	}
+}
+
 // Guards against a commit for a version that peers have already, through an instance without a manifest.
 func TestCommitThroughFreshInstanceAfterRestore(t *testing.T) {
 	runRestore(t, func(s *simulation) {
--- a/configuration/simulation_test.go
+++ b/configuration/simulation_test.go
@@ -98,6 +98,7 @@
 		s.runningCommits.Wait()
 		s.background.Wait()
 		s.checkFinalState()
+		s.checkDigests()
 		cancel()
 		loops.Wait()
 		for i := range instanceCount {
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -96,9 +96,12 @@
 func (s *Store) activate(next *activeManifest) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if current := s.active.Load(); current != nil && next.record.Version <= current.record.Version {
-		s.checkDigest(current, next.record)
-		return false
+	if current := s.active.Load(); current != nil {
+		if next.record.Version <= current.record.Version {
+			s.checkDigest(current, next.record)
+			return false
+		}
+		s.reportLostCommits(next.record, current.record)
 	}
 	s.active.Store(next)
 	s.alarms.logger.WithFields(log.Fields{
@@ -116,6 +119,14 @@
 	}
 }
 
+// reportLostCommits raises an alarm for each commit of replaced that record should contain but doesn't.
+func (s *Store) reportLostCommits(record, replaced Record) {
+	for _, c := range record.lostCommits(replaced) {
+		s.alarms.raise(AlarmLostCommit, Record{Version: c.Version, Digest: c.Digest},
+			"commit "+c.ID+" was lost by a restore of the table and another one got its version; commit its change again", nil)
+	}
+}
+
 // signal wakes the receiver of a channel with capacity 1; signals that it has not received yet are merged into one.
 func signal(c chan struct{}) {
 	select {
