Replace the manifest row only if it is the one that was read

Seen: a commit that was confirmed after a restore of the table was overwritten by the late write of an earlier one; its change was in force nowhere, without an alarm.

Cause: the condition of the write was the row's version, which the restored table had given out again.

Each write of the row now carries an attempt id, as claims and the lease have, and the condition names it. Rows of earlier releases have none and are replaced by version as before.

--- a/configuration/attempt.go
+++ b/configuration/attempt.go
@@ -31,7 +31,7 @@
 	}
 	next := base.next(c.commitRef, c.sectionRefs)
 	writeCtx, cancel := c.store.withTimeout(ctx, requestTimeout)
-	err = c.store.putRecord(writeCtx, next, Condition{Absent: !found, Version: row.Version})
+	err = c.store.putRecord(writeCtx, next, replaces(row, found))
 	cancel()
 	switch {
 	case err == nil:
--- a/configuration/cluster_test.go
+++ b/configuration/cluster_test.go
@@ -229,7 +229,8 @@
 func (c *simulatedCluster) applyPut(row configuration.Row, condition configuration.Condition) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if condition.Absent != (c.row == nil) || !condition.Absent && c.row.Version != condition.Version {
+	if condition.Absent != (c.row == nil) || !condition.Absent &&
+		(c.row.Version != condition.Version || condition.Attempt != "" && c.row.Attempt != condition.Attempt) {
 		return configuration.ErrConditionFailed
 	}
 	c.row = &row
--- a/configuration/condition.go
+++ b/configuration/condition.go
@@ -6,4 +6,6 @@
 	Absent bool
 	// Version is the version that the row must have if Absent is false.
 	Version uint64
+	// Attempt, unless empty, is the attempt that must have written the row.
+	Attempt string
 }
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 
@@ -76,7 +77,7 @@
 		s.alarms.logger.WithError(err).Warn("failed to upload the sections of the active manifest while writing it back")
 		return
 	}
-	err := s.putRecord(writeCtx, current.record, Condition{Absent: !found, Version: row.Version})
+	err := s.putRecord(writeCtx, current.record, replaces(row, found))
 	if err != nil && !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
 		s.alarms.logger.WithError(err).Warn("failed to write the record of the active manifest back to the table")
 	}
@@ -93,7 +94,7 @@
 	}
 	putCtx, cancel := s.withTimeout(ctx, requestTimeout)
 	defer cancel()
-	err = s.putRecord(putCtx, next.record, Condition{Version: row.Version})
+	err = s.putRecord(putCtx, next.record, replaces(row, true))
 	if err == nil && s.activate(next) {
 		signal(s.announceRequested)
 	}
@@ -107,5 +108,11 @@
 	if err != nil {
 		return err
 	}
-	return s.table.Put(ctx, Row{Key: rowKey, Body: body, Version: uint64(record.Version)}, condition)
+	return s.table.Put(ctx, Row{Key: rowKey, Body: body, Version: uint64(record.Version), Attempt: rand.Text()}, condition)
+}
+
+// replaces returns the condition that the row is the one that was read. Its version alone doesn't show that, since a restored table
+// gives versions out again.
+func replaces(row Row, found bool) Condition {
+	return Condition{Absent: !found, Version: row.Version, Attempt: row.Attempt}
 }
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -141,3 +142,32 @@
 		}
 	})
 }
+
+// Guards against a late write that overwrites a commit which got the expected version after a restore.
+func TestLateWriteAfterRestore(t *testing.T) {
+	runRestore(t, func(s *simulation) {
+		s.commit(0, "lost", 1)
+		s.mutex.Lock()
+		s.putFaults, s.lateWriteDelay = []string{"late-write"}, 3*time.Second
+		s.mutex.Unlock()
+		s.runningCommits.Go(func() { s.commit(0, "late", 2) })
+		time.Sleep(300 * time.Millisecond) // the late write has been sent and replaces version 2
+		s.setCut(0, true)
+		s.isolate(0, true)
+		for i := 1; i < instanceCount; i++ {
+			s.stop(i)
+		}
+		s.restoreFirstRow()
+		for i := 1; i < instanceCount; i++ {
+			s.start(s.ctx, i)
+		}
+		s.commit(1, "kept", 1)
+		s.runningCommits.Wait()
+		record, _ := s.instances[1].store.Record()
+		if !slices.ContainsFunc(record.Commits, func(c configuration.CommitRef) bool { return c.ID == "kept" }) {
+			s.recordViolation("the commit that was confirmed after the restore was overwritten")
+		}
+		s.setCut(0, false)
+		s.isolate(0, false)
+	})
+}
--- a/configuration/row.go
+++ b/configuration/row.go
@@ -7,4 +7,6 @@
 	Key     string
 	Body    []byte
 	Version uint64
+	// Attempt identifies the write of the row. Rows of earlier releases have none.
+	Attempt string
 }
--- a/instance/platform.go
+++ b/instance/platform.go
@@ -14,14 +14,14 @@
 	return configuration.Table{
 		Get: func(ctx context.Context, key string) (configuration.Row, bool, error) {
 			row, found, err := t.Get(ctx, key)
-			return configuration.Row{Key: row.Key, Body: row.Body, Version: row.Version}, found, err
+			return configuration.Row{Key: row.Key, Body: row.Body, Version: row.Version, Attempt: row.Attempt}, found, err
 		},
 		Put: func(ctx context.Context, row configuration.Row, c configuration.Condition) error {
-			condition := table.VersionIs(c.Version)
+			condition := table.Condition{HasVersion: true, Version: c.Version, Attempt: c.Attempt}
 			if c.Absent {
 				condition = table.Absent()
 			}
-			err := t.Put(ctx, table.Row{Key: row.Key, Body: row.Body, Version: row.Version}, condition)
+			err := t.Put(ctx, table.Row{Key: row.Key, Body: row.Body, Version: row.Version, Attempt: row.Attempt}, condition)
 			var unavailable *table.UnavailableError
 			switch {
 			case errors.Is(err, table.ErrConditionFailed):
