Raise an alarm for a commit that a write-back replaces

Seen: a commit that was confirmed after a restore of the table was gone, and nobody was told: the instance that had accepted it had been replaced.

Cause: instances with a higher version write their record back over an older row, which is right for a row that was only restored. The row may also have a commit that was accepted after the restore by an instance that was cut off.

--- FAIL: TestCommitBelowLostVersions no alarm tells the operators of the lost commit

The higher version still wins, since most instances have it in force and versions never go back. The writer now compares the histories and raises lost-commit with the commit's id.

--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -78,7 +78,13 @@
 		return
 	}
 	err := s.putRecord(writeCtx, current.record, replaces(row, found))
-	if err != nil && !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
+	if err == nil {
+		if replaced, decodeErr := DecodeRecord(row.Body); decodeErr == nil {
+			s.reportLostCommits(current.record, replaced)
+		}
+		return
+	}
+	if !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
 		s.alarms.logger.WithError(err).Warn("failed to write the record of the active manifest back to the table")
 	}
 }
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -122,6 +122,25 @@
 	}
 }
 
+// Guards against a confirmed commit that is overwritten silently, because the version that it got after a restore is below those
+// that other instances have.
+func TestCommitBelowLostVersions(t *testing.T) {
+	cluster := runRestore(t, func(s *simulation) {
+		s.isolate(4, true)
+		s.setCut(4, true)
+		s.commit(0, "second", 1)
+		s.commit(0, "third", 2)
+		time.Sleep(time.Second)
+		s.commitAfterRestore("other")
+		s.stop(4) // the only instance that knew of the commit
+		s.isolate(4, false)
+		s.start(s.ctx, 4)
+	})
+	if cluster.alarms[configuration.AlarmLostCommit] == 0 {
+		t.Error("no alarm tells the operators of the lost commit")
+	}
+}
+
 // Guards against a commit for a version that peers have already, through an instance without a manifest.
 func TestCommitThroughFreshInstanceAfterRestore(t *testing.T) {
 	runRestore(t, func(s *simulation) {
