Upload sections of the manifest again that the object store has lost

Seen: after a restore of the object store and a restart of all instances none of them had a manifest; callers got 503 although the table had the row.

Cause: sections were uploaded once, at the commit that made them. Instances keep them in memory, so nobody noticed that the object store no longer had them, and each further commit relied on those that the row lists.

--- FAIL: TestSectionsLostByRestoreOfObjects the instances have version 0 after a restart, want 2

--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -67,13 +67,9 @@
 func (s *Store) writeBack(ctx context.Context, row Row, found bool, current *activeManifest) {
 	s.alarms.raise(AlarmStaleTable, current.record,
 		"the table has an older manifest version than this instance, or none; writing the active version back", nil)
-	digests := make([]string, 0, len(current.sections))
-	for digest := range current.sections {
-		digests = append(digests, digest)
-	}
 	writeCtx, cancel := s.withTimeout(ctx, fetchTimeout)
 	defer cancel()
-	if err := s.upload(writeCtx, current.sections, digests); err != nil {
+	if err := s.uploadActive(writeCtx, current); err != nil {
 		s.alarms.logger.WithError(err).Warn("failed to upload the sections of the active manifest while writing it back")
 		return
 	}
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -190,3 +190,24 @@
 		s.isolate(0, false)
 	})
 }
+
+// Guards against a manifest that no instance can load after a restart of all, since the object store lost its sections.
+func TestSectionsLostByRestoreOfObjects(t *testing.T) {
+	cluster := runRestore(t, func(s *simulation) {
+		s.commit(0, "second", 1)
+		time.Sleep(time.Second)
+		s.mutex.Lock()
+		clear(s.objects)
+		s.mutex.Unlock()
+		time.Sleep(30 * time.Second)
+		for i := range instanceCount {
+			s.stop(i)
+		}
+		for i := range instanceCount {
+			s.start(s.ctx, i)
+		}
+	})
+	if got := cluster.instances[0].activeVersion; got != 2 {
+		t.Errorf("the instances have version %d after a restart, want 2", got)
+	}
+}
--- a/configuration/run.go
+++ b/configuration/run.go
@@ -33,6 +33,7 @@
 	s.bootstrap(ctx)
 	group.Go(func() { s.pollLoop(ctx) })
 	group.Go(func() { s.peerVersionLoop(ctx) })
+	group.Go(func() { s.sectionLoop(ctx) })
 	group.Wait()
 	return ctx.Err()
 }
