Record the answer of a call if a restore brought back the row of an earlier attempt

Seen: a call that must not be repeated ran twice after a restore of the table.

Cause: an attempt that didn't run had left its row in the state closed, and the next one had taken it over and sent the call. The restore brought the closed row back. The answer was then not recorded, since the row belonged to another attempt, and a repeat took the closed row over.

--- FAIL: TestAnswerAfterRestoreToClosedRow a repeat gets &{...}, <nil>; want the recorded answer invariant: claim row of attempt 2SBA... was replaced by attempt YYNP... before the former had finished

A closed row says that its attempt didn't run the call, so the attempt that ran it may write over it. The in-memory table has an outage that tests start and end.

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -90,6 +90,9 @@
 	case target.State == stateClosed:
 		// An earlier write closed the row but its reply was lost, and another attempt has replaced the row since.
 		return nil
+	case row.State == stateClosed:
+		// The table was restored to an earlier state, that of an attempt which did not run the call.
+		return a.ledger.put(ctx, target, table.StateIs(stateClosed, row.Attempt))
 	}
 	a.ledger.reportViolation(fmt.Errorf("claim row of attempt %s was replaced by attempt %s before the former had finished", a.id, row.Attempt))
 	return nil
--- a/emulator/memory/platform.go
+++ b/emulator/memory/platform.go
@@ -29,6 +29,7 @@
 
 	mutex sync.Mutex
 	calls int
+	down  bool
 }
 
 // New returns an empty platform.
@@ -56,6 +57,13 @@
 	p.objects.Restore(at)
 }
 
+// SetOutage starts an outage that lasts until it is ended.
+func (p *Platform) SetOutage(down bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.down = down
+}
+
 // Client returns a client for one instance. It calls checkpoint at the start and end of each call; checkpoint may block
 // to pause the instance, or end the goroutine.
 func (p *Platform) Client(checkpoint func()) *Client {
@@ -68,10 +76,12 @@
 	defer p.mutex.Unlock()
 	n, now := p.calls, p.Now()
 	p.calls++
+	down := p.down
 	for _, o := range p.outages {
-		if now >= o.From && now < o.To {
-			return Effect{Kind: []Kind{Dropped, Rejected}[n%2]}
-		}
+		down = down || now >= o.From && now < o.To
+	}
+	if down {
+		return Effect{Kind: []Kind{Dropped, Rejected}[n%2]}
 	}
 	if n < len(p.effects) && now < p.effectsUntil {
 		return p.effects[n]
