Write claims again that a restore of the table has removed

Seen: after a restore of the table a repeat of a call that must not be repeated ran a second time, whether the first was still running, had its answer recorded or had ended with an unknown outcome. A claim that had been closed came back as running and blocked its key for ever.

Cause: an instance relied on the table to keep each row whose write it had confirmed, and never looked again.

--- FAIL: TestRepeatAfterRestore (running, answered, unknown) a repeat gets &{...}, <nil>, <nil>; want kind "in-progress" / recorded / kind "upstream-failed" --- FAIL: TestRepeatAfterRestore (answer lost, unknown mark lost, not run) a repeat gets <nil>, <nil>, in-progress: a call with the same key is still running --- FAIL: TestRepeatAtOnceAfterRestore, TestRepeatAfterOutageAndRestore a repeat gets &{...}, <nil>; want the recorded answer

An instance now remembers the claims of the last minute, reads each back once and the newest one each second, and writes all again if one is lost, unless another attempt has claimed the call since: then it reports a broken invariant. Cost: one read for each claim and one a second while there are recent ones.

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -72,6 +72,19 @@
 
 // finish replaces the attempt's row in the state sending by target. It is idempotent.
 func (a *attempt) finish(ctx context.Context, target table.Row) error {
+	if target.State == stateClosed {
+		// From the effect of this write on, another attempt may replace the row.
+		a.ledger.recent.Forget(a.key)
+	}
+	err := a.replaceSending(ctx, target)
+	if err == nil {
+		a.ledger.recent.Add(target, a.judge(target))
+	}
+	return err
+}
+
+// replaceSending writes target over the attempt's row in the state sending.
+func (a *attempt) replaceSending(ctx context.Context, target table.Row) error {
 	err := a.ledger.put(ctx, target, table.StateIs(stateSending, a.id))
 	if !errors.Is(err, table.ErrConditionFailed) {
 		return err
@@ -97,3 +110,27 @@
 	a.ledger.reportViolation(fmt.Errorf("claim row of attempt %s was replaced by attempt %s before the former had finished", a.id, row.Attempt))
 	return nil
 }
+
+// judge returns the judge of a row of this attempt that was written.
+func (a *attempt) judge(written table.Row) table.Judge {
+	return func(current table.Row, exists bool) (table.Verdict, table.Condition) {
+		same := exists && current.Attempt == a.id
+		switch {
+		case same && equal(current, a.sendingRow()) && !equal(written, a.sendingRow()):
+			return table.Lost, table.StateIs(stateSending, a.id)
+		case same, !exists && written.State == stateClosed:
+			return table.Present, table.Condition{}
+		case !exists:
+			return table.Lost, table.Absent()
+		case written.State == stateClosed:
+			return table.Replaced, table.Condition{}
+		case current.State == stateClosed:
+			return table.Lost, table.StateIs(stateClosed, current.Attempt)
+		}
+		a.ledger.reportViolation(fmt.Errorf("claim row of attempt %s was replaced by attempt %s after a restore of the table", a.id, current.Attempt))
+		return table.Replaced, table.Condition{}
+	}
+}
+
+// equal reports whether two rows of an attempt have the same state and body.
+func equal(a, b table.Row) bool { return a.State == b.State && bytes.Equal(a.Body, b.Body) }
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"sync"
 
 	"github.com/apex/log"
 
@@ -46,6 +47,8 @@
 	onViolation func(error)
 	attemptID   func() string
 	queue       *queue
+	// recent writes claims again that a restore of the table has removed.
+	recent *table.Recent
 
 	// takeOverSending and trustUncertainPut disable safeguards; only TestCheckerDetects sets them.
 	takeOverSending   bool
@@ -63,6 +66,7 @@
 		o(l)
 	}
 	l.queue = newQueue(l.clock)
+	l.recent = table.NewRecent(l.clock, l.get, l.put)
 	return l
 }
 
@@ -70,8 +74,15 @@
 // waits for zero for a limited time, because later repeats of the calls concerned would get the outcome unknown.
 func (l *Ledger) Pending() int { return int(l.queue.jobs.Load()) }
 
-// Run retries uncertain writes until ctx ends and returns ctx's error.
-func (l *Ledger) Run(ctx context.Context) error { return l.queue.run(ctx) }
+// Run retries uncertain writes, and repeats those that a restore of the table has removed, until ctx ends and returns ctx's
+// error.
+func (l *Ledger) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { _ = l.recent.Run(ctx) }) // returns ctx's error too
+	err := l.queue.run(ctx)
+	group.Wait()
+	return err
+}
 
 // Begin claims a call. It returns a ticket if the caller may send the call now, the recorded answer if the call has
 // run, or an error of type *poplarwinch.Error. It waits until the call's deadline for another attempt with the same
@@ -83,6 +94,9 @@
 	if l.queue.full() {
 		return nil, nil, unavailable(errors.New("too many uncertain writes of earlier calls are pending"))
 	}
+	if err := l.recent.Restore(ctx, call.row()); err != nil {
+		return nil, nil, unavailable(err)
+	}
 	var poll backoff
 	condition, claimable := table.Absent(), true
 	for {
@@ -175,6 +189,7 @@
 		l.reportViolation(err)
 		return nil, unverified(err)
 	}
+	l.recent.Add(*a.confirmed, a.judge(*a.confirmed))
 	t := &Ticket{ledger: l, attempt: a}
 	if ctx.Err() != nil || l.clock.Now() > a.call.Deadline {
 		if err := t.NotRun(context.WithoutCancel(ctx)); err != nil {
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/claim"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
 )
 
+// rewriteTime is the time in which an instance writes its claims again after a restore of the table.
+const rewriteTime = 2 * time.Second
+
 // withLedgers runs a test in virtual time with two instances that write uncertain rows in the background.
 func withLedgers(t *testing.T, test func(t *testing.T, sim *simulation, a, b *claim.Ledger)) {
 	t.Helper()
@@ -68,3 +73,73 @@
 		}
 	})
 }
+
+// Guards against a second run of a call after a restore of the table that lost its claim. An instance that wrote the claim writes it
+// again; its state decides what a repeat through another instance gets.
+func TestRepeatAfterRestore(t *testing.T) {
+	for name, test := range map[string]struct {
+		finish   func(*claim.Ticket) error
+		age      clock.Millis
+		kind     poplarwinch.Kind
+		recorded bool
+		claimed  bool
+	}{
+		"running":           {age: clock.Second, kind: poplarwinch.KindInProgress},
+		"answered":          {finish: func(t *claim.Ticket) error { return t.Done(context.Background(), restoredAnswer) }, age: 2 * clock.Second, recorded: true},
+		"answer lost":       {finish: func(t *claim.Ticket) error { return t.Done(context.Background(), restoredAnswer) }, age: clock.Second / 2, recorded: true},
+		"unknown":           {finish: func(t *claim.Ticket) error { return t.Unknown(context.Background()) }, age: 2 * clock.Second, kind: poplarwinch.KindUpstreamFailed},
+		"unknown mark lost": {finish: func(t *claim.Ticket) error { return t.Unknown(context.Background()) }, age: clock.Second / 2, kind: poplarwinch.KindUpstreamFailed},
+		"not run":           {finish: func(t *claim.Ticket) error { return t.NotRun(context.Background()) }, age: clock.Second / 2, claimed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLedgers(t, func(t *testing.T, sim *simulation, a, b *claim.Ledger) {
+				ticket := mustBegin(t, sim, a)
+				time.Sleep(800 * time.Millisecond)
+				if test.finish != nil {
+					if err := test.finish(ticket); err != nil {
+						t.Fatal(err)
+					}
+				}
+				sim.platform.Restore(test.age)
+				time.Sleep(rewriteTime)
+				repeat, recorded, err := begin(sim, b)
+				var e *poplarwinch.Error
+				errors.As(err, &e)
+				if (repeat != nil) != test.claimed || (recorded != nil) != test.recorded || test.kind != "" && (e == nil || e.Kind != test.kind) {
+					t.Errorf("a repeat gets %v, %v, %v; want kind %q, recorded %v, claimed %v", repeat, recorded, err, test.kind, test.recorded, test.claimed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a second run through the instance that ran the call, in the moment after a restore.
+func TestRepeatAtOnceAfterRestore(t *testing.T) {
+	withLedgers(t, func(t *testing.T, sim *simulation, a, _ *claim.Ledger) {
+		if err := mustBegin(t, sim, a).Done(context.Background(), restoredAnswer); err != nil {
+			t.Fatal(err)
+		}
+		sim.platform.Restore(clock.Second)
+		if ticket, recorded, err := begin(sim, a); recorded == nil {
+			t.Errorf("a repeat gets %v, %v; want the recorded answer", ticket, err)
+		}
+	})
+}
+
+// Guards against an instance that forgets its claims while the table is away before it comes back older.
+func TestRepeatAfterOutageAndRestore(t *testing.T) {
+	withLedgers(t, func(t *testing.T, sim *simulation, a, b *claim.Ledger) {
+		if err := mustBegin(t, sim, a).Done(context.Background(), restoredAnswer); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		sim.platform.SetOutage(true)
+		time.Sleep(5 * time.Minute)
+		sim.platform.Restore(5*clock.Minute + 8*clock.Second)
+		sim.platform.SetOutage(false)
+		time.Sleep(2 * rewriteTime)
+		if ticket, recorded, err := begin(sim, b); recorded == nil {
+			t.Errorf("a repeat gets %v, %v; want the recorded answer", ticket, err)
+		}
+	})
+}
