Write rows of suspects again that a restore of the table has removed

Seen: after a restore of the table two copies of a suspect ran at once, a death of an engine was not counted and the request could crash a third one, and a request whose run had ended well was blocked until the time limit of that run and then taken for one that had crashed two engines.

Cause: as with claims, an instance relied on the table to keep confirmed rows. Release also took a row that wasn't its own for one that another instance had replaced, and left the death unrecorded.

The guard remembers its rows like the ledger of claims and writes them again; a release writes over older rows too. Between the restore and that, 1 to 2 s, a second copy can start.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -68,6 +68,7 @@
 	admission  *admission.Controller
 	retries    *admission.RetryBudget
 	quarantine *quarantine.Register
+	guard      *quarantine.Guard
 	// suspectsChanged has an element while peers are to be told of suspects.
 	suspectsChanged chan struct{}
 	claims          *claim.Ledger
@@ -129,6 +130,7 @@
 	i.quarantine = quarantine.New(
 		quarantine.WithClock(i.clock), quarantine.WithViolated(i.alarms.reportInvariant), quarantine.WithOnChange(i.scheduleSuspectNotice),
 	)
+	i.guard = quarantine.NewGuard(i.clock, i.table.Get, i.table.Put)
 	i.registry = upstream.New(
 		upstream.WithClock(i.clock), upstream.WithOnDeath(i.onUpstreamDied), upstream.WithOnLeaving(i.onUpstreamsLeaving), upstream.WithViolated(i.alarms.reportInvariant),
 	)
@@ -169,7 +171,7 @@
 	i.entry = entry.New(
 		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActiveManifest(i.store.Active),
 		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
-		entry.WithQuarantine(i.quarantine, quarantine.NewGuard(i.clock, i.table.Get, i.table.Put)), entry.WithProbe(i.watcher.Check), entry.WithEngines(i.engines, i.reservations),
+		entry.WithQuarantine(i.quarantine, i.guard), entry.WithProbe(i.watcher.Check), entry.WithEngines(i.engines, i.reservations),
 		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
 	)
 }
@@ -205,6 +207,7 @@
 func (i *Instance) startLoops(ctx context.Context) <-chan struct{} {
 	i.startLoop(ctx, i.store.Run)
 	i.startLoop(ctx, i.claims.Run)
+	i.startLoop(ctx, i.guard.Run)
 	i.startLoop(ctx, i.reservations.Run)
 	i.startLoop(ctx, i.sweeper.Run)
 	i.startLoop(ctx, i.runPlacement)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -37,6 +38,8 @@
 	get   func(ctx context.Context, key string) (table.Row, bool, error)
 	put   func(ctx context.Context, row table.Row, condition table.Condition) error
 	clock *clock.Clock
+	// recent writes rows again that a restore of the table has removed.
+	recent *table.Recent
 }
 
 // NewGuard returns a guard that reads and writes rows with get and put, which have the contracts of table.Table.
@@ -45,9 +48,12 @@
 	get func(ctx context.Context, key string) (table.Row, bool, error),
 	put func(ctx context.Context, row table.Row, condition table.Condition) error,
 ) *Guard {
-	return &Guard{get: get, put: put, clock: c}
+	return &Guard{get: get, put: put, clock: c, recent: table.NewRecent(c, get, put)}
 }
 
+// Run writes rows again that a restore of the table has removed, until ctx ends, and returns ctx's error.
+func (g *Guard) Run(ctx context.Context) error { return g.recent.Run(ctx) }
+
 // guardRecord is the body of a row.
 type guardRecord struct {
 	Deaths int `json:"deaths"`
@@ -62,6 +68,8 @@
 	key    string
 	row    table.Row
 	deaths int
+	// replaced is the attempt of the row that the permit replaced, or empty if there was none.
+	replaced string
 }
 
 // Acquire waits until no other copy of the suspect runs and returns a permit that is valid until the given time.
@@ -109,7 +117,7 @@
 	if exists {
 		condition = table.StateIs(row.State, row.Attempt)
 	}
-	p = &Permit{guard: g, key: key, deaths: deaths}
+	p = &Permit{guard: g, key: key, deaths: deaths, replaced: row.Attempt}
 	held, err := p.write(ctx, condition, until+clockSkewMargin)
 	if err != nil || !held {
 		return nil, 0, err
@@ -147,6 +155,7 @@
 	var uncertain *table.UncertainError
 	switch {
 	case err == nil:
+		p.guard.recent.Add(p.row, judge(p.row, p.replaced))
 		return true, nil
 	case errors.Is(err, table.ErrConditionFailed):
 		return false, nil
@@ -158,7 +167,11 @@
 	if err != nil {
 		return false, fmt.Errorf("read the suspect's row: %w", err)
 	}
-	return exists && row.Attempt == p.row.Attempt, nil
+	held := exists && row.Attempt == p.row.Attempt
+	if held {
+		p.guard.recent.Add(p.row, judge(p.row, p.replaced))
+	}
+	return held, nil
 }
 
 // Release records the end of the run and whether the engine died. If the row can't be written before ctx ends, the run
@@ -170,8 +183,8 @@
 	}
 	row := p.newRow(stateIdle, guardRecord{Deaths: deaths, At: p.guard.clock.Now()})
 	for {
-		err := p.guard.put(ctx, row, table.StateIs(stateRunning, p.row.Attempt))
-		if err == nil || errors.Is(err, table.ErrConditionFailed) {
+		done, err := p.tryRelease(ctx, row)
+		if done {
 			return nil
 		}
 		if p.guard.clock.Sleep(ctx, guardPollInterval) != nil {
@@ -180,6 +193,52 @@
 	}
 }
 
+// tryRelease writes the row of the end of the run, also over the older row that a restore of the table may have brought back. It
+// reports whether the row is in the table or another instance has replaced it.
+func (p *Permit) tryRelease(ctx context.Context, row table.Row) (done bool, err error) {
+	err = p.guard.put(ctx, row, table.StateIs(stateRunning, p.row.Attempt))
+	if errors.Is(err, table.ErrConditionFailed) {
+		current, exists, readErr := p.guard.get(ctx, p.key)
+		if readErr != nil {
+			return false, readErr
+		}
+		verdict, condition := judge(row, p.row.Attempt, p.replaced)(current, exists)
+		if verdict != table.Lost {
+			return true, nil
+		}
+		err = p.guard.put(ctx, row, condition)
+	}
+	if err == nil {
+		p.guard.recent.Add(row, judge(row, p.row.Attempt, p.replaced))
+	}
+	return err == nil, err
+}
+
+// judge returns the judge of a row that was written. Older rows are known by the attempts that the write replaced, or by their times as
+// far as clocks allow it.
+func judge(written table.Row, replaced ...string) table.Judge {
+	return func(current table.Row, exists bool) (table.Verdict, table.Condition) {
+		switch {
+		case !exists:
+			return table.Lost, table.Absent()
+		case current.Attempt == written.Attempt:
+			return table.Present, table.Condition{}
+		case slices.Contains(replaced, current.Attempt), rowTime(current) < rowTime(written)-clockSkewMargin:
+			return table.Lost, table.StateIs(current.State, current.Attempt)
+		}
+		return table.Replaced, table.Condition{}
+	}
+}
+
+// rowTime returns the time at which a row was written, or 0 if it is invalid.
+func rowTime(row table.Row) clock.Millis {
+	var r guardRecord
+	if json.Unmarshal(row.Body, &r) != nil {
+		return 0
+	}
+	return r.At
+}
+
 func (p *Permit) newRow(state string, r guardRecord) table.Row {
 	body, err := json.Marshal(r)
 	if err != nil {
