--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -48,6 +48,10 @@
 			loops.Go(func() {
 				time.Sleep(s.restoreAt.Duration())
 				sim.platform.Restore(s.restoreAge)
+				if s.nextAge > 0 {
+					time.Sleep(s.nextRestore.Duration())
+					sim.platform.Restore(s.nextAge)
+				}
 			})
 		}
 		highestToken, lastHolder, current := uint64(0), -1, -1
--- a/lease/scenario_test.go
+++ b/lease/scenario_test.go
@@ -37,8 +37,8 @@
 	// effects are the results of the table operations, in order: success or a fault.
 	effects []memory.Effect
 	// The table is out of service between from and to. At restoreAt it is restored to its state of restoreAge earlier,
-	// unless restoreAge is 0.
-	from, to, restoreAt, restoreAge clock.Millis
+	// unless restoreAge is 0, and nextRestore later to that of nextAge earlier, unless nextAge is 0.
+	from, to, restoreAt, restoreAge, nextRestore, nextAge clock.Millis
 }
 
 // millisBetween draws one of 64 evenly spaced values. Each bit is drawn separately, since rapid's integer generators
@@ -71,7 +71,9 @@
 				return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: millisBetween(0, 15_000).Draw(t, "late")}
 			}), 0, 60).Draw(t, "effects"),
 			from: millisBetween(0, 60_000).Draw(t, "outage"), restoreAt: millisBetween(0, 60_000).Draw(t, "restored"),
-			restoreAge: rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(1, 30_000)).Draw(t, "age"),
+			restoreAge:  rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(1, 30_000)).Draw(t, "age"),
+			nextRestore: millisBetween(0, 30_000).Draw(t, "again"),
+			nextAge:     rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(1, 30_000)).Draw(t, "next age"),
 		}
 		// After a restore only the wall clock keeps tokens increasing, so wall clocks must stay within maxClockSkew then.
 		for i := range s.machines {
