Keep a claim that a repeat has seen before a restore removed it

Seen: a repeat that waited for the first call ran as well, when a restore of the table removed the claim in between.

Cause: the repeat polled the row, and took its absence for a key that had never been claimed, although it had just read the claim.

--- FAIL: TestWaitingRepeatAtRestore a waiting repeat gets &{...}, <nil>, <nil>; want none while the first runs invariant: claim row of attempt 5RZI... was replaced by attempt WMGW... before the former had finished

A repeat that finds an older state than the one that it has read writes the claim again as it was, and goes on waiting.

--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -98,6 +98,7 @@
 		return nil, nil, unavailable(err)
 	}
 	var poll backoff
+	var seen *seenClaim
 	condition, claimable := table.Absent(), true
 	for {
 		if claimable {
@@ -116,6 +117,12 @@
 		if err != nil {
 			return nil, nil, unavailable(err)
 		}
+		if lost, condition := seen.lost(row, exists); lost {
+			if err := l.put(ctx, seen.row, condition); err != nil && !errors.Is(err, table.ErrConditionFailed) {
+				return nil, nil, inProgress(minPollDelay)
+			}
+			continue
+		}
 		if !exists {
 			condition, claimable = table.Absent(), true
 			continue
@@ -137,7 +144,7 @@
 			return nil, nil, unknownOutcome()
 		}
 		// A row in the state sending is never taken over: its writer may be paused and send the call later.
-		claimable = false
+		claimable, seen = false, &seenClaim{row: row, started: r.Started}
 		wait := poll.next(minPollDelay, maxPollDelay)
 		if l.clock.Now()+wait > call.Deadline || l.clock.Sleep(ctx, wait) != nil {
 			return nil, nil, inProgress(wait)
@@ -145,6 +152,25 @@
 	}
 }
 
+// seenClaim is a claim in the state sending of another attempt that a repeat has seen.
+type seenClaim struct {
+	row     table.Row
+	started clock.Millis
+}
+
+// lost reports whether a restore of the table has removed the claim, and returns the condition under which its row may be written
+// again. A later attempt may only have closed the call or claimed it after that.
+func (s *seenClaim) lost(current table.Row, exists bool) (bool, table.Condition) {
+	if s == nil {
+		return false, table.Condition{}
+	}
+	if !exists {
+		return true, table.Absent()
+	}
+	r, err := parseRecord(current)
+	return err == nil && r.Started < s.started, table.StateIs(current.State, current.Attempt)
+}
+
 // claim writes the attempt's row. If the reply is lost, it reads the row and, unless the attempt holds the claim,
 // prevents the write from taking effect later. The result abandoned means that the attempt never sends the call;
 // neither held nor abandoned means that the condition failed, as another attempt has written the row.
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -143,3 +143,18 @@
 		}
 	})
 }
+
+// Guards against a repeat that takes a claim which it has seen for one that never was, when a restore of the table removes it while the
+// repeat waits.
+func TestWaitingRepeatAtRestore(t *testing.T) {
+	withLedgers(t, func(t *testing.T, sim *simulation, a, b *claim.Ledger) {
+		ticket := mustBegin(t, sim, a)
+		time.AfterFunc(200*time.Millisecond, func() { sim.platform.Restore(clock.Second) })
+		if repeat, recorded, err := begin(sim, b); repeat != nil || recorded != nil {
+			t.Errorf("a waiting repeat gets %v, %v, %v; want none while the first runs", repeat, recorded, err)
+		}
+		if err := ticket.Done(context.Background(), restoredAnswer); err != nil {
+			t.Errorf("Done() = %v", err)
+		}
+	})
+}
