Poll the table like a watcher while a peer has the same version with another digest

Seen: an instance kept the manifest of a lost commit for up to 30 s, although its peers had another one with the same version.

Cause: the table settles such a conflict, and an instance that is no watcher reads it every 30 s. The report of the peer led to an alarm only.

--- a/configuration/peer_version_loop.go
+++ b/configuration/peer_version_loop.go
@@ -14,7 +14,7 @@
 			if current := s.active.Load(); current == nil || v.version > current.record.Version {
 				s.activatePeerVersion(ctx, v)
 			} else {
-				s.checkDigest(current, Record{Version: v.version, Digest: v.digest})
+				s.checkPeerDigest(current, v)
 			}
 		}
 		if len(due) > 0 && s.version() < due[0].version {
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// Guards against an instance that keeps the manifest of a lost commit until its next poll, since it rarely reads the table itself.
+func TestVersionGivenOutAgainToPeers(t *testing.T) {
+	runRestore(t, func(s *simulation) {
+		s.isolate(4, true)
+		for i := range 4 {
+			s.setCut(i, true)
+		}
+		s.commit(4, "lost", 1)
+		s.setCut(4, true)
+		s.restoreRow(0)
+		for i := range 4 {
+			s.setCut(i, false)
+		}
+		s.commit(0, "kept", 1)
+		time.Sleep(time.Second)
+		s.isolate(4, false)
+		s.setCut(4, false)
+		time.Sleep(activationLimit)
+		s.checkDigests()
+	})
+}
+
 // Guards against a confirmed commit that is overwritten silently, because the version that it got after a restore is below those
 // that other instances have.
 func TestCommitBelowLostVersions(t *testing.T) {
--- a/configuration/run.go
+++ b/configuration/run.go
@@ -78,7 +78,8 @@
 
 // pollInterval returns the time between two polls of the table by this instance.
 func (s *Store) pollInterval() clock.Millis {
-	if s.isWatcher() || s.clock.Now()-s.peerVersions.lastContact() > peerSilenceLimit {
+	conflicting := s.conflictingVersion.Load() > 0 && s.conflictingVersion.Load() == uint64(s.version())
+	if conflicting || s.isWatcher() || s.clock.Now()-s.peerVersions.lastContact() > peerSilenceLimit {
 		return watcherPollInterval
 	}
 	return nonWatcherPollInterval
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -41,6 +41,8 @@
 	announceRequested chan struct{}
 	// pollRequested makes pollLoop poll the table at once.
 	pollRequested chan struct{}
+	// conflictingVersion is the last version that a peer had with a different digest.
+	conflictingVersion atomic.Uint64
 	// lastPoll is the time of the last poll of the table, in clock.Millis.
 	lastPoll atomic.Int64
 }
