--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -57,6 +57,9 @@
 	return ticket
 }
 
+// largeAnswer is stored as an object.
+var largeAnswer = claim.Answer{Status: 201, Body: make([]byte, 100_000)}
+
 var restoredAnswer = claim.Answer{Status: 201, Body: []byte("made")}
 
 // Guards against a second run of a call whose answer is not recorded, because a restore brought back the row of an earlier attempt.
@@ -92,6 +95,7 @@
 		"answer lost":       {finish: func(t *claim.Ticket) error { return t.Done(context.Background(), restoredAnswer) }, age: clock.Second / 2, recorded: true},
 		"unknown":           {finish: func(t *claim.Ticket) error { return t.Unknown(context.Background()) }, age: 2 * clock.Second, kind: poplarwinch.KindUpstreamFailed},
 		"unknown mark lost": {finish: func(t *claim.Ticket) error { return t.Unknown(context.Background()) }, age: clock.Second / 2, kind: poplarwinch.KindUpstreamFailed},
+		"large answer":      {finish: func(t *claim.Ticket) error { return t.Done(context.Background(), largeAnswer) }, age: 2 * clock.Second, kind: poplarwinch.KindUpstreamFailed},
 		"not run":           {finish: func(t *claim.Ticket) error { return t.NotRun(context.Background()) }, age: clock.Second / 2, claimed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
 	"github.com/poplarwinch/poplarwinch/lease"
 )
@@ -111,6 +113,42 @@
 	}
 }
 
+// TestHolderAfterRestore guards against a deployment in which nobody plans for long after a restore of the table: a holder whose row is
+// gone must give up, and another one must act after the usual waits.
+func TestHolderAfterRestore(t *testing.T) {
+	for _, age := range []clock.Millis{clock.Second, 5 * clock.Second, 35 * clock.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(scenario{machines: []machine{{}, {skew: 200}, {skew: -200}}})
+			ctx, cancel := context.WithCancel(t.Context())
+			var loops sync.WaitGroup
+			var leases []*lease.Lease
+			for i := range sim.scenario.machines {
+				l := sim.lease(i)
+				leases = append(leases, l)
+				loops.Go(func() { _ = l.Run(ctx) })
+			}
+			held := func() bool {
+				return slices.ContainsFunc(leases, func(l *lease.Lease) bool { _, ok := l.Valid(0); return ok })
+			}
+			time.Sleep(40 * time.Second)
+			sim.platform.Restore(age)
+			var gap clock.Millis
+			for range 600 {
+				time.Sleep(100 * time.Millisecond)
+				if !held() {
+					gap += 100
+				}
+			}
+			cancel()
+			loops.Wait()
+			t.Logf("a restore by %d ms: no holder for %d ms", age, gap)
+			if gap > 26*clock.Second {
+				t.Errorf("after a restore by %d ms nobody held the lease for %d ms", age, gap)
+			}
+		})
+	}
+}
+
 // TestCheckerDetects guards against a checker that misses violations: each case disables a safeguard or prevents the
 // election, and the checker must report it.
 func TestCheckerDetects(t *testing.T) {
