--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -19,22 +18,11 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/claim"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	explicit := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { explicit[f.Name] = true })
-	// A fixed default seed makes failures reproducible; -rapid.seed selects another.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
-		if explicit[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(property.Run(m, map[string]string{"rapid.seed": "1", "rapid.checks": "300"}))
 }
 
 // answerBody returns the body of the answer to the request id.
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -15,6 +15,7 @@
 	"github.com/poplarwinch/poplarwinch/claim"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 )
 
 // rewriteTime is the time in which an instance writes its claims again after a restore of the table.
@@ -160,8 +161,8 @@
 			s.pauses[i] = memory.Outage{}
 		}
 		s.outages = nil
-		restoreAt := millisBetween(0, 8000).Draw(rt, "restored")
-		age := millisBetween(1, 8000).Draw(rt, "age")
+		restoreAt := property.MillisBetween(0, 8000).Draw(rt, "restored")
+		age := property.MillisBetween(1, 8000).Draw(rt, "age")
 		// Each lost call of the table delays the writes by up to a second.
 		quietUntil := restoreAt + 40*clock.Second
 		first := map[int]bool{}
--- a/claim/scenario_test.go
+++ b/claim/scenario_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 )
 
 const (
@@ -36,26 +37,11 @@
 	restoreAt, restoreAge clock.Millis
 }
 
-// millisBetween draws one of 64 evenly spaced values. Each bit is drawn separately, since rapid's integer generators
-// favour small values, which would place most faults and crashes at the start.
-func millisBetween(from, to clock.Millis) *rapid.Generator[clock.Millis] {
-	return rapid.Map(rapid.SliceOfN(rapid.Bool(), 6, 6), func(bits []bool) clock.Millis {
-		n := clock.Millis(0)
-		for _, set := range bits {
-			n *= 2
-			if set {
-				n++
-			}
-		}
-		return from + (to-from)*n/63
-	})
-}
-
 // spans draws intervals of up to longest.
 func spans(longest clock.Millis) *rapid.Generator[memory.Outage] {
 	return rapid.Custom(func(t *rapid.T) memory.Outage {
-		from := millisBetween(0, 4000).Draw(t, "from")
-		return memory.Outage{From: from, To: from + millisBetween(0, longest).Draw(t, "length")}
+		from := property.MillisBetween(0, 4000).Draw(t, "from")
+		return memory.Outage{From: from, To: from + property.MillisBetween(0, longest).Draw(t, "length")}
 	})
 }
 
@@ -65,20 +51,20 @@
 		n := rapid.IntRange(1, 4).Draw(t, "instances")
 		crash := rapid.Just(clock.Millis(0))
 		if mayCrash {
-			crash = rapid.OneOf(crash, millisBetween(1, 8000))
+			crash = rapid.OneOf(crash, property.MillisBetween(1, 8000))
 		}
 		return scenario{
 			requests: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) request {
 				return request{
 					// With few distinct times, simultaneous repeats are likely.
-					at: millisBetween(0, 6300).Draw(t, "at"), processingTime: millisBetween(0, 2000).Draw(t, "takes"),
+					at: property.MillisBetween(0, 6300).Draw(t, "at"), processingTime: property.MillisBetween(0, 2000).Draw(t, "takes"),
 					instance: rapid.IntRange(0, n-1).Draw(t, "instance"), key: rapid.IntRange(0, 1).Draw(t, "key"),
 					reaction: rapid.SampledFrom([]string{"answer", "answer", "large", "refuse", "break"}).Draw(t, "reaction"),
 				}
 			}), 1, 12).Draw(t, "requests"),
 			latency: rapid.SampledFrom([]clock.Millis{2, 60, 600}).Draw(t, "latency"),
 			effects: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) memory.Effect {
-				return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: millisBetween(0, 20_000).Draw(t, "late")}
+				return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: property.MillisBetween(0, 20_000).Draw(t, "late")}
 			}), 0, 40).Draw(t, "effects"),
 			outages: rapid.SliceOfN(spans(15_000), 0, 2).Draw(t, "outages"),
 			pauses:  rapid.SliceOfN(spans(20_000), n, n).Draw(t, "pauses"),
--- a/configuration/simulation_test.go
+++ b/configuration/simulation_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -15,16 +14,13 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/configuration"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(property.Run(m, map[string]string{"rapid.seed": "20261204"}))
 }
 
 // event is one step of a scenario.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -16,23 +15,12 @@
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/lease"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	explicit := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { explicit[f.Name] = true })
-	// A fixed default seed makes failures reproducible; -rapid.seed selects another.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
-		if explicit[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(property.Run(m, map[string]string{"rapid.seed": "1", "rapid.checks": "300"}))
 }
 
 // simulate runs a scenario and returns the violations found.
--- a/lease/scenario_test.go
+++ b/lease/scenario_test.go
@@ -11,6 +11,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/lease"
 )
 
@@ -41,39 +42,24 @@
 	from, to, restoreAt, restoreAge, nextRestore, nextAge clock.Millis
 }
 
-// millisBetween draws one of 64 evenly spaced values. Each bit is drawn separately, since rapid's integer generators
-// favour small values.
-func millisBetween(from, to clock.Millis) *rapid.Generator[clock.Millis] {
-	return rapid.Map(rapid.SliceOfN(rapid.Bool(), 6, 6), func(bits []bool) clock.Millis {
-		n := clock.Millis(0)
-		for _, set := range bits {
-			n *= 2
-			if set {
-				n++
-			}
-		}
-		return from + (to-from)*n/63
-	})
-}
-
 func scenarios() *rapid.Generator[scenario] {
 	kinds := []memory.Kind{memory.OK, memory.OK, memory.OK, memory.Rejected, memory.LostReply, memory.Late, memory.Dropped}
 	return rapid.Custom(func(t *rapid.T) scenario {
 		s := scenario{
 			machines: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) machine {
-				from := millisBetween(0, 50_000).Draw(t, "from")
+				from := property.MillisBetween(0, 50_000).Draw(t, "from")
 				return machine{
-					from: from, to: from + millisBetween(0, 60_000).Draw(t, "length"), skew: millisBetween(-240, 240).Draw(t, "skew"),
+					from: from, to: from + property.MillisBetween(0, 60_000).Draw(t, "length"), skew: property.MillisBetween(-240, 240).Draw(t, "skew"),
 					fault: rapid.SampledFrom([]string{"none", "suspend", "back", "ahead"}).Draw(t, "fault"),
 				}
 			}), 2, 4).Draw(t, "machines"),
 			effects: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) memory.Effect {
-				return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: millisBetween(0, 15_000).Draw(t, "late")}
+				return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: property.MillisBetween(0, 15_000).Draw(t, "late")}
 			}), 0, 60).Draw(t, "effects"),
-			from: millisBetween(0, 60_000).Draw(t, "outage"), restoreAt: millisBetween(0, 60_000).Draw(t, "restored"),
-			restoreAge:  rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(1, 30_000)).Draw(t, "age"),
-			nextRestore: millisBetween(0, 30_000).Draw(t, "again"),
-			nextAge:     rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(1, 30_000)).Draw(t, "next age"),
+			from: property.MillisBetween(0, 60_000).Draw(t, "outage"), restoreAt: property.MillisBetween(0, 60_000).Draw(t, "restored"),
+			restoreAge:  rapid.OneOf(rapid.Just(clock.Millis(0)), property.MillisBetween(1, 30_000)).Draw(t, "age"),
+			nextRestore: property.MillisBetween(0, 30_000).Draw(t, "again"),
+			nextAge:     rapid.OneOf(rapid.Just(clock.Millis(0)), property.MillisBetween(1, 30_000)).Draw(t, "next age"),
 		}
 		// After a restore only the wall clock keeps tokens increasing, so wall clocks must stay within maxClockSkew then.
 		for i := range s.machines {
@@ -81,7 +67,7 @@
 				m.fault = "none"
 			}
 		}
-		s.to = s.from + millisBetween(0, 20_000).Draw(t, "length")
+		s.to = s.from + property.MillisBetween(0, 20_000).Draw(t, "length")
 		return s
 	})
 }
--- a/placement/scenario_test.go
+++ b/placement/scenario_test.go
@@ -20,6 +20,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	emulatedengine "github.com/poplarwinch/poplarwinch/emulator/engine"
 	"github.com/poplarwinch/poplarwinch/emulator/memory"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/lease"
 	"github.com/poplarwinch/poplarwinch/manifest"
@@ -62,26 +63,11 @@
 	checksFencing                                  bool
 }
 
-// millisBetween draws one of 64 evenly spaced values. Each bit is drawn separately, since rapid's integer generators
-// favour small values.
-func millisBetween(from, to clock.Millis) *rapid.Generator[clock.Millis] {
-	return rapid.Map(rapid.SliceOfN(rapid.Bool(), 6, 6), func(bits []bool) clock.Millis {
-		n := clock.Millis(0)
-		for _, set := range bits {
-			n *= 2
-			if set {
-				n++
-			}
-		}
-		return from + (to-from)*n/63
-	})
-}
-
 // effects draws the results of calls, with delays of up to maxDelay.
 func effects(maxDelay clock.Millis) *rapid.Generator[[]memory.Effect] {
 	kinds := []memory.Kind{memory.OK, memory.OK, memory.Rejected, memory.LostReply, memory.Late, memory.Dropped}
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) memory.Effect {
-		return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: millisBetween(0, maxDelay).Draw(t, "late")}
+		return memory.Effect{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Late: property.MillisBetween(0, maxDelay).Draw(t, "late")}
 	}), 0, 20)
 }
 
@@ -89,18 +75,18 @@
 	return rapid.Custom(func(t *rapid.T) scenario {
 		s := scenario{
 			machines: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) machine {
-				from := millisBetween(0, 60_000).Draw(t, "from")
+				from := property.MillisBetween(0, 60_000).Draw(t, "from")
 				return machine{
-					from: from, to: from + millisBetween(0, 30_000).Draw(t, "length"), skew: millisBetween(-240, 240).Draw(t, "skew"),
+					from: from, to: from + property.MillisBetween(0, 30_000).Draw(t, "length"), skew: property.MillisBetween(-240, 240).Draw(t, "skew"),
 					suspend: rapid.Bool().Draw(t, "suspend"),
 				}
 			}), 1, 3).Draw(t, "machines"),
 			effects: effects(15_000).Draw(t, "effects"), calls: effects(4_000).Draw(t, "calls"),
-			from: millisBetween(0, 60_000).Draw(t, "outage"), updatedAt: millisBetween(10_000, 80_000).Draw(t, "updated"),
-			restarted:      rapid.OneOf(rapid.Just(clock.Millis(0)), millisBetween(10_000, 80_000)).Draw(t, "restarted"),
-			observationLag: millisBetween(0, 1_000).Draw(t, "lag"), checksFencing: rapid.Bool().Draw(t, "checks"),
+			from: property.MillisBetween(0, 60_000).Draw(t, "outage"), updatedAt: property.MillisBetween(10_000, 80_000).Draw(t, "updated"),
+			restarted:      rapid.OneOf(rapid.Just(clock.Millis(0)), property.MillisBetween(10_000, 80_000)).Draw(t, "restarted"),
+			observationLag: property.MillisBetween(0, 1_000).Draw(t, "lag"), checksFencing: rapid.Bool().Draw(t, "checks"),
 		}
-		s.to = s.from + millisBetween(0, 20_000).Draw(t, "length")
+		s.to = s.from + property.MillisBetween(0, 20_000).Draw(t, "length")
 		return s
 	})
 }
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -15,20 +14,12 @@
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	emulatedengine "github.com/poplarwinch/poplarwinch/emulator/engine"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	hasSeed := false
-	flag.Visit(func(f *flag.Flag) { hasSeed = hasSeed || f.Name == "rapid.seed" })
-	if !hasSeed {
-		// A fixed default seed makes failures reproducible; -rapid.seed selects another.
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(property.Run(m, map[string]string{"rapid.seed": "1"}))
 }
 
 // simulate runs a scenario and returns the violations found.
