--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -62,16 +60,6 @@
 	At    clock.Millis `json:"at-ms"`
 }
 
-// Permit allows its holder to run a suspect until the time limit that it passed.
-type Permit struct {
-	guard  *Guard
-	key    string
-	row    table.Row
-	deaths int
-	// replaced is the attempt of the row that the permit replaced, or empty if there was none.
-	replaced string
-}
-
 // Acquire waits until no other copy of the suspect runs and returns a permit that is valid until the given time.
 // knownDeaths is the number of deaths that this instance knows of. The error is ErrRejected, the context's or the
 // table's.
@@ -147,115 +135,6 @@
 	return max(r.Deaths, knownDeaths), true, nil
 }
 
-// write writes the row in state running. It reports false if another instance wrote it first.
-func (p *Permit) write(ctx context.Context, condition table.Condition, until clock.Millis) (bool, error) {
-	now := p.guard.clock.Now()
-	p.row = p.newRow(stateRunning, guardRecord{Deaths: p.deaths, Until: until, At: now})
-	err := p.guard.put(ctx, p.row, condition)
-	var uncertain *table.UncertainError
-	switch {
-	case err == nil:
-		p.guard.recent.Add(p.row, judge(p.row, p.replaced))
-		return true, nil
-	case errors.Is(err, table.ErrConditionFailed):
-		return false, nil
-	case !errors.As(err, &uncertain):
-		return false, fmt.Errorf("write the suspect's row: %w", err)
-	}
-	// If the write takes effect only after this read, it blocks other copies until its time limit, which is safe.
-	row, exists, err := p.guard.get(ctx, p.key)
-	if err != nil {
-		return false, fmt.Errorf("read the suspect's row: %w", err)
-	}
-	held := exists && row.Attempt == p.row.Attempt
-	if held {
-		p.guard.recent.Add(p.row, judge(p.row, p.replaced))
-	}
-	return held, nil
-}
-
-// Release records the end of the run and whether the engine died. If the row can't be written before ctx ends, the run
-// counts as an engine death after its time limit.
-func (p *Permit) Release(ctx context.Context, died bool) error {
-	deaths := p.deaths
-	if died {
-		deaths++
-	}
-	row := p.newRow(stateIdle, guardRecord{Deaths: deaths, At: p.guard.clock.Now()})
-	for {
-		done, err := p.tryRelease(ctx, row)
-		if done {
-			return nil
-		}
-		if p.guard.clock.Sleep(ctx, guardPollInterval) != nil {
-			return fmt.Errorf("write the suspect's row: %w", err)
-		}
-	}
-}
-
-// tryRelease writes the row of the end of the run, also over the older row that a restore of the table may have brought back. It
-// reports whether the row is in the table or another instance has replaced it.
-func (p *Permit) tryRelease(ctx context.Context, row table.Row) (done bool, err error) {
-	err = p.guard.put(ctx, row, table.StateIs(stateRunning, p.row.Attempt))
-	if errors.Is(err, table.ErrConditionFailed) {
-		current, exists, readErr := p.guard.get(ctx, p.key)
-		if readErr != nil {
-			return false, readErr
-		}
-		verdict, condition := judge(row, p.row.Attempt, p.replaced)(current, exists)
-		if verdict != table.Lost {
-			return true, nil
-		}
-		err = p.guard.put(ctx, row, condition)
-	}
-	if err == nil {
-		p.guard.recent.Add(row, judge(row, p.row.Attempt, p.replaced))
-	}
-	return err == nil, err
-}
-
-// judge returns the judge of a row that was written. Older rows are known by the attempts that the write replaced, or by their times as
-// far as clocks allow it.
-func judge(written table.Row, replaced ...string) table.Judge {
-	return func(current table.Row, exists bool) (table.Verdict, table.Condition) {
-		switch {
-		case !exists:
-			return table.Lost, table.Absent()
-		case current.Attempt == written.Attempt:
-			return table.Present, table.Condition{}
-		case slices.Contains(replaced, current.Attempt), rowTime(current) < rowTime(written)-clockSkewMargin:
-			return table.Lost, table.StateIs(current.State, current.Attempt)
-		}
-		return table.Replaced, table.Condition{}
-	}
-}
-
-// rowTime returns the time at which a row was written, or 0 if it is invalid.
-func rowTime(row table.Row) clock.Millis {
-	var r guardRecord
-	if json.Unmarshal(row.Body, &r) != nil {
-		return 0
-	}
-	return r.At
-}
-
-func (p *Permit) newRow(state string, r guardRecord) table.Row {
-	body, err := json.Marshal(r)
-	if err != nil {
-		panic(fmt.Sprintf("suspect's row can't be encoded: %v", err))
-	}
-	return table.Row{Key: p.key, Version: 1, State: state, Attempt: rand.Text(), Body: body}
-}
-
-// unavailable returns the error for a suspect that may not run because the table is unavailable.
-func unavailable(cause error) *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second, Cause: cause,
-		Message: "the prompt ran on an engine that died and may run again only when no copy of it is running",
-		Remedy:  "retry later",
-	}
-}
-
 // Isolate returns a permit for a suspect, or the error to return to its caller.
 func (g *Guard) Isolate(ctx context.Context, r *Register, f Fingerprint, until clock.Millis) (*Permit, error) {
 	p, err := g.Acquire(ctx, f, r.Deaths(f), until)
@@ -269,20 +148,3 @@
 	}
 	return nil, unavailable(err)
 }
-
-// Rejected returns the error for a request that has crashed two engines.
-func Rejected() *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: quarantinePeriod,
-		Message: "this request has crashed two engines", Remedy: "change the request, or ask the operators to look at the engines' logs",
-	}
-}
-
-// BlockedPart returns the error for a prompt with a part that crashes engines, at a position from 1.
-func BlockedPart(position int) *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: quarantinePeriod,
-		Message: fmt.Sprintf("engines crash on prompts with message %d of this one", position),
-		Remedy:  "change this message, or ask the operators to look at the engines' logs",
-	}
-}
