--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"sync"
 
 	"github.com/apex/log"
 
@@ -46,6 +47,8 @@
 	onViolation func(error)
 	attemptID   func() string
 	queue       *queue
+	// recent writes claims again that a restore of the table has removed.
+	recent *table.Recent
 
 	// takeOverSending and trustUncertainPut disable safeguards; only TestCheckerDetects sets them.
 	takeOverSending   bool
@@ -63,6 +66,7 @@
 		o(l)
 	}
 	l.queue = newQueue(l.clock)
+	l.recent = table.NewRecent(l.clock, l.get, l.put)
 	return l
 }
 
@@ -70,8 +74,15 @@
 // waits for zero for a limited time, because later repeats of the calls concerned would get the outcome unknown.
 func (l *Ledger) Pending() int { return int(l.queue.jobs.Load()) }
 
-// Run retries uncertain writes until ctx ends and returns ctx's error.
-func (l *Ledger) Run(ctx context.Context) error { return l.queue.run(ctx) }
+// Run retries uncertain writes, and repeats those that a restore of the table has removed, until ctx ends and returns ctx's
+// error.
+func (l *Ledger) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { _ = l.recent.Run(ctx) }) // returns ctx's error too
+	err := l.queue.run(ctx)
+	group.Wait()
+	return err
+}
 
 // Begin claims a call. It returns a ticket if the caller may send the call now, the recorded answer if the call has
 // run, or an error of type *poplarwinch.Error. It waits until the call's deadline for another attempt with the same
@@ -83,7 +94,11 @@
 	if l.queue.full() {
 		return nil, nil, unavailable(errors.New("too many uncertain writes of earlier calls are pending"))
 	}
+	if err := l.recent.Restore(ctx, call.row()); err != nil {
+		return nil, nil, unavailable(err)
+	}
 	var poll backoff
+	var seen *seenClaim
 	condition, claimable := table.Absent(), true
 	for {
 		if claimable {
@@ -102,6 +117,12 @@
 		if err != nil {
 			return nil, nil, unavailable(err)
 		}
+		if lost, condition := seen.lost(row, exists); lost {
+			if err := l.put(ctx, seen.row, condition); err != nil && !errors.Is(err, table.ErrConditionFailed) {
+				return nil, nil, inProgress(minPollDelay)
+			}
+			continue
+		}
 		if !exists {
 			condition, claimable = table.Absent(), true
 			continue
@@ -123,7 +144,7 @@
 			return nil, nil, unknownOutcome()
 		}
 		// A row in the state sending is never taken over: its writer may be paused and send the call later.
-		claimable = false
+		claimable, seen = false, &seenClaim{row: row, started: r.Started}
 		wait := poll.next(minPollDelay, maxPollDelay)
 		if l.clock.Now()+wait > call.Deadline || l.clock.Sleep(ctx, wait) != nil {
 			return nil, nil, inProgress(wait)
@@ -131,6 +152,25 @@
 	}
 }
 
+// seenClaim is a claim in the state sending of another attempt that a repeat has seen.
+type seenClaim struct {
+	row     table.Row
+	started clock.Millis
+}
+
+// lost reports whether a restore of the table has removed the claim, and returns the condition under which its row may be written
+// again. A later attempt may only have closed the call or claimed it after that.
+func (s *seenClaim) lost(current table.Row, exists bool) (bool, table.Condition) {
+	if s == nil {
+		return false, table.Condition{}
+	}
+	if !exists {
+		return true, table.Absent()
+	}
+	r, err := parseRecord(current)
+	return err == nil && r.Started < s.started, table.StateIs(current.State, current.Attempt)
+}
+
 // claim writes the attempt's row. If the reply is lost, it reads the row and, unless the attempt holds the claim,
 // prevents the write from taking effect later. The result abandoned means that the attempt never sends the call;
 // neither held nor abandoned means that the condition failed, as another attempt has written the row.
@@ -163,7 +203,7 @@
 	case !a.condition.Holds(row, exists):
 		return false, false, nil
 	}
-	if l.put(ctx, a.closedRow(), a.condition) != nil {
+	if a.putClosed(ctx, a.condition) != nil {
 		l.queue.add(&job{write: a.close, bytes: a.size()})
 	}
 	return false, true, nil
@@ -175,6 +215,7 @@
 		l.reportViolation(err)
 		return nil, unverified(err)
 	}
+	l.recent.Add(*a.confirmed, a.judge(*a.confirmed))
 	t := &Ticket{ledger: l, attempt: a}
 	if ctx.Err() != nil || l.clock.Now() > a.call.Deadline {
 		if err := t.NotRun(context.WithoutCancel(ctx)); err != nil {
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
 
+// renumberedIDLength is the number of digits of the digest in the commit id of a renumbered manifest.
+const renumberedIDLength = 16
+
 // poll reads the manifest row and activates its version if it is new. It writes the active record back if the row is
 // older or missing.
 func (s *Store) poll(ctx context.Context) {
@@ -35,6 +39,9 @@
 	}
 	if current != nil && record.Version == current.record.Version {
 		s.checkDigest(current, record)
+		if len(record.lostCommits(current.record)) > 0 {
+			s.renumber(ctx, row, record)
+		}
 		return
 	}
 	if err := s.applyRecord(ctx, record, sourceTable); err != nil {
@@ -60,26 +67,54 @@
 func (s *Store) writeBack(ctx context.Context, row Row, found bool, current *activeManifest) {
 	s.alarms.raise(AlarmStaleTable, current.record,
 		"the table has an older manifest version than this instance, or none; writing the active version back", nil)
-	digests := make([]string, 0, len(current.sections))
-	for digest := range current.sections {
-		digests = append(digests, digest)
-	}
 	writeCtx, cancel := s.withTimeout(ctx, fetchTimeout)
 	defer cancel()
-	if err := s.upload(writeCtx, current.sections, digests); err != nil {
+	if err := s.uploadActive(writeCtx, current); err != nil {
 		s.alarms.logger.WithError(err).Warn("failed to upload the sections of the active manifest while writing it back")
 		return
 	}
-	err := s.putRecord(writeCtx, current.record, Condition{Absent: !found, Version: row.Version})
-	if err != nil && !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
+	err := s.putRecord(writeCtx, current.record, replaces(row, found))
+	if err == nil {
+		if replaced, decodeErr := DecodeRecord(row.Body); decodeErr == nil {
+			s.reportLostCommits(current.record, replaced)
+		}
+		return
+	}
+	if !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
 		s.alarms.logger.WithError(err).Warn("failed to write the record of the active manifest back to the table")
 	}
 }
 
+// renumber gives the manifest of the row the next version, so that it replaces the active one, which has the same version. Both were
+// accepted: the active one before a restore of the table, the row's after it. The table decides, as in all other conflicts.
+func (s *Store) renumber(ctx context.Context, row Row, record Record) {
+	commit := CommitRef{ID: "renumbered-" + record.Digest[:renumberedIDLength], Version: record.Version + 1, Digest: record.Digest}
+	next, err := s.prepare(ctx, record.next(commit, record.Sections), sourceTable)
+	if err != nil {
+		s.alarms.logger.WithError(err).Warn("failed to fetch the manifest that the table has under the active version")
+		return
+	}
+	putCtx, cancel := s.withTimeout(ctx, requestTimeout)
+	defer cancel()
+	err = s.putRecord(putCtx, next.record, replaces(row, true))
+	if err == nil && s.activate(next) {
+		signal(s.announceRequested)
+	}
+	if err != nil && !errors.Is(err, ErrConditionFailed) { // the condition fails if another instance wrote the row first
+		s.alarms.logger.WithError(err).Warn("failed to write the next version of the manifest to the table")
+	}
+}
+
 func (s *Store) putRecord(ctx context.Context, record Record, condition Condition) error {
 	body, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	return s.table.Put(ctx, Row{Key: rowKey, Body: body, Version: uint64(record.Version)}, condition)
+	return s.table.Put(ctx, Row{Key: rowKey, Body: body, Version: uint64(record.Version), Attempt: rand.Text()}, condition)
+}
+
+// replaces returns the condition that the row is the one that was read. Its version alone doesn't show that, since a restored table
+// gives versions out again.
+func replaces(row Row, found bool) Condition {
+	return Condition{Absent: !found, Version: row.Version, Attempt: row.Attempt}
 }
--- a/configuration/simulation_test.go
+++ b/configuration/simulation_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -15,16 +14,13 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/configuration"
+	"github.com/poplarwinch/poplarwinch/emulator/property"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(property.Run(m, map[string]string{"rapid.seed": "20261204"}))
 }
 
 // event is one step of a scenario.
@@ -98,6 +94,7 @@
 		s.runningCommits.Wait()
 		s.background.Wait()
 		s.checkFinalState()
+		s.checkDigests()
 		cancel()
 		loops.Wait()
 		for i := range instanceCount {
@@ -158,7 +155,9 @@
 		s.background.Go(s.writeConflictingRow)
 	case "restore":
 		s.restored = true
-		s.background.Go(s.restoreFirstRow)
+		s.background.Go(func() { s.restoreRow(e.Other) })
+	case "lose-objects":
+		s.background.Go(s.loseObjects)
 	}
 }
 
@@ -285,7 +284,7 @@
 // eventKinds lists the kinds that random scenarios draw from; a kind that occurs more often is drawn more often.
 var eventKinds = []string{
 	"commit", "commit", "commit", "commit", "table-down", "objects-down", "mute", "cut", "cut", "partition", "isolate",
-	"lost-reply", "late-write", "not-written", "restart", "corrupt", "restore",
+	"lost-reply", "late-write", "not-written", "restart", "corrupt", "restore", "restore", "lose-objects",
 }
 
 // Whatever faults combine, no instance may activate an older version, no accepted commit may be lost, no version may be
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -37,6 +36,8 @@
 	get   func(ctx context.Context, key string) (table.Row, bool, error)
 	put   func(ctx context.Context, row table.Row, condition table.Condition) error
 	clock *clock.Clock
+	// recent writes rows again that a restore of the table has removed.
+	recent *table.Recent
 }
 
 // NewGuard returns a guard that reads and writes rows with get and put, which have the contracts of table.Table.
@@ -45,9 +46,12 @@
 	get func(ctx context.Context, key string) (table.Row, bool, error),
 	put func(ctx context.Context, row table.Row, condition table.Condition) error,
 ) *Guard {
-	return &Guard{get: get, put: put, clock: c}
+	return &Guard{get: get, put: put, clock: c, recent: table.NewRecent(c, get, put)}
 }
 
+// Run writes rows again that a restore of the table has removed, until ctx ends, and returns ctx's error.
+func (g *Guard) Run(ctx context.Context) error { return g.recent.Run(ctx) }
+
 // guardRecord is the body of a row.
 type guardRecord struct {
 	Deaths int `json:"deaths"`
@@ -56,14 +60,6 @@
 	At    clock.Millis `json:"at-ms"`
 }
 
-// Permit allows its holder to run a suspect until the time limit that it passed.
-type Permit struct {
-	guard  *Guard
-	key    string
-	row    table.Row
-	deaths int
-}
-
 // Acquire waits until no other copy of the suspect runs and returns a permit that is valid until the given time.
 // knownDeaths is the number of deaths that this instance knows of. The error is ErrRejected, the context's or the
 // table's.
@@ -109,7 +105,7 @@
 	if exists {
 		condition = table.StateIs(row.State, row.Attempt)
 	}
-	p = &Permit{guard: g, key: key, deaths: deaths}
+	p = &Permit{guard: g, key: key, deaths: deaths, replaced: row.Attempt}
 	held, err := p.write(ctx, condition, until+clockSkewMargin)
 	if err != nil || !held {
 		return nil, 0, err
@@ -139,64 +135,6 @@
 	return max(r.Deaths, knownDeaths), true, nil
 }
 
-// write writes the row in state running. It reports false if another instance wrote it first.
-func (p *Permit) write(ctx context.Context, condition table.Condition, until clock.Millis) (bool, error) {
-	now := p.guard.clock.Now()
-	p.row = p.newRow(stateRunning, guardRecord{Deaths: p.deaths, Until: until, At: now})
-	err := p.guard.put(ctx, p.row, condition)
-	var uncertain *table.UncertainError
-	switch {
-	case err == nil:
-		return true, nil
-	case errors.Is(err, table.ErrConditionFailed):
-		return false, nil
-	case !errors.As(err, &uncertain):
-		return false, fmt.Errorf("write the suspect's row: %w", err)
-	}
-	// If the write takes effect only after this read, it blocks other copies until its time limit, which is safe.
-	row, exists, err := p.guard.get(ctx, p.key)
-	if err != nil {
-		return false, fmt.Errorf("read the suspect's row: %w", err)
-	}
-	return exists && row.Attempt == p.row.Attempt, nil
-}
-
-// Release records the end of the run and whether the engine died. If the row can't be written before ctx ends, the run
-// counts as an engine death after its time limit.
-func (p *Permit) Release(ctx context.Context, died bool) error {
-	deaths := p.deaths
-	if died {
-		deaths++
-	}
-	row := p.newRow(stateIdle, guardRecord{Deaths: deaths, At: p.guard.clock.Now()})
-	for {
-		err := p.guard.put(ctx, row, table.StateIs(stateRunning, p.row.Attempt))
-		if err == nil || errors.Is(err, table.ErrConditionFailed) {
-			return nil
-		}
-		if p.guard.clock.Sleep(ctx, guardPollInterval) != nil {
-			return fmt.Errorf("write the suspect's row: %w", err)
-		}
-	}
-}
-
-func (p *Permit) newRow(state string, r guardRecord) table.Row {
-	body, err := json.Marshal(r)
-	if err != nil {
-		panic(fmt.Sprintf("suspect's row can't be encoded: %v", err))
-	}
-	return table.Row{Key: p.key, Version: 1, State: state, Attempt: rand.Text(), Body: body}
-}
-
-// unavailable returns the error for a suspect that may not run because the table is unavailable.
-func unavailable(cause error) *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second, Cause: cause,
-		Message: "the prompt ran on an engine that died and may run again only when no copy of it is running",
-		Remedy:  "retry later",
-	}
-}
-
 // Isolate returns a permit for a suspect, or the error to return to its caller.
 func (g *Guard) Isolate(ctx context.Context, r *Register, f Fingerprint, until clock.Millis) (*Permit, error) {
 	p, err := g.Acquire(ctx, f, r.Deaths(f), until)
@@ -210,20 +148,3 @@
 	}
 	return nil, unavailable(err)
 }
-
-// Rejected returns the error for a request that has crashed two engines.
-func Rejected() *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: quarantinePeriod,
-		Message: "this request has crashed two engines", Remedy: "change the request, or ask the operators to look at the engines' logs",
-	}
-}
-
-// BlockedPart returns the error for a prompt with a part that crashes engines, at a position from 1.
-func BlockedPart(position int) *poplarwinch.Error {
-	return &poplarwinch.Error{
-		Kind: poplarwinch.KindQuarantined, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: quarantinePeriod,
-		Message: fmt.Sprintf("engines crash on prompts with message %d of this one", position),
-		Remedy:  "change this message, or ask the operators to look at the engines' logs",
-	}
-}
