Hold what servers say of themselves as one typed notice

Callers saw that a server which had been started anew under its id kept the limit of its predecessor: an answer or a peer's report about the earlier process, late, was taken for the new one. Of the three things that servers say in their answers only the limit was read, by a path of its own.

fleet.Notice now has all three (leaving, wants no requests for a time, takes at most a rate). platform/notice.go decodes it once from the head of any answer; dispatch tells the fleet; the fleet holds it with its source, the time by the clock that counts suspensions, and the process (Boot) that it is about. Server-Limit has moved onto it, and so has its part of the datagrams.

What ends a statement: another start of the server, or an answer without it to a request that was sent after it was made. An answer to an earlier request, a rejection (another server may have written it), an older report of a peer and the list of servers don't. A rejection that names another server at fault says nothing of the called one. Decisions don't use leaving and rest yet.

--- a/assignment/server_limit_test.go
+++ b/assignment/server_limit_test.go
@@ -104,11 +104,12 @@
 
 func (s *limitedServers) send(i *limitedInstance, plan *assignment.Plan, now clock.Millis) {
 	s.served++
+	server, _ := i.fleet.Server(plan.First)
 	ticket := i.fleet.Begin(fleet.Work{First: plan.First, Prefill: plan.Prefill, MaxPause: 250, Memory: 6300, Due: now + 300})
 	s.arrivals[plan.First] = append(s.arrivals[plan.First], now)
 	s.at(120, func() {
 		ticket.FirstEvent()
-		i.fleet.ObserveLimit(plan.First, s.limits[plan.First], now)
+		i.fleet.Observe(server, fleet.Notice{Limit: s.limits[plan.First]}, now)
 	})
 	s.at(serviceTime, ticket.End)
 }
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -11,8 +11,8 @@
 // Answer is the response of a server. The receiver closes Body.
 type Answer struct {
 	Status int
-	// Limit is the rate of requests that the server takes from all instances; zero if it names none.
-	Limit  fleet.RequestRate
+	// Notice is what the server says of itself.
+	Notice fleet.Notice
 	Header http.Header
 	// Length is the size of Body in bytes, or -1 if unknown.
 	Length int64
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
-	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/route"
 )
@@ -60,31 +59,13 @@
 		Request: x.Request, Server: selected.first, Helpers: selected.helpers, ResumeAfter: x.resumeFrom(),
 		TimeLeft: (x.Deadline - x.d.clock.Now()).Duration(),
 	})
-	x.observeLimit(answer, err, selected)
+	x.observeNotice(answer, err, selected)
 	if err == nil {
 		err = x.relay(answer, selected, w)
 	}
 	return x.finishAttempt(ctx, selected, err)
 }
 
-// observeLimit tells the fleet which limit the server named in its answer or rejection. A rejection without one ends no limit, since
-// another server may have written it.
-func (x *run) observeLimit(answer *Answer, err error, selected *selection) {
-	var failed *CallError
-	limit := fleet.RequestRate(0)
-	switch {
-	case err == nil:
-		limit = answer.Limit
-	case errors.As(err, &failed) && failed.Limit > 0:
-		limit = failed.Limit
-	default:
-		return
-	}
-	if x.d.fleet.ObserveLimit(selected.first.ID, limit, selected.sentAt) {
-		x.log.WithField("upstream", selected.first.ID).WithField("requests-per-second", limit).Info("server limit changed")
-	}
-}
-
 // resumeFrom returns the id of the last event that the caller has received.
 func (x *run) resumeFrom() string {
 	if x.splitter.last != "" {
--- a/dispatch/callerror.go
+++ b/dispatch/callerror.go
@@ -29,9 +29,9 @@
 	Failure Failure
 	// AtFault is the address of the server that caused the failure if it is not the called one.
 	AtFault string
-	// Limit is the rate of requests that the called server takes from all instances; zero if it named none.
-	Limit fleet.RequestRate
-	Cause error
+	// Notice is what the rejection says of the server that caused it.
+	Notice fleet.Notice
+	Cause  error
 }
 
 // Error returns the class and the cause of the failure.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -535,7 +535,8 @@
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
 		engines := []poplarwinch.UpstreamID{"e1", "e2", "e3", "e4"}
 		for _, id := range engines {
-			f.fleet.ObserveLimit(id, 1, f.dispatcher.Now())
+			server, _ := f.fleet.Server(id)
+			f.fleet.Observe(server, fleet.Notice{Limit: 1}, f.dispatcher.Now())
 		}
 		var usedAt, sentAt clock.Millis
 		f.onReserve = func() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,9 +60,10 @@
 	return f
 }
 
-// Apply installs the list of servers. Load and health are kept for servers that are the same process as before.
+// Apply installs the list of servers. Load, health and notices are kept for servers that are the same process as before.
 func (f *Fleet) Apply(list []Server) {
 	f.mutex.Lock()
+	now := f.clock.Now()
 	next := make(map[poplarwinch.UpstreamID]*serverState, len(list))
 	for _, s := range list {
 		m := f.servers[s.ID]
@@ -71,6 +72,7 @@
 			f.attachReports(m)
 		}
 		m.server = s
+		m.notices.leaving.list(s.Leaving, now)
 		next[s.ID] = m
 	}
 	f.servers = next
@@ -192,10 +194,10 @@
 	now := f.clock.Now()
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
-		m.limit.add(1, now)
+		m.notices.limit.add(1, now)
 		m.startPrefill(t, now)
 		t.distant = !f.isNear(m)
-		t.crowded = m.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
+		t.crowded = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -18,8 +18,6 @@
 	turnDelay = 2 * PropagationDelay
 	// maxTurnDelay bounds that time for the last instance.
 	maxTurnDelay clock.Millis = 200
-	// limitReportInterval is the time between two reports of a limit on a server without load.
-	limitReportInterval = clock.Second
 	// distantLimitWait is the assumed wait for a limited server whose requests from other instances are not known here.
 	distantLimitWait = clock.Second
 )
@@ -39,28 +37,40 @@
 // limit is the rate of requests that a server takes from all instances together. Each instance counts the requests of all, so that
 // nothing depends on their number. It is the generic cell rate algorithm, with nextAt as the theoretical arrival time.
 type limit struct {
+	statement
 	// rate is zero if there is no limit.
 	rate RequestRate
-	// observedAt is the time of the latest answer that named the limit, or showed that there is none.
-	observedAt clock.Millis
-	// own says that this instance got that answer, and tells its peers.
-	own bool
-	// reportedAt is the time of the latest report of the limit.
-	reportedAt clock.Millis
 	// nextAt is the time at which the next request is due if all come at the rate of the limit.
 	nextAt clock.Millis
 }
 
-// observe records what an answer says of the limit and reports whether that is new. Older observations are ignored.
-func (l *limit) observe(rate RequestRate, at clock.Millis, own bool) bool {
-	if at < l.observedAt {
+// observe records the limit that an answer names, zero for none, and reports whether that is new.
+func (l *limit) observe(rate RequestRate, sentAt, now clock.Millis) bool {
+	switch {
+	case rate > 0:
+		return l.begin(now, SourceAnswer) && l.set(rate)
+	case l.rate > 0:
+		return l.end(sentAt, SourceAnswer) && l.set(0)
+	}
+	return false
+}
+
+// merge records the limit that a peer reports and reports whether that is new.
+func (l *limit) merge(r LimitReport, now clock.Millis) bool {
+	switch at := now - r.Age; {
+	case !r.Known:
 		return false
+	case r.Rate > 0:
+		return l.begin(at, SourcePeer) && l.set(r.Rate)
+	case l.rate > 0:
+		return l.end(at, SourcePeer) && l.set(0)
 	}
+	return false
+}
+
+func (l *limit) set(rate RequestRate) bool {
 	changed := rate != l.rate
-	if changed {
-		l.reportedAt = 0
-	}
-	l.rate, l.observedAt, l.own = rate, at, own
+	l.rate = rate
 	return changed
 }
 
@@ -80,10 +90,10 @@
 // that differs between servers: one that is not first waits a little longer, and sends only if those before it had nothing to send.
 // The caller holds the lock.
 func (f *Fleet) limitWait(m *serverState, now clock.Millis) clock.Millis {
-	if m.limit.rate == 0 {
+	if m.notices.limit.rate == 0 {
 		return 0
 	}
-	wait := m.limit.openAt() - now
+	wait := m.notices.limit.openAt() - now
 	if wait <= -maxTurnDelay {
 		return 0
 	}
@@ -141,42 +151,19 @@
 	Age clock.Millis
 }
 
-// report returns the limit for a report to peers, if it is due or the server is part of the report anyway.
-func (l *limit) report(now clock.Millis, listed bool) LimitReport {
-	isNews := l.rate > 0 || now-l.observedAt < reportTimeout
-	if !l.own || !isNews || !listed && l.reportedAt != 0 && now-l.reportedAt < limitReportInterval {
+// report returns the limit for a report to peers.
+func (l *limit) report(now clock.Millis) LimitReport {
+	if !l.isNews(l.rate > 0, now) {
 		return LimitReport{}
 	}
-	l.reportedAt = now
-	return LimitReport{Known: true, Rate: l.rate, Age: now - l.observedAt}
+	return LimitReport{Known: true, Rate: l.rate, Age: now - l.at}
 }
 
 // summary returns the limit for a summary of a cell, which says only that there is one.
 func (l *limit) summary() LimitReport { return LimitReport{Known: l.rate > 0, Rate: l.rate} }
 
-// ObserveLimit records the limit that a server named in an answer, zero if it named none, and reports whether that is new. The request
-// was sent at sentAt: only answers to requests that were sent after a limit was named show that it has ended.
-func (f *Fleet) ObserveLimit(id poplarwinch.UpstreamID, rate RequestRate, sentAt clock.Millis) bool {
-	f.mutex.Lock()
-	m := f.servers[id]
-	if m == nil || rate == 0 && m.limit.rate == 0 {
-		f.mutex.Unlock()
-		return false
-	}
-	at := sentAt
-	if rate > 0 {
-		at = f.clock.Now()
-	}
-	changed := m.limit.observe(rate, at, true)
-	f.mutex.Unlock()
-	if changed {
-		f.notifyChange(ReachCrowded)
-	}
-	return changed
-}
-
-// mergeLimit applies what a peer has sent to the server, and has seen of its limit, since the report before.
-func (m *serverState) mergeLimit(w, before ServerWork, now clock.Millis) {
+// countSent counts what a peer has sent to the server since the report before.
+func (m *serverState) countSent(w, before ServerWork, now clock.Millis) {
 	sent := w.Sent - before.Sent
 	switch {
 	case before.Sent == 0:
@@ -184,15 +171,12 @@
 	case sent < 0:
 		sent = w.Sent // the peer has restarted
 	}
-	m.limit.add(sent, now)
-	if w.Limit.Known {
-		m.limit.observe(w.Limit.Rate, now-w.Limit.Age, false)
-	}
+	m.notices.limit.add(sent, now)
 }
 
 // distantWait returns the wait for a server whose requests are not all known here.
 func (m *serverState) distantWait(limited bool) clock.Millis {
-	if limited || m.limit.rate > 0 {
+	if limited || m.notices.limit.rate > 0 {
 		return distantLimitWait
 	}
 	return 0
--- /dev/null
+++ b/fleet/notice_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+)
+
+// notice returns what the fleet tells others of the server's notices.
+func (w *fixture) notice(id poplarwinch.UpstreamID) fleet.NoticeReport {
+	w.time.Advance(1000) // reports of servers without load come once a second
+	for _, s := range w.Report().Servers {
+		if s.ID == id {
+			return s.Notice
+		}
+	}
+	return fleet.NoticeReport{}
+}
+
+// Guards against notices that an older answer ends, which arrives late, and against notices that no later answer ends.
+func TestOnlyLaterAnswersEndNotices(t *testing.T) {
+	w := newFixture()
+	e1 := servers()[0]
+	before := w.time.Now()
+	w.time.Advance(50)
+	said := w.time.Now()
+	if !w.Observe(e1, fleet.Notice{Leaving: true, Limit: 2}, before) || w.Observe(e1, fleet.Notice{Leaving: true, Limit: 2}, before) {
+		t.Error("a notice is new once")
+	}
+	for name, sentAt := range map[string]clock.Millis{"an answer to an earlier request": before, "one to a request of the same moment": said, "a rejection": 0} {
+		if w.Observe(e1, fleet.Notice{}, sentAt) {
+			t.Errorf("%s ended a notice", name)
+		}
+	}
+	if n := w.notice("e1"); !n.Leaving.Leaving || n.Limit.Rate != 2 {
+		t.Errorf("got %+v, want both notices", n)
+	}
+	if !w.Observe(e1, fleet.Notice{Limit: 2}, said+1) {
+		t.Error("the server still counts as leaving after a later answer")
+	}
+	if n := w.notice("e1"); !n.Leaving.Known || n.Leaving.Leaving || n.Limit.Rate != 2 {
+		t.Errorf("got %+v, want the limit and the end of the other notice", n)
+	}
+}
+
+// Guards against the notices of an earlier process of a server that are taken for those of its successor under the same id: known ones,
+// those of an answer that arrives late, and those of a peer that doesn't know the successor yet.
+func TestSuccessorHasNoNotices(t *testing.T) {
+	w := newFixture()
+	first := servers()[0]
+	w.Observe(first, fleet.Notice{Leaving: true, Rest: 5000, Limit: 2}, 1)
+	list := servers()
+	list[0].Boot = 2
+	w.Apply(list)
+	w.Observe(first, fleet.Notice{Leaving: true, Rest: 5000, Limit: 2}, 1)
+	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Notice: fleet.NoticeReport{
+		Boot: 0, Leaving: fleet.LeavingReport{Known: true, Leaving: true}, Limit: fleet.LimitReport{Known: true, Rate: 2}, Rest: 5000,
+	}}}})
+	if n := w.notice("e1"); n.Known() {
+		t.Errorf("the successor has %+v", n)
+	}
+	w.Begin(fleet.Work{First: "e1"}).End()
+	w.Begin(fleet.Work{First: "e1"}).End()
+	if c := w.candidate(t, "e1"); c.Wait > 0 {
+		t.Errorf("the successor counts as limited: %+v", c)
+	}
+}
+
+// Guards against notices that travel on from peer to peer for ever, and against a peer's older report that ends a notice.
+func TestNoticesOfPeers(t *testing.T) {
+	w := newFixture()
+	report := func(leaving bool, age clock.Millis) {
+		w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Notice: fleet.NoticeReport{
+			Leaving: fleet.LeavingReport{Known: true, Leaving: leaving, Age: age}, Limit: fleet.LimitReport{Known: true, Rate: 1, Age: age},
+		}}}})
+	}
+	report(true, 10)
+	if n := w.notice("e1"); n.Known() {
+		t.Errorf("told others of a peer's notice: %+v", n)
+	}
+	w.Observe(servers()[0], fleet.Notice{Leaving: true, Limit: 1}, 1)
+	w.time.Advance(100)
+	report(false, 500)
+	if n := w.notice("e1"); !n.Leaving.Leaving {
+		t.Errorf("got %+v, an older report of a peer ended the notice", n)
+	}
+	report(false, 0)
+	if n := w.notice("e1"); n.Leaving.Leaving {
+		t.Errorf("got %+v, a peer's later answer did not end the notice", n)
+	}
+}
+
+// Guards against notices of the list of servers that are never taken back, and against a list that takes back what a server says itself.
+func TestListOfLeavingServers(t *testing.T) {
+	w := newFixture()
+	list := servers()
+	list[0].Leaving = true
+	w.Apply(list)
+	if n := w.notice("e1"); n.Known() {
+		t.Errorf("told others what the list says: %+v", n)
+	}
+	w.Apply(servers())
+	if _, usable := w.Server("e1"); !usable {
+		t.Error("the server is still leaving although the list says that it is ready")
+	}
+	w.Observe(servers()[0], fleet.Notice{Leaving: true}, 1)
+	w.Apply(servers())
+	if n := w.notice("e1"); !n.Leaving.Leaving {
+		t.Errorf("got %+v, the list took back what the server says", n)
+	}
+}
+
+// Guards against a span of time that is never over, or ends when a server answers other requests meanwhile.
+func TestRestIsBounded(t *testing.T) {
+	w := newFixture()
+	w.Observe(servers()[0], fleet.Notice{Rest: 3000}, 1)
+	w.Observe(servers()[0], fleet.Notice{Rest: 500}, 1)
+	w.Observe(servers()[0], fleet.Notice{}, w.time.Now()+1)
+	if n := w.notice("e1"); n.Rest != 2000 {
+		t.Errorf("1 s later: got %+v, want 2 s", n)
+	}
+	for seconds, want := range map[float64]clock.Millis{-1: 0, 0: 0, 0.25: 250, 2: 2000, 1e300: 600_000} {
+		if got := fleet.NewRest(seconds); got != want {
+			t.Errorf("%g s: got %d ms, want %d", seconds, got, want)
+		}
+	}
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -26,8 +26,8 @@
 	Unreachable bool
 	// Sent is the number of requests that the instance has sent to the server since it started; zero if the server has no limit.
 	Sent int
-	// Limit is what the instance has seen of the server's limit.
-	Limit LimitReport
+	// Notice is what the instance has seen of the server's notices.
+	Notice NoticeReport
 }
 
 // Places returns the places of the servers in a report of this instance.
@@ -64,7 +64,7 @@
 }
 
 // Report returns the load that this instance has put on servers. Servers without load are left out unless they are unreachable or
-// their limit has to be reported.
+// their notices have to be reported.
 func (f *Fleet) Report() Report {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -74,19 +74,20 @@
 		w := ServerWork{
 			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable,
 		}
-		if m.limit.rate > 0 {
+		if m.notices.limit.rate > 0 {
 			w.Sent = m.sent
 		}
 		listed := w.Load != (Load{}) || w.Unreachable
-		w.Limit = m.limit.report(now, listed)
-		if listed || w.Limit.Known {
+		w.Notice = m.notices.report(m.server.Boot, now, listed)
+		if listed || w.Notice.Known() {
 			r.Servers = append(r.Servers, w)
 		}
 	}
 	return r
 }
 
-// Merge replaces the report of a peer. Waiting requests are woken if the peer has less load on a server than before.
+// Merge replaces the report of a peer. Waiting requests are woken if the peer has less load on a server than before, or
+// reports a new notice.
 func (f *Fleet) Merge(from poplarwinch.InstanceID, r Report) {
 	f.mutex.Lock()
 	now := f.clock.Now()
@@ -97,20 +98,20 @@
 		f.peerReports[from] = p
 	}
 	p.at, p.waiting = now, r.Waiting
-	freed := false
+	woken := false
 	listed := make(map[poplarwinch.UpstreamID]bool, len(r.Servers))
 	for _, w := range r.Servers {
 		listed[w.ID] = true
-		freed = f.mergeServerWork(p, w, now) || freed
+		woken = f.mergeServerWork(p, w, now) || woken
 	}
 	for id, w := range p.servers {
 		if !listed[id] && w.Load != (Load{}) {
 			// Keep the sum for the next report that lists the server.
-			freed = f.mergeServerWork(p, ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill, Sent: w.Sent}, now) || freed
+			woken = f.mergeServerWork(p, ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill, Sent: w.Sent}, now) || woken
 		}
 	}
 	f.mutex.Unlock()
-	if freed {
+	if woken {
 		f.wakeWaiters()
 	}
 }
@@ -130,19 +131,28 @@
 	}
 }
 
-// mergeServerWork replaces a peer's work on one server and reports whether it has become less. The caller holds the lock.
-func (f *Fleet) mergeServerWork(p *peerReport, w ServerWork, now clock.Millis) (freed bool) {
+// mergeServerWork replaces a peer's work on one server and reports whether it has become less or the server's notices have changed.
+// The caller holds the lock.
+func (f *Fleet) mergeServerWork(p *peerReport, w ServerWork, now clock.Millis) bool {
 	before := p.servers[w.ID]
 	if w.Sent == 0 {
 		w.Sent = before.Sent
 	}
 	p.servers[w.ID] = w
+	changed := false
 	if m := f.servers[w.ID]; m != nil {
-		m.mergeLimit(w, before, now)
+		m.countSent(w, before, now)
+		changed = m.mergeNotice(w.Notice, now)
 		m.mergeReport(w, before.SubmittedPrefill, now)
 		m.setPeerLoad(p, w.Load)
 	}
-	return w.Load.Requests < before.Load.Requests || w.Load.Prefilling < before.Load.Prefilling || w.Load.Memory < before.Load.Memory
+	return changed || w.Load.Requests < before.Load.Requests || w.Load.Prefilling < before.Load.Prefilling || w.Load.Memory < before.Load.Memory
+}
+
+// mergeNotice applies a peer's report of the server's notices and reports whether it changes anything. A report on another process of
+// the server is ignored.
+func (m *serverState) mergeNotice(r NoticeReport, now clock.Millis) bool {
+	return r.Boot == m.server.Boot && m.notices.merge(r, now)
 }
 
 // mergeReport applies a peer's report on the server and adds the prefill time submitted since the report before.
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -27,7 +27,7 @@
 	// prefillUntil is the estimated end of all prefill, including that of peers.
 	prefillUntil clock.Millis
 	health       health
-	limit        limit
+	notices      notices
 	// sent is the number of requests that this instance has sent to the server.
 	sent int
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -62,7 +62,7 @@
 	s := Summary{Domain: f.domain, Cell: f.cell}
 	for _, list := range f.near {
 		for _, m := range list {
-			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Limit: m.limit.summary()})
+			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: NoticeReport{Limit: m.notices.limit.summary()}})
 		}
 	}
 	return s.shorten(maxSummaryServers)
@@ -82,7 +82,7 @@
 		for _, loads := range r.loads {
 			for i := range loads {
 				s.Servers = append(s.Servers, ServerWork{
-					ID: loads[i].server.server.ID, Load: loads[i].current(now, now-r.at), Limit: LimitReport{Known: loads[i].limited},
+					ID: loads[i].server.server.ID, Load: loads[i].current(now, now-r.at), Notice: NoticeReport{Limit: LimitReport{Known: loads[i].limited}},
 				})
 			}
 		}
@@ -98,7 +98,7 @@
 // least loaded ones.
 func (s Summary) shorten(limit int) Summary {
 	if !s.Partial {
-		loaded := slices.DeleteFunc(slices.Clone(s.Servers), func(w ServerWork) bool { return w.Load == (Load{}) && !w.Limit.Known })
+		loaded := slices.DeleteFunc(slices.Clone(s.Servers), func(w ServerWork) bool { return w.Load == (Load{}) && !w.Notice.Known() })
 		if len(loaded) <= limit {
 			s.Servers = loaded
 			return s
@@ -146,7 +146,7 @@
 	add := func(m *serverState) {
 		if !f.isNear(m) {
 			w := listed[m.server.ID]
-			r.loads[m.server.Service] = append(r.loads[m.server.Service], summaryLoad{server: m, load: w.Load, limited: w.Limit.Known})
+			r.loads[m.server.Service] = append(r.loads[m.server.Service], summaryLoad{server: m, load: w.Load, limited: w.Notice.Limit.Known})
 		}
 	}
 	if r.Partial {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,7 +19,7 @@
 	Sequence uint64
 	Versions map[string]replica.Version
 	Servers  []serverWork
-	Limits   []serverLimit
+	Notices  []serverNotice
 	// Waiting is the number of the sender's requests that are queued for a server.
 	Waiting  int
 	Suspects []suspect
@@ -58,15 +58,20 @@
 	Unreachable      bool
 }
 
-// serverLimit is what the sender knows of a server with a limit; see fleet.ServerWork and fleet.LimitReport. It is apart from
-// serverWork because few servers have limits.
-type serverLimit struct {
-	_     struct{} `cbor:",toarray"`
-	ID    poplarwinch.UpstreamID
-	Sent  int
-	Known bool
-	Rate  fleet.RequestRate
-	Age   clock.Millis
+// serverNotice is what the sender knows of a server with notices; see fleet.ServerWork and fleet.NoticeReport. It is apart from
+// serverWork because few servers have notices.
+type serverNotice struct {
+	_            struct{} `cbor:",toarray"`
+	ID           poplarwinch.UpstreamID
+	Sent         int
+	Boot         int64
+	LimitKnown   bool
+	Limit        fleet.RequestRate
+	LimitAge     clock.Millis
+	LeavingKnown bool
+	Leaving      bool
+	LeavingAge   clock.Millis
+	Rest         clock.Millis
 }
 
 // summary is the load of all instances on the servers of one cell; see fleet.Summary.
@@ -78,7 +83,7 @@
 	Partial   bool
 	Age       clock.Millis
 	Servers   []serverWork
-	Limits    []serverLimit
+	Notices   []serverNotice
 }
 
 // suspect is a request or a part of prompts that was running on servers when they crashed; see quarantine.Suspect.
@@ -121,23 +126,29 @@
 	return servers
 }
 
-// encodeLimits returns what a report says of limits.
-func encodeLimits(servers []fleet.ServerWork) []serverLimit {
-	var list []serverLimit
+// encodeNotices returns what a report says of servers with notices.
+func encodeNotices(servers []fleet.ServerWork) []serverNotice {
+	var list []serverNotice
 	for _, s := range servers {
-		if s.Sent > 0 || s.Limit.Known {
-			list = append(list, serverLimit{ID: s.ID, Sent: s.Sent, Known: s.Limit.Known, Rate: s.Limit.Rate, Age: s.Limit.Age})
+		if n := s.Notice; s.Sent > 0 || n.Known() {
+			list = append(list, serverNotice{
+				ID: s.ID, Sent: s.Sent, Boot: n.Boot, LimitKnown: n.Limit.Known, Limit: n.Limit.Rate, LimitAge: n.Limit.Age,
+				LeavingKnown: n.Leaving.Known, Leaving: n.Leaving.Leaving, LeavingAge: n.Leaving.Age, Rest: n.Rest,
+			})
 		}
 	}
 	return list
 }
 
-// withLimits adds what a message says of limits to the work on the same servers.
-func withLimits(servers []fleet.ServerWork, limits []serverLimit) []fleet.ServerWork {
-	for _, l := range limits {
-		i := slices.IndexFunc(servers, func(s fleet.ServerWork) bool { return s.ID == l.ID })
+// withNotices adds what a message says of notices to the work on the same servers.
+func withNotices(servers []fleet.ServerWork, list []serverNotice) []fleet.ServerWork {
+	for _, n := range list {
+		i := slices.IndexFunc(servers, func(s fleet.ServerWork) bool { return s.ID == n.ID })
 		if i >= 0 {
-			servers[i].Sent, servers[i].Limit = l.Sent, fleet.LimitReport{Known: l.Known, Rate: l.Rate, Age: l.Age}
+			servers[i].Sent, servers[i].Notice = n.Sent, fleet.NoticeReport{
+				Boot: n.Boot, Rest: n.Rest, Limit: fleet.LimitReport{Known: n.LimitKnown, Rate: n.Limit, Age: n.LimitAge},
+				Leaving: fleet.LeavingReport{Known: n.LeavingKnown, Leaving: n.Leaving, Age: n.LeavingAge},
+			}
 		}
 	}
 	return servers
@@ -148,7 +159,7 @@
 	for _, s := range list {
 		cells = append(cells, summary{
 			Domain: s.Domain, CellIndex: s.Cell.Index, CellCount: s.Cell.Count, Partial: s.Partial, Age: s.Age, Servers: encodeWork(s.Servers),
-			Limits: encodeLimits(s.Servers),
+			Notices: encodeNotices(s.Servers),
 		})
 	}
 	return cells
@@ -157,7 +168,7 @@
 func decodeSummary(s summary) fleet.Summary {
 	return fleet.Summary{
 		Domain: s.Domain, Cell: fleet.Cell{Index: s.CellIndex, Count: s.CellCount}, Partial: s.Partial, Age: s.Age,
-		Servers: withLimits(decodeWork(s.Servers), s.Limits),
+		Servers: withNotices(decodeWork(s.Servers), s.Notices),
 	}
 }
 
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -88,7 +88,7 @@
 	}
 	g.mutex.Unlock()
 	m := g.message()
-	m.OwnWork, m.Servers, m.Limits, m.Waiting = true, encodeWork(report.Servers), encodeLimits(report.Servers), report.Waiting
+	m.OwnWork, m.Servers, m.Notices, m.Waiting = true, encodeWork(report.Servers), encodeNotices(report.Servers), report.Waiting
 	due := func(p *peerState) bool {
 		switch {
 		case p.needsUpdate:
@@ -104,7 +104,7 @@
 	g.sendTo(connection, m, unidentified)
 	for _, c := range cells {
 		servers := report.In(c.domain, c.cell)
-		m.Servers, m.Limits = encodeWork(servers), encodeLimits(servers)
+		m.Servers, m.Notices = encodeWork(servers), encodeNotices(servers)
 		g.send(connection, m, func(p *peerState) bool { return !whole(p) && c == distantCell{p.Domain, p.cell} && due(p) })
 	}
 }
