Send nothing more to servers that say they are leaving

Callers' requests went on to a server that had said in its answers that it was leaving, until the list of servers said so too: an instance that is cut off from the store and its peers, or sooner than these, sent it requests up to the end. Server-Leaving had no reader.

Peers hear of it in the next datagram, other cells in the summaries. Requests in progress aren't cut. A prompt for which memory was reserved looks again before it is sent, at all its engines. If all servers of a service are leaving, requests are rejected at once. Servers that say it themselves stay part of the order of servers (their cells), since instances learn it one after the other. Notices outlive an entry of the list that lapses and comes back.

--- a/assignment/server_limit_test.go
+++ b/assignment/server_limit_test.go
@@ -31,16 +31,22 @@
 	id     poplarwinch.InstanceID
 	alive  bool
 	frozen bool
-	due    bool
+	// cut says that the instance and its peers get no reports of each other.
+	cut bool
+	due bool
 }
 
 // limitedServers plays instances that place requests on servers with limits and exchange reports.
 type limitedServers struct {
-	t         *testing.T
-	random    *rand.Rand
-	clock     *clock.Manual
-	list      []fleet.Server
-	limits    map[poplarwinch.UpstreamID]fleet.RequestRate
+	t      *testing.T
+	random *rand.Rand
+	clock  *clock.Manual
+	list   []fleet.Server
+	limits map[poplarwinch.UpstreamID]fleet.RequestRate
+	// answered is called with each answer and returns what the server says besides its limit.
+	answered func(i *limitedInstance, server poplarwinch.UpstreamID, sentAt clock.Millis) fleet.Notice
+	// sent is called with each request.
+	sent      func(i *limitedInstance, server poplarwinch.UpstreamID)
 	instances []*limitedInstance
 	arrivals  map[poplarwinch.UpstreamID][]clock.Millis
 	events    map[clock.Millis][]func()
@@ -52,6 +58,8 @@
 func newLimitedServers(t *testing.T, seed uint64, servers, limited, instances int) *limitedServers {
 	s := &limitedServers{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), clock: clock.NewManual(1_000_000), limits: map[poplarwinch.UpstreamID]fleet.RequestRate{},
+		answered: func(*limitedInstance, poplarwinch.UpstreamID, clock.Millis) fleet.Notice { return fleet.Notice{} },
+		sent:     func(*limitedInstance, poplarwinch.UpstreamID) {},
 		arrivals: map[poplarwinch.UpstreamID][]clock.Millis{}, events: map[clock.Millis][]func(){},
 	}
 	for n := range servers {
@@ -106,10 +114,13 @@
 	s.served++
 	server, _ := i.fleet.Server(plan.First)
 	ticket := i.fleet.Begin(fleet.Work{First: plan.First, Prefill: plan.Prefill, MaxPause: 250, Memory: 6300, Due: now + 300})
+	s.sent(i, plan.First)
 	s.arrivals[plan.First] = append(s.arrivals[plan.First], now)
 	s.at(120, func() {
 		ticket.FirstEvent()
-		i.fleet.Observe(server, fleet.Notice{Limit: s.limits[plan.First]}, now)
+		notice := s.answered(i, plan.First, now)
+		notice.Limit = s.limits[plan.First]
+		i.fleet.Observe(server, notice, now)
 	})
 	s.at(serviceTime, ticket.End)
 }
@@ -145,7 +156,7 @@
 		i.due = false
 		report := i.fleet.Report()
 		for _, o := range s.instances {
-			if o != i && o.alive && s.random.Float64() >= lostReports {
+			if o != i && o.alive && !i.cut && !o.cut && s.random.Float64() >= lostReports {
 				s.at(reportDelay, func() { o.fleet.Merge(i.id, report) })
 			}
 		}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 
-	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/route"
@@ -91,10 +90,7 @@
 // those that came after it.
 func (x *run) firstEventExtension(selected *selection) func() clock.Millis {
 	last := x.d.clock.Now() + clock.Millis(extendedPatienceFraction*float64(x.patience()))
-	engines := []poplarwinch.UpstreamID{selected.first.ID}
-	for _, h := range selected.helpers {
-		engines = append(engines, h.ID)
-	}
+	engines := selected.engines()
 	return func() clock.Millis {
 		left := last - x.d.clock.Now()
 		if left <= 0 || selected.ticket.Prefilled() || !x.d.fleet.HasSeveralPrefills(engines) {
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/dispatch"
@@ -40,3 +45,123 @@
 		}
 	})
 }
+
+// withNotice adds a notice to the result of a call.
+func withNotice(n fleet.Notice, a *dispatch.Answer, err error) (*dispatch.Answer, error) {
+	var failed *dispatch.CallError
+	switch {
+	case err == nil:
+		a.Notice = n
+	case errors.As(err, &failed):
+		failed.Notice = n
+	}
+	return a, err
+}
+
+// Guards against requests, repeats and resumes that reach a server after it has said that it is leaving, in whatever answer, at an instance
+// that hears nothing else of it.
+func TestNoRequestToLeavingServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   route.Kind
+		answer func() (*dispatch.Answer, error)
+		calls  int
+	}{
+		"success":          {route.KindNonIdempotent, func() (*dispatch.Answer, error) { return complete(http.StatusOK, "done") }, 1},
+		"failure":          {route.KindNonIdempotent, func() (*dispatch.Answer, error) { return complete(http.StatusInternalServerError, "failed") }, 1},
+		"rejection":        {route.KindNonIdempotent, func() (*dispatch.Answer, error) { return failure(dispatch.FailureRefused) }, 2},
+		"broken repeat":    {route.KindIdempotent, func() (*dispatch.Answer, error) { return failure(dispatch.FailureBroken) }, 2},
+		"stream":           {route.KindStreaming, func() (*dispatch.Answer, error) { return complete(http.StatusOK, "id: 1\ndata: a\n\n") }, 1},
+		"stream to resume": {route.KindStreaming, func() (*dispatch.Answer, error) { return broken("id: 1\ndata: a\n\n") }, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.answer = func(_ context.Context, n int, _ *dispatch.Call) (*dispatch.Answer, error) {
+					if n > 1 {
+						return complete(http.StatusOK, "id: 2\ndata: b\n\n")
+					}
+					a, err := c.answer()
+					return withNotice(fleet.Notice{Leaving: true}, a, err)
+				}
+				f.run(t.Context(), f.request(c.kind))
+				if len(f.calls) != c.calls {
+					t.Errorf("got %d calls, want %d", len(f.calls), c.calls)
+				}
+				for range 30 {
+					f.run(t.Context(), f.request(c.kind))
+					time.Sleep(200 * time.Millisecond)
+				}
+				left := f.calls[0].Server.ID
+				for i := range f.calls[1:] {
+					if f.calls[i+1].Server.ID == left {
+						t.Fatalf("call %d went to %s, which is leaving", i+2, left)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that are held while all servers of their service are leaving.
+func TestAllServersLeaving(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindIdempotent, route.KindStreaming} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			r := f.request(kind)
+			for _, c := range f.fleet.Candidates(r.Service) {
+				f.fleet.Observe(c.Server, fleet.Notice{Leaving: true}, f.dispatcher.Now())
+			}
+			o := f.run(t.Context(), r)
+			if o.err == nil || o.err.Kind != poplarwinch.KindUnavailable || o.err.Outcome != poplarwinch.OutcomeNotRun || o.err.RetryAfter == 0 {
+				t.Errorf("got %+v, want a rejection with a time to retry", o.err)
+			}
+			if held := f.dispatcher.Now() - r.Started; held > 0 || len(f.calls) > 0 {
+				t.Errorf("held for %d ms, %d calls", held, len(f.calls))
+			}
+		})
+	}
+}
+
+// Guards against a prompt that is sent to an engine, or with a part of it to a helper, which has said that it is leaving while memory was
+// reserved.
+func TestEngineLeavesWhileMemoryIsReserved(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.onReserve = func() {
+			s, _ := f.fleet.Server("e1")
+			f.fleet.Observe(s, fleet.Notice{Leaving: true}, f.dispatcher.Now())
+		}
+		f.answer = func(_ context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			engines := []poplarwinch.UpstreamID{c.Server.ID}
+			for _, h := range c.Helpers {
+				engines = append(engines, h.ID)
+			}
+			if slices.Contains(engines, "e1") {
+				t.Errorf("sent to %v, e1 is leaving", engines)
+			}
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		r := f.request(route.KindStreaming)
+		r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+		if o := f.run(t.Context(), r); o.err != nil || len(f.calls) != 1 {
+			t.Errorf("got %+v after %d calls", o.err, len(f.calls))
+		}
+	})
+}
+
+// Guards against streams that are cut because their server is leaving.
+func TestStreamOfLeavingServerIsNotCut(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.answer = func(_ context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) {
+			reader, writer := io.Pipe()
+			go func() {
+				for n := range 20 {
+					time.Sleep(250 * time.Millisecond)
+					_, _ = fmt.Fprintf(writer, "id: %d\ndata: x\n\n", n+1)
+				}
+				_ = writer.Close()
+			}()
+			return &dispatch.Answer{Status: http.StatusOK, Length: -1, Body: reader, Notice: fleet.Notice{Leaving: true}}, nil
+		}
+		if o := f.run(t.Context(), f.request(route.KindStreaming)); o.err != nil || len(f.calls) != 1 || strings.Count(o.body, "data") != 20 {
+			t.Errorf("got %+v, %d calls and %q", o.err, len(f.calls), o.body)
+		}
+	})
+}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -58,8 +58,8 @@
 		x.log.WithError(err).Info("memory not reserved; waiting")
 		return nil, nil
 	}
-	if x.d.fleet.LimitWait(group.Shares[0].Upstream) > 0 {
-		x.log.WithField("upstream", group.Shares[0].Upstream).Info("limit of the server used up while memory was reserved; waiting")
+	if first := group.Shares[0].Upstream; !x.d.fleet.Accepts(first, selected.engines()...) {
+		x.log.WithField("upstream", first).Info("a server takes no more requests since memory was reserved; waiting")
 		x.d.background.Go(func() { x.d.reservations.Free(group) })
 		return nil, nil
 	}
@@ -71,6 +71,15 @@
 	return selected, nil
 }
 
+// engines returns the first server and the helpers.
+func (s *selection) engines() []poplarwinch.UpstreamID {
+	ids := []poplarwinch.UpstreamID{s.first.ID}
+	for _, h := range s.helpers {
+		ids = append(ids, h.ID)
+	}
+	return ids
+}
+
 // watchUsage cancels the call of a selection with reservations when the request is not shown to use them within the limit: the
 // engine that should run it may accept requests and never begin them. It returns a function that ends the watch.
 func (x *run) watchUsage(ctx context.Context, selected *selection, cancel context.CancelCauseFunc) (stop func()) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,11 +32,14 @@
 
 	mutex   sync.Mutex
 	servers map[poplarwinch.UpstreamID]*serverState
-	// usable has the servers of each service that are not leaving, ordered by failure domain and rank.
+	// usable has the servers of each service that the list doesn't call leaving, ordered by failure domain and rank. Those that say
+	// so themselves are part of it: instances learn that one after the other, but have to agree on the order.
 	usable map[poplarwinch.ServiceName][]*serverState
 	// near has those of them that are in the own cell.
-	near        map[poplarwinch.ServiceName][]*serverState
-	cell        Cell
+	near map[poplarwinch.ServiceName][]*serverState
+	cell Cell
+	// removed has the notices of servers that are no longer listed.
+	removed     removedServers
 	peerReports map[poplarwinch.InstanceID]*peerReport
 	// summaries holds the latest summary of each other cell.
 	summaries map[summaryKey]*receivedSummary
@@ -51,8 +54,8 @@
 	f := &Fleet{
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
-		summaries: map[summaryKey]*receivedSummary{},
-		changed:   make(chan struct{}),
+		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
+		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -69,12 +72,14 @@
 		m := f.servers[s.ID]
 		if m == nil || !m.server.same(s) {
 			m = newServerState(s)
+			m.notices = f.removed.take(s, now)
 			f.attachReports(m)
 		}
 		m.server = s
 		m.notices.leaving.list(s.Leaving, now)
 		next[s.ID] = m
 	}
+	f.removed.keep(f.servers, next, now)
 	f.servers = next
 	f.usable = rank(next)
 	f.resolve()
@@ -87,7 +92,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m := f.servers[id]
-	if m == nil || m.server.Leaving {
+	if m == nil || m.notices.leaving.holds {
 		return Server{}, false
 	}
 	return m.server, true
@@ -110,6 +115,25 @@
 	Wait clock.Millis
 }
 
+// Accepts reports whether a request may still be sent to the first server, with parts of its prompt on the others: all are listed and
+// not leaving, and the limit of the first one allows another request now. A request that had to wait after the decision asks this.
+func (f *Fleet) Accepts(first poplarwinch.UpstreamID, others ...poplarwinch.UpstreamID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, id := range others {
+		if !f.isOpen(id) {
+			return false
+		}
+	}
+	return f.isOpen(first) && f.waitFor(f.servers[first], f.clock.Now()) == 0
+}
+
+// isOpen reports whether a server is listed and not leaving. The caller holds the lock.
+func (f *Fleet) isOpen(id poplarwinch.UpstreamID) bool {
+	m := f.servers[id]
+	return m != nil && !m.notices.leaving.holds
+}
+
 // Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
 // recent summaries. Where a service has few servers, or none whose load is known, it returns all of them.
 func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
@@ -119,6 +143,9 @@
 	usable := f.usable[service]
 	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
 	for _, m := range f.near[service] {
+		if m.notices.leaving.holds {
+			continue
+		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
 		c.Wait = f.limitWait(m, now)
 		list = append(list, c)
@@ -130,6 +157,9 @@
 		}
 		for i := range r.loads[service] {
 			s := &r.loads[service][i]
+			if s.server.notices.leaving.holds {
+				continue
+			}
 			c := s.server.candidate(s.current(now, age), true, now)
 			c.OtherCell = c.Domain == f.domain
 			c.Wait = s.server.distantWait(s.limited)
@@ -150,7 +180,7 @@
 		known[list[i].ID] = true
 	}
 	for _, m := range usable {
-		if known[m.server.ID] {
+		if known[m.server.ID] || m.notices.leaving.holds {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now)
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -65,3 +65,11 @@
 	}
 	return LeavingReport{Known: true, Leaving: l.holds, Age: now - l.at}
 }
+
+// summary returns the notice for a summary of a cell: whether any instance has it.
+func (l *leaving) summary(now clock.Millis) LeavingReport {
+	if !l.holds || l.source == SourceList {
+		return LeavingReport{}
+	}
+	return LeavingReport{Known: true, Leaving: true, Age: now - l.at}
+}
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -112,17 +112,6 @@
 	return max(wait+clock.Millis(before)*delay, 0)
 }
 
-// LimitWait returns the time until this instance may send the server another request; zero means now.
-func (f *Fleet) LimitWait(id poplarwinch.UpstreamID) clock.Millis {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	m := f.servers[id]
-	if m == nil {
-		return 0
-	}
-	return f.waitFor(m, f.clock.Now())
-}
-
 // waitFor returns the wait for a server, near or distant. The caller holds the lock.
 func (f *Fleet) waitFor(m *serverState, now clock.Millis) clock.Millis {
 	if !f.isNear(m) && f.isDivided() {
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -67,6 +67,11 @@
 	reportedAt clock.Millis
 }
 
+// known reports whether any notice holds.
+func (n *notices) known(now clock.Millis) bool {
+	return n.leaving.holds || n.limit.rate > 0 || n.rest.left(now) > 0
+}
+
 // observe records the notice in an answer to a request that was sent at a time, and reports whether it changes anything.
 func (n *notices) observe(o Notice, sentAt, now clock.Millis) bool {
 	left := n.leaving.observe(o.Leaving, sentAt, now)
@@ -98,6 +103,22 @@
 	return r
 }
 
+// summary returns the notices for a summary of a cell, which says of a limit only that there is one.
+func (n *notices) summary(boot int64, now clock.Millis) NoticeReport {
+	r := n.forward(boot, now)
+	r.Limit = n.limit.summary()
+	return r
+}
+
+// forward returns the notices that are passed on in summaries of other cells.
+func (n *notices) forward(boot int64, now clock.Millis) NoticeReport {
+	r := NoticeReport{Leaving: n.leaving.summary(now)}
+	if r.Leaving.Known {
+		r.Boot = boot
+	}
+	return r
+}
+
 // NoticeReport is what an instance tells others of a server's notices. The zero NoticeReport says nothing.
 type NoticeReport struct {
 	// Boot is the start of the server's process.
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -127,3 +127,42 @@
 		}
 	}
 }
+
+// Guards against a server that is used again although it is leaving, because its entry of the list lapsed and came back.
+func TestNoticesSurviveLapsedEntries(t *testing.T) {
+	w := newFixture()
+	w.Observe(servers()[0], fleet.Notice{Leaving: true, Limit: 1}, 1)
+	w.Apply(servers()[1:])
+	w.time.Advance(30_000)
+	w.Apply(servers())
+	if _, usable := w.Server("e1"); usable {
+		t.Error("the server is usable after its entry came back")
+	}
+	list := servers()
+	list[0].Boot = 2
+	w.Apply(servers()[1:])
+	w.Apply(list)
+	if _, usable := w.Server("e1"); !usable {
+		t.Error("the successor counts as leaving")
+	}
+}
+
+// Guards against instances of other cells that still send requests to a server after it has said to one instance that it is leaving.
+func TestOtherCellsLearnOfLeavingServers(t *testing.T) {
+	north, south, west := newFixture(), newFixture(), newFixture()
+	north.SetCell(fleet.Cell{Index: 0, Count: 1})
+	for _, f := range []*fixture{south, west} {
+		f.Fleet = fleet.New(fleet.WithClock(f.time.Clock()), fleet.WithDomain("south"))
+		f.Apply(servers())
+	}
+	north.Observe(servers()[0], fleet.Notice{Leaving: true}, 1)
+	south.MergeSummary(north.Summary())
+	for _, s := range south.Summaries() {
+		west.MergeSummary(s)
+	}
+	for name, f := range map[string]*fixture{"at first hand": south, "forwarded": west} {
+		if _, usable := f.Server("e1"); usable {
+			t.Errorf("%s: the server is still usable", name)
+		}
+	}
+}
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -62,7 +62,7 @@
 	s := Summary{Domain: f.domain, Cell: f.cell}
 	for _, list := range f.near {
 		for _, m := range list {
-			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: NoticeReport{Limit: m.notices.limit.summary()}})
+			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: m.notices.summary(m.server.Boot, now)})
 		}
 	}
 	return s.shorten(maxSummaryServers)
@@ -81,9 +81,10 @@
 		s := Summary{Domain: r.Domain, Cell: r.Cell, Partial: r.Partial, Age: now - r.madeAt}
 		for _, loads := range r.loads {
 			for i := range loads {
-				s.Servers = append(s.Servers, ServerWork{
-					ID: loads[i].server.server.ID, Load: loads[i].current(now, now-r.at), Notice: NoticeReport{Limit: LimitReport{Known: loads[i].limited}},
-				})
+				m := loads[i].server
+				w := ServerWork{ID: m.server.ID, Load: loads[i].current(now, now-r.at), Notice: m.notices.forward(m.server.Boot, now)}
+				w.Notice.Limit.Known = loads[i].limited
+				s.Servers = append(s.Servers, w)
 			}
 		}
 		list = append(list, s)
@@ -113,19 +114,26 @@
 	return s
 }
 
-// MergeSummary replaces the summary of another cell by one that was made later. Those of cells that overlap it, from before or after a change of the number
+// MergeSummary replaces the summary of another cell by one that was made later. Waiting requests are woken if it has a new notice. Those of cells that overlap it, from before or after a change of the number
 // of cells, are dropped.
 func (f *Fleet) MergeSummary(s Summary) {
+	if f.mergeSummary(s) {
+		f.wakeWaiters()
+	}
+}
+
+// mergeSummary is MergeSummary without waking waiting requests. It reports whether it changes a notice.
+func (f *Fleet) mergeSummary(s Summary) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if s.Domain == f.domain && s.Cell == f.cell {
-		return
+		return false
 	}
 	now := f.clock.Now()
 	r := &receivedSummary{Summary: s, at: now, madeAt: now - max(s.Age, 0)}
 	own := summaryKey{s.Domain, s.Cell}
 	if o := f.summaries[own]; o != nil && o.madeAt > r.madeAt {
-		return
+		return false
 	}
 	for key, o := range f.summaries {
 		if key.domain == s.Domain && key.cell.Count != s.Cell.Count || now-o.madeAt > summaryTimeout {
@@ -134,6 +142,19 @@
 	}
 	f.summaries[own] = r
 	f.resolveSummary(r)
+	return f.mergeLeaving(s.Servers, now)
+}
+
+// mergeLeaving records which servers of a summary are leaving and reports whether that is new. The caller holds the lock.
+func (f *Fleet) mergeLeaving(servers []ServerWork, now clock.Millis) bool {
+	changed := false
+	for i := range servers {
+		if w := &servers[i]; w.Notice.Leaving.Known {
+			m := f.servers[w.ID]
+			changed = m != nil && m.mergeNotice(NoticeReport{Boot: w.Notice.Boot, Leaving: w.Notice.Leaving}, now) || changed
+		}
+	}
+	return changed
 }
 
 // resolveSummary determines the servers that a summary covers. The caller holds the lock.
