Send nothing to servers that want no requests for a time

Until its end the server is no candidate at this instance, neither to answer nor to help; no answer ends it early, only another start of the server. Others hear of it and only prefer other servers. Then requests come back one after another: one, two more for each of the first answers, all from the fourth on, and one a second while none is answered; if others were told the same, instances take turns. If all servers of a service want none, the request gets its 503 at once with the time until the first of them wants some, also if it was waiting or a repeat.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -32,8 +32,8 @@
 	maxSlotsFraction = 0.95
 	// missedSlotsFraction is the fraction of an engine's slots that prompts at stageMissed may fill.
 	missedSlotsFraction = 0.7
-	// crowdedPenaltyMillis is the penalty of an engine above crowdedSlotsFraction, or with a prefill budget below
-	// the prompt's prefill time.
+	// crowdedPenaltyMillis is the penalty of an engine above crowdedSlotsFraction, with a prefill budget below the
+	// prompt's prefill time, or that wants no requests from another instance.
 	crowdedPenaltyMillis = 200.0
 	// crossDomainPenaltyMillis is the penalty of an engine in another failure domain.
 	crossDomainPenaltyMillis = 15.0
@@ -45,10 +45,12 @@
 
 // Choose decides whether the prompt runs now and returns the plan if it does.
 func Choose(pool *route.Pool, engines []fleet.Candidate, p *Prompt) (Plan, Verdict) {
-	engines = healthy(engines)
 	if len(engines) == 0 {
 		return Plan{}, VerdictWait
 	}
+	if engines = healthy(engines); len(engines) == 0 {
+		return Plan{}, VerdictResting
+	}
 	c := &choice{pool: pool, engines: engines, prompt: p, prefillMillis: pool.Prefill(p.Tokens)}
 	if c.infeasible() {
 		return Plan{}, VerdictReject
@@ -108,16 +110,21 @@
 	pausableRequests int
 }
 
-// healthy returns the engines that are not to be avoided, or all if none is left.
+// healthy returns the engines that want requests and are not to be avoided, or all that want requests if none is left.
 func healthy(engines []fleet.Candidate) []fleet.Candidate {
 	list := make([]fleet.Candidate, 0, len(engines))
-	for _, e := range engines {
-		if !e.Avoid {
-			list = append(list, e)
+	for i := range engines {
+		if e := &engines[i]; !e.Avoid && e.Rest == 0 {
+			list = append(list, *e)
 		}
 	}
-	if len(list) == 0 {
-		return engines
+	if len(list) > 0 {
+		return list
+	}
+	for i := range engines {
+		if e := &engines[i]; e.Rest == 0 {
+			list = append(list, *e)
+		}
 	}
 	return list
 }
@@ -235,6 +242,9 @@
 	if !c.isLocal(e) {
 		costMillis += crossDomainPenaltyMillis
 	}
+	if e.RestsForPeers {
+		costMillis += crowdedPenaltyMillis
+	}
 	if c.prefillBudgetMillis(e) < c.prefillMillis {
 		costMillis += crowdedPenaltyMillis
 	}
--- a/assignment/limit.go
+++ b/assignment/limit.go
@@ -7,7 +7,7 @@
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
-// withinLimit returns the servers whose limits allow another request now.
+// withinLimit returns the servers whose notices allow another request now.
 func withinLimit(servers []fleet.Candidate) []fleet.Candidate {
 	if !slices.ContainsFunc(servers, atLimit) {
 		return servers
--- a/assignment/notice_test.go
+++ b/assignment/notice_test.go
@@ -78,3 +78,68 @@
 		})
 	}
 }
+
+// restTime is the time for which servers want no requests.
+const restTime = 2500
+
+// Guards against requests to servers that want none from an instance, from that instance alone or from all, and against requests that come
+// back all at once. An instance that is cut off obeys alone; one that has just started may ask.
+func TestRestingServersGetNoRequests(t *testing.T) {
+	for _, instances := range []int{1, 6, 120} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			s := newLimitedServers(t, 5, 16, 0, instances)
+			s.run(2000, 60)
+			resting := s.busiest(3)
+			until := map[*limitedInstance]map[poplarwinch.UpstreamID]clock.Millis{}
+			tellUntil := s.clock.Now() + 1000
+			tell := func(i *limitedInstance, id poplarwinch.UpstreamID) {
+				if until[i] == nil {
+					until[i] = map[poplarwinch.UpstreamID]clock.Millis{}
+				}
+				until[i][id] = s.clock.Now() + restTime
+			}
+			s.answered = func(i *limitedInstance, id poplarwinch.UpstreamID, _ clock.Millis) fleet.Notice {
+				if !slices.Contains(resting, id) || s.clock.Now() > tellUntil {
+					return fleet.Notice{}
+				}
+				tell(i, id)
+				return fleet.Notice{Rest: restTime}
+			}
+			after := map[poplarwinch.UpstreamID]int{}
+			back := map[*limitedInstance]map[poplarwinch.UpstreamID]clock.Millis{}
+			s.sent = func(i *limitedInstance, id poplarwinch.UpstreamID) {
+				switch end := until[i][id]; {
+				case end == 0:
+				case s.clock.Now() < end:
+					t.Errorf("%s sent a request to %s %d ms before the end (cut off: %t)", i.id, id, end-s.clock.Now(), i.cut)
+				case back[i] != nil && back[i][id] == 0:
+					back[i][id] = s.clock.Now()
+					after[id]++
+				case back[i] != nil && s.clock.Now() < back[i][id]+firstAnswer:
+					t.Errorf("%s sent a second request to %s before the first one was answered", i.id, id)
+				}
+			}
+			s.instances[0].cut = instances > 1
+			s.run(1000, 60)
+			s.start()
+			s.run(200, 60)
+			for _, i := range s.instances { // the servers want none from all of them, from the same moment
+				back[i] = map[poplarwinch.UpstreamID]clock.Millis{}
+				for _, id := range resting {
+					server, _ := i.fleet.Server(id)
+					tell(i, id)
+					i.fleet.Observe(server, fleet.Notice{Rest: restTime}, 0)
+				}
+			}
+			s.run(6000, 120)
+			for _, id := range resting {
+				if after[id] == 0 {
+					t.Errorf("%s gets no requests after the time", id)
+				}
+			}
+			if s.refused > s.served/50 {
+				t.Errorf("%d requests refused, %d served", s.refused, s.served)
+			}
+		})
+	}
+}
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -72,6 +72,8 @@
 	VerdictYield Verdict = "yield"
 	// VerdictLimited means that the prompt is turned away because the limits of all servers are used up; the caller may retry later.
 	VerdictLimited Verdict = "limited"
+	// VerdictResting means that the prompt is turned away because all servers want no requests for a time; the caller may retry then.
+	VerdictResting Verdict = "resting"
 	// VerdictReject means that the prompt can't be answered before its deadline.
 	VerdictReject Verdict = "reject"
 )
--- a/assignment/server.go
+++ b/assignment/server.go
@@ -14,13 +14,18 @@
 	// crossDomainPenaltyRequests is the number of requests by which the load of a server in the own failure domain may
 	// exceed that of one in another domain.
 	crossDomainPenaltyRequests = 2
+	// restPenaltyRequests is the same for a server that wants no requests from another instance.
+	restPenaltyRequests = 2
 )
 
 // Server returns the plan for a request to a plain service: the server with the fewest requests, with preference for the
 // own failure domain. Servers to avoid are used only if there are no others. While the limits of all servers are used up, the request
 // waits, for half of its time at most. The list must not be empty.
 func Server(servers []fleet.Candidate, domain poplarwinch.FailureDomain, timeLeft, fullTime clock.Millis) (Plan, Verdict) {
-	usable := withinLimit(healthy(servers))
+	if servers = healthy(servers); len(servers) == 0 {
+		return Plan{}, VerdictResting
+	}
+	usable := withinLimit(servers)
 	if len(usable) == 0 {
 		return Plan{}, verdictAtLimit(servers, timeLeft, fullTime)
 	}
@@ -33,10 +38,15 @@
 	return Plan{First: best.ID, Reason: ReasonFewest}, VerdictRun
 }
 
-// weightedRequests returns the server's requests, plus a penalty if it is in another failure domain.
+// weightedRequests returns the server's requests, plus penalties if it is in another failure domain or wants no requests from another
+// instance.
 func weightedRequests(s *fleet.Candidate, domain poplarwinch.FailureDomain) int {
+	n := s.Load.Requests
 	if s.Domain != domain {
-		return s.Load.Requests + crossDomainPenaltyRequests
+		n += crossDomainPenaltyRequests
+	}
+	if s.RestsForPeers {
+		n += restPenaltyRequests
 	}
-	return s.Load.Requests
+	return n
 }
--- a/assignment/server_limit_test.go
+++ b/assignment/server_limit_test.go
@@ -21,6 +21,8 @@
 	// reportDelay is the time until a report arrives, and lostReports the fraction of reports that don't.
 	reportDelay = 4
 	lostReports = 0.02
+	// firstAnswer is the time until a server begins to answer.
+	firstAnswer = 120
 	// serviceTime is the time that a server takes for a request.
 	serviceTime = 1200
 )
@@ -116,7 +118,7 @@
 	ticket := i.fleet.Begin(fleet.Work{First: plan.First, Prefill: plan.Prefill, MaxPause: 250, Memory: 6300, Due: now + 300})
 	s.sent(i, plan.First)
 	s.arrivals[plan.First] = append(s.arrivals[plan.First], now)
-	s.at(120, func() {
+	s.at(firstAnswer, func() {
 		ticket.FirstEvent()
 		notice := s.answered(i, plan.First, now)
 		notice.Limit = s.limits[plan.First]
--- a/dispatch/finalerror.go
+++ b/dispatch/finalerror.go
@@ -33,6 +33,10 @@
 	case x.possibleRuns > 0:
 		return upstreamFailed(result, err)
 	}
+	if resting := allResting(x.d.fleet.Candidates(x.Service)); resting != nil {
+		resting.Cause = err
+		return resting
+	}
 	return &poplarwinch.Error{
 		Kind: poplarwinch.KindUnavailable, Outcome: result, Cause: err, RetryAfter: retryAfterFailure,
 		Message: "no server accepted the request", Remedy: "retry later",
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/dispatch"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/route"
@@ -165,3 +166,124 @@
 		}
 	})
 }
+
+// Guards against requests that reach a server before the time is over for which it wanted none, whether it has run the request or not, and
+// against servers that get none afterwards.
+func TestRestingServerGetsNoRequests(t *testing.T) {
+	for _, failed := range []dispatch.Failure{dispatch.FailureRefused, dispatch.FailureBroken} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			var resting poplarwinch.UpstreamID
+			until, after := clock.Millis(0), 0
+			f.answer = func(_ context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error) {
+				if n == 1 {
+					resting, until = c.Server.ID, f.dispatcher.Now()+3000
+					a, err := failure(failed)
+					return withNotice(fleet.Notice{Rest: 3000}, a, err)
+				}
+				switch now := f.dispatcher.Now(); {
+				case c.Server.ID == resting && now < until:
+					t.Errorf("%s: a request reached %s %d ms before the end", failed, resting, until-now)
+				case c.Server.ID == resting:
+					after++
+				}
+				return complete(http.StatusOK, "done")
+			}
+			for range 100 {
+				if o := f.run(t.Context(), f.request(route.KindIdempotent)); o.err != nil {
+					t.Errorf("%s: got %v", failed, o.err)
+				}
+				time.Sleep(70 * time.Millisecond)
+			}
+			if after == 0 {
+				t.Errorf("%s: %s gets no requests after the time", failed, resting)
+			}
+		})
+	}
+}
+
+// Guards against requests that are held, or sent on, while all servers of their service want none, also those that were waiting already,
+// and against callers that come back too early.
+func TestAllServersResting(t *testing.T) {
+	rests := map[poplarwinch.UpstreamID]clock.Millis{"s1": 2500, "s2": 1400, "s3": 4000, "e1": 3000, "e2": 2000, "e3": 1200, "e4": 5000}
+	check := func(t *testing.T, f *fixture, o outcome, want clock.Millis, calls int) {
+		t.Helper()
+		if o.err == nil || o.err.Kind.Status() != http.StatusServiceUnavailable || o.err.Outcome != poplarwinch.OutcomeNotRun || o.err.RetryAfter != want {
+			t.Errorf("got %+v, want a rejection with %d ms to wait", o.err, want)
+		}
+		if len(f.calls) != calls {
+			t.Errorf("got %d calls, want %d", len(f.calls), calls)
+		}
+	}
+	for kind, want := range map[route.Kind]clock.Millis{route.KindNonIdempotent: 1400, route.KindStreaming: 1200} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.answer = func(_ context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+				a, err := failure(dispatch.FailureRefused)
+				return withNotice(fleet.Notice{Rest: rests[c.Server.ID]}, a, err)
+			}
+			servers := len(f.fleet.Candidates(f.request(kind).Service))
+			r := f.request(kind)
+			check(t, f, f.run(t.Context(), r), want, servers)
+			check(t, f, f.run(t.Context(), f.request(kind)), want, servers)
+			if held := f.dispatcher.Now() - r.Started; held > 0 {
+				t.Errorf("%s: held for %d ms", kind, held)
+			}
+		})
+	}
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		all := f.fleet.Candidates("bookings")
+		for _, c := range all {
+			f.fleet.Observe(c.Server, fleet.Notice{Limit: 0.5}, f.dispatcher.Now())
+			f.fleet.Begin(fleet.Work{First: c.ID}).End()
+			f.fleet.Begin(fleet.Work{First: c.ID}).End()
+		}
+		r := f.request(route.KindIdempotent)
+		r.Deadline = r.Started + 12_000
+		time.AfterFunc(time.Second, func() {
+			for _, c := range all {
+				f.fleet.Observe(c.Server, fleet.Notice{Rest: rests[c.ID]}, 0)
+			}
+		})
+		o := f.run(t.Context(), r)
+		if held := f.dispatcher.Now() - r.Started; held < 1000 || held > 1120 {
+			t.Errorf("the waiting request was held for %d ms, want 1000", held)
+		}
+		if o.err == nil || o.err.RetryAfter < 1280 || o.err.RetryAfter > 1400 || len(f.calls) > 0 {
+			t.Errorf("the waiting request got %+v, %d calls, want 1400 ms to wait", o.err, len(f.calls))
+		}
+	})
+}
+
+// Guards against a helper that is asked to read parts of prompts although it wants no requests, and against an engine that is blamed for that.
+func TestRestingHelper(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		var first, helper poplarwinch.UpstreamID
+		f.answer = func(_ context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error) {
+			if n == 1 {
+				first, helper = c.Server.ID, c.Helpers[len(c.Helpers)-1].ID
+				return nil, &dispatch.CallError{
+					Failure: dispatch.FailureRefused, AtFault: c.Helpers[len(c.Helpers)-1].Address, Cause: errors.New("scripted"),
+					Notice: fleet.Notice{Rest: 3000, Leaving: true, Limit: 1},
+				}
+			}
+			for _, h := range c.Helpers {
+				if h.ID == helper {
+					t.Errorf("call %d asks %s for help", n, helper)
+				}
+			}
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		r := f.request(route.KindStreaming)
+		r.PromptTokens, r.Route.Target, r.Route.MaxPause = 100_000, 2000, 1000
+		if o := f.run(t.Context(), r); o.err != nil {
+			t.Errorf("got %v", o.err)
+		}
+		for _, c := range f.fleet.Candidates("pool") {
+			if c.ID == first && c.Rest > 0 || c.ID == helper && c.Rest == 0 {
+				t.Errorf("%s wants no requests for %d ms; %s was at fault", c.ID, c.Rest, helper)
+			}
+		}
+		if n := f.notices(); len(n) != 1 || n[helper].Leaving.Known || n[helper].Limit.Known {
+			t.Errorf("got %+v, want the time of %s only", n, helper)
+		}
+	})
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -125,7 +125,7 @@
 	}
 	plan, verdict := x.plan(candidates)
 	if verdict != assignment.VerdictRun {
-		return nil, verdictError(verdict, len(candidates))
+		return nil, verdictError(verdict, candidates)
 	}
 	return x.apply(candidates, &plan), nil
 }
@@ -160,13 +160,17 @@
 	return assignment.Server(candidates, x.d.domain, x.Deadline-x.d.clock.Now(), x.Deadline-x.Started)
 }
 
-// verdictError returns the error for a request that is rejected now, or nil if it waits. The service has so many servers.
-func verdictError(v assignment.Verdict, servers int) error {
+// verdictError returns the error for a request that is rejected now, or nil if it waits.
+func verdictError(v assignment.Verdict, candidates []fleet.Candidate) error {
 	switch v {
 	case assignment.VerdictYield:
 		return overloaded("the engines are full")
 	case assignment.VerdictLimited:
-		return overloaded(fmt.Sprintf("the limits of all %d servers are used up", servers))
+		return overloaded(fmt.Sprintf("the limits of all %d servers are used up", len(candidates)))
+	case assignment.VerdictResting:
+		if resting := allResting(candidates); resting != nil {
+			return resting
+		}
 	case assignment.VerdictReject:
 		return &poplarwinch.Error{
 			Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: retryAfterReject,
@@ -184,6 +188,28 @@
 	}
 }
 
+// allResting returns the error for a request while all servers want no requests, with the time until the first of them wants some again.
+// It is nil if there are others.
+func allResting(candidates []fleet.Candidate) *poplarwinch.Error {
+	earliest := clock.Millis(0)
+	for i := range candidates {
+		rest := candidates[i].Rest
+		if rest == 0 {
+			return nil
+		}
+		if earliest == 0 || rest < earliest {
+			earliest = rest
+		}
+	}
+	if earliest == 0 {
+		return nil
+	}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: earliest,
+		Message: fmt.Sprintf("all %d servers want no requests for a time", len(candidates)), Remedy: "retry later",
+	}
+}
+
 // pool returns the parameters of the service's engine pool. It reports false for plain services and requests without prompt
 // tokens.
 func (x *run) pool() (route.Pool, bool) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,27 +111,32 @@
 	LoadKnown bool
 	// Avoid says that the server recently failed or can't be reached.
 	Avoid bool
-	// Wait is the time until the server's limit allows another request; zero means now.
+	// Wait is the time until the server's notices allow another request of this instance; zero means now.
 	Wait clock.Millis
+	// Rest is the time for which the server wants no requests from this instance.
+	Rest clock.Millis
+	// RestsForPeers says that the server wants no requests from another instance now.
+	RestsForPeers bool
 }
 
 // Accepts reports whether a request may still be sent to the first server, with parts of its prompt on the others: all are listed and
-// not leaving, and the limit of the first one allows another request now. A request that had to wait after the decision asks this.
+// want requests, and the notices of the first one allow another request now. A request that had to wait after the decision asks this.
 func (f *Fleet) Accepts(first poplarwinch.UpstreamID, others ...poplarwinch.UpstreamID) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	now := f.clock.Now()
 	for _, id := range others {
-		if !f.isOpen(id) {
+		if !f.wantsRequests(id, now) {
 			return false
 		}
 	}
-	return f.isOpen(first) && f.waitFor(f.servers[first], f.clock.Now()) == 0
+	return f.wantsRequests(first, now) && f.waitFor(f.servers[first], now) == 0
 }
 
-// isOpen reports whether a server is listed and not leaving. The caller holds the lock.
-func (f *Fleet) isOpen(id poplarwinch.UpstreamID) bool {
+// wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
+func (f *Fleet) wantsRequests(id poplarwinch.UpstreamID, now clock.Millis) bool {
 	m := f.servers[id]
-	return m != nil && !m.notices.leaving.holds
+	return m != nil && !m.notices.leaving.holds && m.notices.rest.left(now) == 0
 }
 
 // Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
@@ -147,7 +152,7 @@
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
-		c.Wait = f.limitWait(m, now)
+		c.Wait = f.nearWait(m, now)
 		list = append(list, c)
 	}
 	for _, r := range f.summaries {
@@ -162,7 +167,7 @@
 			}
 			c := s.server.candidate(s.current(now, age), true, now)
 			c.OtherCell = c.Domain == f.domain
-			c.Wait = s.server.distantWait(s.limited)
+			c.Wait = f.distantWait(s.server, s.limited, now)
 			list = append(list, c)
 		}
 	}
@@ -225,6 +230,7 @@
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
 		m.notices.limit.add(1, now)
+		m.notices.rest.add(now)
 		m.startPrefill(t, now)
 		t.distant = !f.isNear(m)
 		t.crowded = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -97,6 +97,12 @@
 	if wait <= -maxTurnDelay {
 		return 0
 	}
+	return max(wait+f.turnDelay(m, now, turnDelay, maxTurnDelay), 0)
+}
+
+// turnDelay returns the time for which this instance lets those before it go first at a server: step for each of them, and most for the
+// last one at most. The caller holds the lock.
+func (f *Fleet) turnDelay(m *serverState, now, step, most clock.Millis) clock.Millis {
 	before, others := 0, 0
 	own := m.turn(f.instance)
 	for id, p := range f.peerReports {
@@ -108,16 +114,28 @@
 			before++
 		}
 	}
-	delay := min(turnDelay, maxTurnDelay/clock.Millis(max(others, 1)))
-	return max(wait+clock.Millis(before)*delay, 0)
+	return clock.Millis(before) * min(step, most/clock.Millis(max(others, 1)))
+}
+
+// nearWait returns the wait for a server whose requests from all instances are known here. The caller holds the lock.
+func (f *Fleet) nearWait(m *serverState, now clock.Millis) clock.Millis {
+	return max(f.limitWait(m, now), f.returnWait(m, now))
+}
+
+// distantWait returns the wait for a server whose requests are not all known here. The caller holds the lock.
+func (f *Fleet) distantWait(m *serverState, limited bool, now clock.Millis) clock.Millis {
+	if limited || m.notices.limit.rate > 0 {
+		return distantLimitWait
+	}
+	return f.returnWait(m, now)
 }
 
 // waitFor returns the wait for a server, near or distant. The caller holds the lock.
 func (f *Fleet) waitFor(m *serverState, now clock.Millis) clock.Millis {
 	if !f.isNear(m) && f.isDivided() {
-		return m.distantWait(false)
+		return f.distantWait(m, false, now)
 	}
-	return f.limitWait(m, now)
+	return f.nearWait(m, now)
 }
 
 // isDivided reports whether instances of other cells send summaries, so that not all of their requests are known here. The caller
@@ -162,11 +180,3 @@
 	}
 	m.notices.limit.add(sent, now)
 }
-
-// distantWait returns the wait for a server whose requests are not all known here.
-func (m *serverState) distantWait(limited bool) clock.Millis {
-	if limited || m.notices.limit.rate > 0 {
-		return distantLimitWait
-	}
-	return 0
-}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -68,14 +68,15 @@
 }
 
 // known reports whether any notice holds.
-func (n *notices) known(now clock.Millis) bool {
-	return n.leaving.holds || n.limit.rate > 0 || n.rest.left(now) > 0
+func (n *notices) known() bool {
+	return n.leaving.holds || n.limit.rate > 0 || n.rest.returning
 }
 
 // observe records the notice in an answer to a request that was sent at a time, and reports whether it changes anything.
 func (n *notices) observe(o Notice, sentAt, now clock.Millis) bool {
 	left := n.leaving.observe(o.Leaving, sentAt, now)
 	rested := n.rest.observe(o.Rest, now)
+	n.rest.answered(sentAt)
 	limited := n.limit.observe(o.Limit, sentAt, now)
 	changed := left || rested || limited
 	if changed {
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -166,3 +166,62 @@
 		}
 	}
 }
+
+// Guards against requests that come back to a server all at once after the time for which it wanted none, or never because no answer comes.
+func TestRequestsComeBackOneAfterAnother(t *testing.T) {
+	w := newFixture()
+	e1 := servers()[0]
+	send := func() { w.Begin(fleet.Work{First: "e1"}).End() }
+	w.Observe(e1, fleet.Notice{Rest: 2000}, 1)
+	w.time.Advance(1999)
+	if c := w.candidate(t, "e1"); c.Rest != 1 || w.Accepts("e1") || w.Accepts("e2", "e1") {
+		t.Errorf("before the end: got %+v", c)
+	}
+	w.time.Advance(1)
+	if !w.Accepts("e1") {
+		t.Error("no request is allowed at the end")
+	}
+	send()
+	if wait := w.candidate(t, "e1").Wait; wait != 1000 {
+		t.Errorf("a second request may come after %d ms without an answer, want 1000", wait)
+	}
+	w.Observe(e1, fleet.Notice{}, w.time.Now()-1)
+	if w.Accepts("e1") {
+		t.Error("the answer to an earlier request allows another one")
+	}
+	w.time.Advance(1000)
+	if !w.Accepts("e1") {
+		t.Error("no further request is allowed although the first one was lost")
+	}
+	send()
+	allowed := 0
+	for range 4 {
+		w.Observe(e1, fleet.Notice{}, w.time.Now())
+		for n := 0; w.Accepts("e1") && n < 10; n++ {
+			send()
+			allowed++
+		}
+	}
+	if allowed != 3*2+10 {
+		t.Errorf("%d requests were allowed, want 2 after each of three answers and any number after the fourth", allowed)
+	}
+	w.Observe(e1, fleet.Notice{Rest: 500}, 0)
+	w.time.Advance(500)
+	send()
+	if w.Accepts("e1") {
+		t.Error("after another such time requests come back all at once")
+	}
+}
+
+// Guards against an instance that stops using a server because the server wants no requests from another one.
+func TestRestOfPeer(t *testing.T) {
+	w := newFixture()
+	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Notice: fleet.NoticeReport{Rest: 1500}}}})
+	if c := w.candidate(t, "e1"); c.Rest > 0 || c.Wait > 0 || !c.RestsForPeers || !w.Accepts("e1") {
+		t.Errorf("got %+v", c)
+	}
+	w.time.Advance(1500)
+	if c := w.candidate(t, "e1"); c.RestsForPeers {
+		t.Errorf("after the time: got %+v", c)
+	}
+}
--- a/fleet/removed.go
+++ b/fleet/removed.go
@@ -27,7 +27,7 @@
 		}
 	}
 	for id, m := range before {
-		if after[id] == nil && m.notices.known(now) {
+		if after[id] == nil && m.notices.known() {
 			r[id] = removedServer{server: m.server, notices: m.notices, at: now}
 		}
 	}
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -101,5 +101,8 @@
 
 // candidate returns the server with the load.
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
-	return Candidate{Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now)}
+	return Candidate{
+		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
+		Rest: m.notices.rest.left(now), RestsForPeers: now < m.notices.rest.peersUntil,
+	}
 }
