Keep candidates as small as before

A candidate had grown by 8 bytes for the time for which a server wants no requests, so that a decision among 112 engines allocated 24,576 bytes in place of 21,760. The time is part of Wait now, with a flag.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -114,7 +114,7 @@
 func healthy(engines []fleet.Candidate) []fleet.Candidate {
 	list := make([]fleet.Candidate, 0, len(engines))
 	for i := range engines {
-		if e := &engines[i]; !e.Avoid && e.Rest == 0 {
+		if e := &engines[i]; !e.Avoid && !e.Resting {
 			list = append(list, *e)
 		}
 	}
@@ -122,7 +122,7 @@
 		return list
 	}
 	for i := range engines {
-		if e := &engines[i]; e.Rest == 0 {
+		if e := &engines[i]; !e.Resting {
 			list = append(list, *e)
 		}
 	}
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -278,8 +278,8 @@
 			t.Errorf("got %v", o.err)
 		}
 		for _, c := range f.fleet.Candidates("pool") {
-			if c.ID == first && c.Rest > 0 || c.ID == helper && c.Rest == 0 {
-				t.Errorf("%s wants no requests for %d ms; %s was at fault", c.ID, c.Rest, helper)
+			if c.ID == first && c.Resting || c.ID == helper && !c.Resting {
+				t.Errorf("%s wants no requests for %d ms; %s was at fault", c.ID, c.Wait, helper)
 			}
 		}
 		if n := f.notices(); len(n) != 1 || n[helper].Leaving.Known || n[helper].Limit.Known {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -193,12 +193,12 @@
 func allResting(candidates []fleet.Candidate) *poplarwinch.Error {
 	earliest := clock.Millis(0)
 	for i := range candidates {
-		rest := candidates[i].Rest
-		if rest == 0 {
+		c := &candidates[i]
+		if !c.Resting {
 			return nil
 		}
-		if earliest == 0 || rest < earliest {
-			earliest = rest
+		if earliest == 0 || c.Wait < earliest {
+			earliest = c.Wait
 		}
 	}
 	if earliest == 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,12 +111,12 @@
 	LoadKnown bool
 	// Avoid says that the server recently failed or can't be reached.
 	Avoid bool
-	// Wait is the time until the server's notices allow another request of this instance; zero means now.
-	Wait clock.Millis
-	// Rest is the time for which the server wants no requests from this instance.
-	Rest clock.Millis
+	// Resting says that the server wants no requests from this instance until Wait has passed.
+	Resting bool
 	// RestsForPeers says that the server wants no requests from another instance now.
 	RestsForPeers bool
+	// Wait is the time until the server's notices allow another request of this instance; zero means now.
+	Wait clock.Millis
 }
 
 // Accepts reports whether a request may still be sent to the first server, with parts of its prompt on the others: all are listed and
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -119,11 +119,17 @@
 
 // nearWait returns the wait for a server whose requests from all instances are known here. The caller holds the lock.
 func (f *Fleet) nearWait(m *serverState, now clock.Millis) clock.Millis {
+	if rest := m.notices.rest.left(now); rest > 0 {
+		return rest
+	}
 	return max(f.limitWait(m, now), f.returnWait(m, now))
 }
 
 // distantWait returns the wait for a server whose requests are not all known here. The caller holds the lock.
 func (f *Fleet) distantWait(m *serverState, limited bool, now clock.Millis) clock.Millis {
+	if rest := m.notices.rest.left(now); rest > 0 {
+		return rest
+	}
 	if limited || m.notices.limit.rate > 0 {
 		return distantLimitWait
 	}
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -174,7 +174,7 @@
 	send := func() { w.Begin(fleet.Work{First: "e1"}).End() }
 	w.Observe(e1, fleet.Notice{Rest: 2000}, 1)
 	w.time.Advance(1999)
-	if c := w.candidate(t, "e1"); c.Rest != 1 || w.Accepts("e1") || w.Accepts("e2", "e1") {
+	if c := w.candidate(t, "e1"); !c.Resting || c.Wait != 1 || w.Accepts("e1") || w.Accepts("e2", "e1") {
 		t.Errorf("before the end: got %+v", c)
 	}
 	w.time.Advance(1)
@@ -217,7 +217,7 @@
 func TestRestOfPeer(t *testing.T) {
 	w := newFixture()
 	w.Merge("peer", fleet.Report{Servers: []fleet.ServerWork{{ID: "e1", Notice: fleet.NoticeReport{Rest: 1500}}}})
-	if c := w.candidate(t, "e1"); c.Rest > 0 || c.Wait > 0 || !c.RestsForPeers || !w.Accepts("e1") {
+	if c := w.candidate(t, "e1"); c.Resting || c.Wait > 0 || !c.RestsForPeers || !w.Accepts("e1") {
 		t.Errorf("got %+v", c)
 	}
 	w.time.Advance(1500)
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -103,6 +103,6 @@
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
 	return Candidate{
 		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
-		Rest: m.notices.rest.left(now), RestsForPeers: now < m.notices.rest.peersUntil,
+		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil,
 	}
 }
