Keep what the list and what servers say of their leaving apart

The statement of the list was held in the same place as the server's own.

They are kept apart now: a server is leaving if either says so.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,7 +76,6 @@
 			f.attachReports(m)
 		}
 		m.server = s
-		m.notices.leaving.list(s.Leaving, now)
 		next[s.ID] = m
 	}
 	f.removed.keep(f.servers, next, now)
@@ -92,7 +91,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m := f.servers[id]
-	if m == nil || m.notices.leaving.holds {
+	if m == nil || m.isLeaving() {
 		return Server{}, false
 	}
 	return m.server, true
@@ -136,7 +135,7 @@
 // wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
 func (f *Fleet) wantsRequests(id poplarwinch.UpstreamID, now clock.Millis) bool {
 	m := f.servers[id]
-	return m != nil && !m.notices.leaving.holds && m.notices.rest.left(now) == 0
+	return m != nil && !m.isLeaving() && m.notices.rest.left(now) == 0
 }
 
 // Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
@@ -148,7 +147,7 @@
 	usable := f.usable[service]
 	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
 	for _, m := range f.near[service] {
-		if m.notices.leaving.holds {
+		if m.isLeaving() {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
@@ -162,7 +161,7 @@
 		}
 		for i := range r.loads[service] {
 			s := &r.loads[service][i]
-			if s.server.notices.leaving.holds {
+			if s.server.isLeaving() {
 				continue
 			}
 			c := s.server.candidate(s.current(now, age), true, now)
@@ -185,7 +184,7 @@
 		known[list[i].ID] = true
 	}
 	for _, m := range usable {
-		if known[m.server.ID] || m.notices.leaving.holds {
+		if known[m.server.ID] || m.isLeaving() {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now)
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -5,15 +5,20 @@
 // leaving is the notice of a server that is about to exit.
 type leaving struct {
 	statement
-	holds bool
+	// said says that the server said so in an answer, to this instance or to a peer.
+	said bool
 }
 
+// isLeaving reports whether the server or the list of servers says that it is leaving. Neither takes back what the other says: either
+// may be older.
+func (m *serverState) isLeaving() bool { return m.server.Leaving || m.notices.leaving.said }
+
 // observe records whether an answer has the notice and reports whether that is new.
 func (l *leaving) observe(says bool, sentAt, now clock.Millis) bool {
 	switch {
 	case says:
 		return l.begin(now, SourceAnswer) && l.set(true)
-	case l.holds:
+	case l.said:
 		return l.end(sentAt, SourceAnswer) && l.set(false)
 	}
 	return false
@@ -24,28 +29,17 @@
 	switch at := now - r.Age; {
 	case !r.Known:
 		return false
-	case r.Leaving && !l.holds:
+	case r.Leaving && !l.said:
 		return l.begin(at, SourcePeer) && l.set(true)
-	case !r.Leaving && l.holds:
+	case !r.Leaving && l.said:
 		return l.end(at, SourcePeer) && l.set(false)
 	}
 	return false
 }
 
-// list records whether the list of servers says that the server is leaving. A list that doesn't may be older than an answer that does.
-func (l *leaving) list(says bool, now clock.Millis) {
-	switch {
-	case says && !l.holds:
-		l.begin(now, SourceList)
-		l.holds = true
-	case !says && l.source == SourceList:
-		l.holds = false
-	}
-}
-
-func (l *leaving) set(holds bool) bool {
-	changed := holds != l.holds
-	l.holds = holds
+func (l *leaving) set(said bool) bool {
+	changed := said != l.said
+	l.said = said
 	return changed
 }
 
@@ -60,15 +54,15 @@
 
 // report returns the notice for a report to peers.
 func (l *leaving) report(now clock.Millis) LeavingReport {
-	if !l.isNews(l.holds, now) {
+	if !l.isNews(l.said, now) {
 		return LeavingReport{}
 	}
-	return LeavingReport{Known: true, Leaving: l.holds, Age: now - l.at}
+	return LeavingReport{Known: true, Leaving: l.said, Age: now - l.at}
 }
 
 // summary returns the notice for a summary of a cell: whether any instance has it.
 func (l *leaving) summary(now clock.Millis) LeavingReport {
-	if !l.holds || l.source == SourceList {
+	if !l.said {
 		return LeavingReport{}
 	}
 	return LeavingReport{Known: true, Leaving: true, Age: now - l.at}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -15,7 +15,7 @@
 	Limit RequestRate
 }
 
-// NoticeSource says from whom an instance has a notice.
+// NoticeSource says from whom an instance has a notice. What the list of servers says is kept apart.
 type NoticeSource string
 
 const (
@@ -23,8 +23,6 @@
 	SourceAnswer NoticeSource = "answer"
 	// SourcePeer means that the server answered another instance.
 	SourcePeer NoticeSource = "peer"
-	// SourceList means that the list of servers says it.
-	SourceList NoticeSource = "list"
 )
 
 // statement is when and from whom an instance has learned one part of a notice, or that it has ended. Times are those of the fleet's
@@ -69,7 +67,7 @@
 
 // known reports whether any notice holds.
 func (n *notices) known() bool {
-	return n.leaving.holds || n.limit.rate > 0 || n.rest.returning
+	return n.leaving.said || n.limit.rate > 0 || n.rest.returning
 }
 
 // observe records the notice in an answer to a request that was sent at a time, and reports whether it changes anything.
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// Guards against an answer that takes back what the list says: servers may leave without saying so in their answers.
+func TestAnswersDoNotTakeBackTheList(t *testing.T) {
+	w := newFixture()
+	list := servers()
+	list[0].Leaving = true
+	w.Apply(list)
+	w.Observe(servers()[0], fleet.Notice{}, w.time.Now()+1)
+	w.Observe(servers()[0], fleet.Notice{Leaving: true}, w.time.Now()+2)
+	w.time.Advance(10)
+	w.Observe(servers()[0], fleet.Notice{}, w.time.Now())
+	if _, usable := w.Server("e1"); usable || w.Accepts("e1") {
+		t.Error("the server is usable although the list says that it is leaving")
+	}
+}
+
 // Guards against a span of time that is never over, or ends when a server answers other requests meanwhile.
 func TestRestIsBounded(t *testing.T) {
 	w := newFixture()
