--- a/assignment/server_limit_test.go
+++ b/assignment/server_limit_test.go
@@ -21,6 +21,8 @@
 	// reportDelay is the time until a report arrives, and lostReports the fraction of reports that don't.
 	reportDelay = 4
 	lostReports = 0.02
+	// firstAnswer is the time until a server begins to answer.
+	firstAnswer = 120
 	// serviceTime is the time that a server takes for a request.
 	serviceTime = 1200
 )
@@ -31,16 +33,22 @@
 	id     poplarwinch.InstanceID
 	alive  bool
 	frozen bool
-	due    bool
+	// cut says that the instance and its peers get no reports of each other.
+	cut bool
+	due bool
 }
 
 // limitedServers plays instances that place requests on servers with limits and exchange reports.
 type limitedServers struct {
-	t         *testing.T
-	random    *rand.Rand
-	clock     *clock.Manual
-	list      []fleet.Server
-	limits    map[poplarwinch.UpstreamID]fleet.RequestRate
+	t      *testing.T
+	random *rand.Rand
+	clock  *clock.Manual
+	list   []fleet.Server
+	limits map[poplarwinch.UpstreamID]fleet.RequestRate
+	// answered is called with each answer and returns what the server says besides its limit.
+	answered func(i *limitedInstance, server poplarwinch.UpstreamID, sentAt clock.Millis) fleet.Notice
+	// sent is called with each request.
+	sent      func(i *limitedInstance, server poplarwinch.UpstreamID)
 	instances []*limitedInstance
 	arrivals  map[poplarwinch.UpstreamID][]clock.Millis
 	events    map[clock.Millis][]func()
@@ -52,6 +60,8 @@
 func newLimitedServers(t *testing.T, seed uint64, servers, limited, instances int) *limitedServers {
 	s := &limitedServers{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), clock: clock.NewManual(1_000_000), limits: map[poplarwinch.UpstreamID]fleet.RequestRate{},
+		answered: func(*limitedInstance, poplarwinch.UpstreamID, clock.Millis) fleet.Notice { return fleet.Notice{} },
+		sent:     func(*limitedInstance, poplarwinch.UpstreamID) {},
 		arrivals: map[poplarwinch.UpstreamID][]clock.Millis{}, events: map[clock.Millis][]func(){},
 	}
 	for n := range servers {
@@ -104,11 +114,15 @@
 
 func (s *limitedServers) send(i *limitedInstance, plan *assignment.Plan, now clock.Millis) {
 	s.served++
+	server, _ := i.fleet.Server(plan.First)
 	ticket := i.fleet.Begin(fleet.Work{First: plan.First, Prefill: plan.Prefill, MaxPause: 250, Memory: 6300, Due: now + 300})
+	s.sent(i, plan.First)
 	s.arrivals[plan.First] = append(s.arrivals[plan.First], now)
-	s.at(120, func() {
+	s.at(firstAnswer, func() {
 		ticket.FirstEvent()
-		i.fleet.ObserveLimit(plan.First, s.limits[plan.First], now)
+		notice := s.answered(i, plan.First, now)
+		notice.Limit = s.limits[plan.First]
+		i.fleet.Observe(server, notice, now)
 	})
 	s.at(serviceTime, ticket.End)
 }
@@ -144,7 +158,7 @@
 		i.due = false
 		report := i.fleet.Report()
 		for _, o := range s.instances {
-			if o != i && o.alive && s.random.Float64() >= lostReports {
+			if o != i && o.alive && !i.cut && !o.cut && s.random.Float64() >= lostReports {
 				s.at(reportDelay, func() { o.fleet.Merge(i.id, report) })
 			}
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,11 +32,14 @@
 
 	mutex   sync.Mutex
 	servers map[poplarwinch.UpstreamID]*serverState
-	// usable has the servers of each service that are not leaving, ordered by failure domain and rank.
+	// usable has the servers of each service that the list doesn't call leaving, ordered by failure domain and rank. Those that say
+	// so themselves are part of it: instances learn that one after the other, but have to agree on the order.
 	usable map[poplarwinch.ServiceName][]*serverState
 	// near has those of them that are in the own cell.
-	near        map[poplarwinch.ServiceName][]*serverState
-	cell        Cell
+	near map[poplarwinch.ServiceName][]*serverState
+	cell Cell
+	// removed has the notices of servers that are no longer listed.
+	removed     removedServers
 	peerReports map[poplarwinch.InstanceID]*peerReport
 	// summaries holds the latest summary of each other cell.
 	summaries map[summaryKey]*receivedSummary
@@ -51,8 +54,8 @@
 	f := &Fleet{
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
-		summaries: map[summaryKey]*receivedSummary{},
-		changed:   make(chan struct{}),
+		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
+		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -60,19 +63,22 @@
 	return f
 }
 
-// Apply installs the list of servers. Load and health are kept for servers that are the same process as before.
+// Apply installs the list of servers. Load, health and notices are kept for servers that are the same process as before.
 func (f *Fleet) Apply(list []Server) {
 	f.mutex.Lock()
+	now := f.clock.Now()
 	next := make(map[poplarwinch.UpstreamID]*serverState, len(list))
 	for _, s := range list {
 		m := f.servers[s.ID]
 		if m == nil || !m.server.same(s) {
 			m = newServerState(s)
+			m.notices = f.removed.take(s, now)
 			f.attachReports(m)
 		}
 		m.server = s
 		next[s.ID] = m
 	}
+	f.removed.keep(f.servers, next, now)
 	f.servers = next
 	f.usable = rank(next)
 	f.resolve()
@@ -85,7 +91,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m := f.servers[id]
-	if m == nil || m.server.Leaving {
+	if m == nil || m.isLeaving() {
 		return Server{}, false
 	}
 	return m.server, true
@@ -104,10 +110,34 @@
 	LoadKnown bool
 	// Avoid says that the server recently failed or can't be reached.
 	Avoid bool
-	// Wait is the time until the server's limit allows another request; zero means now.
+	// Resting says that the server wants no requests from this instance until Wait has passed.
+	Resting bool
+	// RestsForPeers says that the server wants no requests from another instance now.
+	RestsForPeers bool
+	// Wait is the time until the server's notices allow another request of this instance; zero means now.
 	Wait clock.Millis
 }
 
+// Accepts reports whether a request may still be sent to the first server, with parts of its prompt on the others: all are listed and
+// want requests, and the notices of the first one allow another request now. A request that had to wait after the decision asks this.
+func (f *Fleet) Accepts(first poplarwinch.UpstreamID, others ...poplarwinch.UpstreamID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.clock.Now()
+	for _, id := range others {
+		if !f.wantsRequests(id, now) {
+			return false
+		}
+	}
+	return f.wantsRequests(first, now) && f.waitFor(f.servers[first], now) == 0
+}
+
+// wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
+func (f *Fleet) wantsRequests(id poplarwinch.UpstreamID, now clock.Millis) bool {
+	m := f.servers[id]
+	return m != nil && !m.isLeaving() && m.notices.rest.left(now) == 0
+}
+
 // Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
 // recent summaries. Where a service has few servers, or none whose load is known, it returns all of them.
 func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
@@ -155,8 +185,11 @@
 	usable := f.usable[service]
 	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
 	for _, m := range f.near[service] {
+		if m.isLeaving() {
+			continue
+		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
-		c.Wait = f.limitWait(m, now)
+		c.Wait = f.nearWait(m, now)
 		list = append(list, c)
 	}
 	for _, r := range f.summaries {
@@ -166,9 +199,12 @@
 		}
 		for i := range r.loads[service] {
 			s := &r.loads[service][i]
+			if s.server.isLeaving() {
+				continue
+			}
 			c := s.server.candidate(s.current(now, age), true, now)
 			c.OtherCell = c.Domain == f.domain
-			c.Wait = s.server.distantWait(s.limited)
+			c.Wait = f.distantWait(s.server, s.limited, now)
 			list = append(list, c)
 		}
 	}
@@ -186,7 +222,7 @@
 		known[list[i].ID] = true
 	}
 	for _, m := range usable {
-		if known[m.server.ID] {
+		if known[m.server.ID] || m.isLeaving() {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now)
@@ -230,10 +266,11 @@
 	now := f.clock.Now()
 	if m := f.servers[w.First]; m != nil {
 		m.add(t)
-		m.limit.add(1, now)
+		m.notices.limit.add(1, now)
+		m.notices.rest.add(now)
 		m.startPrefill(t, now)
 		t.distant = !f.isNear(m)
-		t.crowded = m.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
+		t.crowded = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -27,7 +27,7 @@
 	// prefillUntil is the estimated end of all prefill, including that of peers.
 	prefillUntil clock.Millis
 	health       health
-	limit        limit
+	notices      notices
 	// sent is the number of requests that this instance has sent to the server.
 	sent int
 }
@@ -107,5 +107,8 @@
 
 // candidate returns the server with the load.
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
-	return Candidate{Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now)}
+	return Candidate{
+		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
+		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil,
+	}
 }
