Soak: a store that comes back from a copy, silent servers, and configurations that take away

The series gets two faults: the store is away for 0.3 to 2 s and comes back from a copy 1 to 9 s old, with what was lost written again 0.5 to 2 s later; one to three servers are silent for 1 to 1.5 s and go on. Configurations change all the time, also after the last fault: each adds a route and a key and drops the oldest of four. Two probes at each instance ask for them on kept connections, one of them with half of each body held back.

New checks, each shown to see a planted fault (TestChecks): a configuration is in force 2 s after it was accepted at instances in touch and never goes back in a process; no connection ends without an answer while nothing disturbed its instance and no server broke off; the store gets no more than 12 calls a second from an instance; all instances are in its table in the end.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -15,6 +15,10 @@
 
 const (
 	callerCount = 48
+	// probesPerInstance is the number of probes of an instance, all but the first of which hold back half of each request.
+	probesPerInstance = 2
+	maxProbePause     = 200 * time.Millisecond
+	maxHold           = 900 * time.Millisecond
 	// thinkTime is the longest time between two requests of a caller.
 	thinkTime = 300 * time.Millisecond
 	// badShare is the share of prompts with crashingPart.
@@ -37,6 +41,8 @@
 	from     time.Time
 	until    time.Time
 	bad      bool
+	// marker is the configuration that has the request's route or key, by its number; only probes have one.
+	marker int
 }
 
 // callers send requests on kept connections until the process at the other end is gone.
@@ -47,8 +53,9 @@
 	// recoveredFrom is the time from which the deployment must serve as usual.
 	recoveredFrom time.Time
 
-	mutex sync.Mutex
-	list  []result
+	mutex  sync.Mutex
+	list   []result
+	probes []result
 	// misses has the readiness misses in a row of each instance.
 	misses []int
 }
@@ -58,6 +65,10 @@
 	c := &callers{deployment: d, cancel: cancel, misses: make([]int, len(d.instances))}
 	for n := range d.instances {
 		c.running.Go(func() { c.runBalancer(ctx, n) })
+		for k := range probesPerInstance {
+			random := rand.New(rand.NewPCG(seed, 1000+uint64(n*probesPerInstance+k)))
+			c.running.Go(func() { c.runProbe(ctx, d.instances[n], fmt.Sprintf("p%d%d", n, k), k > 0, random) })
+		}
 	}
 	for n := range callerCount {
 		random := rand.New(rand.NewPCG(seed, 100+uint64(n)))
@@ -134,6 +145,38 @@
 	transport.CloseIdleConnections()
 }
 
+// runProbe asks one instance, on a kept connection, for what only some configurations have, until ctx ends.
+func (c *callers) runProbe(ctx context.Context, p *instance, name string, holds bool, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for k := 0; ctx.Err() == nil; k++ {
+		versions := c.deployment.configurations()
+		marker := max(1, len(versions)-random.IntN(markerCount+2))
+		q := emulator.Request{Attempt: fmt.Sprintf("%s-%d", name, k), Kind: emulator.KindIdempotent, Timeout: 4 * time.Second}
+		if random.IntN(2) == 0 {
+			q.Path = emulator.MarkerPath(versions[marker-1])
+		} else {
+			q.Key = emulator.MarkerKey(versions[marker-1])
+		}
+		if holds {
+			q.Hold = time.Duration(random.Int64N(int64(maxHold)))
+		}
+		r := result{request: q, instance: p.Name, from: time.Now(), marker: marker}
+		r.answer = emulator.Send(ctx, client, p.CallerAddress(), q)
+		r.until = time.Now()
+		if ctx.Err() != nil {
+			return
+		}
+		c.mutex.Lock()
+		c.probes = append(c.probes, r)
+		c.mutex.Unlock()
+		select {
+		case <-time.After(time.Duration(random.Int64N(int64(maxProbePause)))):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // nextRequest draws a request.
 func nextRequest(random *rand.Rand, attempt string) emulator.Request {
 	switch x := random.Float64(); {
@@ -166,13 +209,14 @@
 // outcome is everything that the callers saw.
 type outcome struct {
 	results       []result
+	probes        []result
 	recoveredFrom time.Time
 }
 
 func (c *callers) results() outcome {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return outcome{results: append([]result{}, c.list...), recoveredFrom: c.recoveredFrom}
+	return outcome{results: append([]result{}, c.list...), probes: append([]result{}, c.probes...), recoveredFrom: c.recoveredFrom}
 }
 
 // closedWithoutAnswer reports whether the connection ended before or within the answer.
--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -13,15 +14,24 @@
 const (
 	// convergenceTime is the time after which undisturbed instances have to know of a change.
 	convergenceTime = 3 * time.Second
+	// applyTime is the time after which a configuration is in force, and rollbackTime the one after a sign of it from which an instance
+	// may not go back.
+	applyTime    = 2 * time.Second
+	rollbackTime = 250 * time.Millisecond
+	// unansweredShare is the part of a request's time after which its connection may end without an answer.
+	unansweredShare = 0.7
 	// drainTime is the time after which a leaving server gets no new requests.
 	drainTime = 2 * time.Second
 	// crashesToLearn is the number of crashes after which, and after convergenceTime, at most sendsAfterLearning requests with the part may
 	// reach servers.
 	crashesToLearn     = 5
 	sendsAfterLearning = 3
-	limitWindow        = 4 * time.Second
-	limitFactor        = 1.5
-	limitSlack         = 5.0
+	// maxCallRate is the largest number of calls to the store in callWindow, for each instance and second.
+	maxCallRate = 12
+	callWindow  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5.0
 	// recoveredShare is the share of requests that are answered once the faults have ended.
 	recoveredShare = 0.97
 )
@@ -38,42 +48,59 @@
 // check returns the broken promises of a run.
 func check(o outcome, e evidence) []violation {
 	list := checkAnswers(o, &e)
+	list = append(list, checkConfigurations(o, &e)...)
 	list = append(list, checkRepeats(&e)...)
 	list = append(list, checkLeaving(&e)...)
 	list = append(list, checkCrashingParts(&e)...)
 	list = append(list, checkLimits(&e)...)
+	list = append(list, checkCalls(&e)...)
 	list = append(list, checkRecovery(o)...)
 	if e.unexpected > 0 {
 		list = append(list, violation{"unexpected-exit", fmt.Sprintf("%d processes ended by themselves", e.unexpected)})
 	}
+	if e.unregistered > 0 {
+		list = append(list, violation{"unregistered", fmt.Sprintf("%d instances are not in the store's table of instances", e.unregistered)})
+	}
 	return list
 }
 
-// checkAnswers finds answers that are partial or foreign but look complete, rejections of requests that have run, and requests that a
-// planned stop cut off.
+// checkAnswers finds answers that are partial or foreign but look complete, rejections of requests that have run, requests that a planned
+// stop cut off, and others that got no answer.
 func checkAnswers(o outcome, e *evidence) []violation {
 	runs := map[string][]emulator.Run{}
 	for _, r := range e.runs {
 		runs[r.Attempt] = append(runs[r.Attempt], r)
 	}
 	var list []violation
-	for i := range o.results {
-		r := &o.results[i]
+	all := slices.Concat(o.results, o.probes)
+	for i := range all {
+		r := &all[i]
 		own := runs[r.request.Attempt]
 		switch a := r.answer; {
 		case a.Status == http.StatusOK && a.Ended && !a.Complete:
 			list = append(list, violation{"incomplete-answer", fmt.Sprintf("%s at %s got an answer that looks complete and is not", r.request.Attempt, r.instance)})
 		case (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) && len(own) > 0:
 			list = append(list, violation{"rejected-after-run", fmt.Sprintf("%s at %s was rejected with %d and has run on %s", r.request.Attempt, r.instance, a.Status, own[0].Server)})
-		case a.Status >= 400 && a.Status < 500 && a.Status != http.StatusTooManyRequests:
+		case a.Status >= 400 && a.Status < 500 && a.Status != http.StatusTooManyRequests && r.marker == 0:
 			list = append(list, violation{"client-error", fmt.Sprintf("%s at %s got %d", r.request.Attempt, r.instance, a.Status)})
 		case r.closedWithoutAnswer() && e.cutByStop(r, own):
 			list = append(list, violation{"interrupted", fmt.Sprintf("%s at %s ended without an answer: %v", r.request.Attempt, r.instance, a.Err)})
+		case e.unanswered(r):
+			list = append(list, violation{"unanswered", fmt.Sprintf(
+				"%s at %s, sent at %s, ended after %d ms: %v; runs: %s", r.request.Attempt, r.instance, e.clock(r.from), r.until.Sub(r.from).Milliseconds(), a.Err, e.runsOf(r),
+			)})
 		}
 	}
 	return list
 }
 
+// unanswered reports whether the connection ended without an answer although nothing disturbed the instance, the request's time was not
+// nearly up, and none of its servers broke it off.
+func (e *evidence) unanswered(r *result) bool {
+	late := r.until.Sub(r.from).Seconds() >= unansweredShare*r.request.Timeout.Seconds()
+	return r.closedWithoutAnswer() && !late && !e.instanceDisturbed(r) && !e.brokenOff(r)
+}
+
 // cutByStop reports whether a request was cut off although only a planned stop disturbed its instance, its server completed it and none of
 // its servers crashed meanwhile.
 func (e *evidence) cutByStop(r *result, runs []emulator.Run) bool {
@@ -82,14 +109,37 @@
 			return false
 		}
 	}
-	for _, run := range runs {
-		if at, crashed := e.crashes[run.Server]; crashed && !at.Before(run.At) && !at.After(r.until) {
-			return false
-		}
+	if e.serverCrashed(r) {
+		return false
 	}
 	return len(runs) > 0 && runs[len(runs)-1].Completed && r.until.Sub(runs[len(runs)-1].At) < stopGrace
 }
 
+// serverCrashed reports whether a server crashed while it had the request.
+func (e *evidence) serverCrashed(r *result) bool {
+	for _, run := range e.runs {
+		if at, crashed := e.crashes[run.Server]; run.Attempt == r.request.Attempt && crashed && !at.Before(run.At) && !at.After(r.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// brokenOff reports whether a server reset the request's connection.
+func (e *evidence) brokenOff(r *result) bool {
+	return e.serverCrashed(r) || slices.ContainsFunc(e.runs, func(run emulator.Run) bool { return run.Attempt == r.request.Attempt && run.BrokenOff })
+}
+
+// instanceDisturbed reports whether the request's instance was disturbed or just had been.
+func (e *evidence) instanceDisturbed(r *result) bool {
+	for _, v := range e.events {
+		if v.kind == eventInstance && v.name == r.instance && v.at.Before(r.until) && v.until.Add(convergenceTime).After(r.from) {
+			return true
+		}
+	}
+	return e.started(r.instance, r.from.Add(-convergenceTime), r.until)
+}
+
 func isPlannedStop(v event) bool { return len(v.text) > 7 && v.text[:7] == "SIGTERM" }
 
 // checkRepeats finds requests that must not be repeated and ran twice.
@@ -173,6 +223,19 @@
 	return list
 }
 
+// checkCalls finds a flood of calls to the store.
+func checkCalls(e *evidence) []violation {
+	for i, first := range e.calls {
+		for _, last := range e.calls[i:] {
+			passed := last.at.Sub(first.at)
+			if n := last.calls - first.calls; passed >= callWindow && float64(n) > maxCallRate*instanceCount*passed.Seconds() {
+				return []violation{{"store-calls", fmt.Sprintf("the store got %d calls in %d ms", n, passed.Milliseconds())}}
+			}
+		}
+	}
+	return nil
+}
+
 // checkRecovery finds deployments that don't serve as usual after the faults.
 func checkRecovery(o outcome) []violation {
 	asked, served := 0, 0
@@ -206,5 +269,70 @@
 			closed++
 		}
 	}
-	return fmt.Sprintf("%d requests: %d answered, %d refused, %d failed, %d closed", len(o.results), complete, refused, failed, closed)
+	return fmt.Sprintf("%d requests: %d answered, %d refused, %d failed, %d closed; %d probes", len(o.results), complete, refused, failed, closed, len(o.probes))
+}
+
+// span is a range of configurations, by their numbers, of which an instance has one.
+type span struct{ oldest, newest int }
+
+// sign returns what an answer to a probe says of the instance's configuration: older, the right ones, or newer.
+func sign(r *result) (spans []span, ok bool) {
+	switch r.answer.Status {
+	case http.StatusOK:
+		return []span{{r.marker, r.marker + markerCount - 1}}, true
+	case http.StatusNotFound, http.StatusUnauthorized:
+		return []span{{0, r.marker - 1}, {r.marker + markerCount, math.MaxInt}}, true
+	}
+	return nil, false
+}
+
+// agrees reports whether an answer to a probe is possible with one of the configurations.
+func agrees(r *result, has span) bool {
+	spans, ok := sign(r)
+	for _, s := range spans {
+		if s.oldest <= has.newest && has.oldest <= s.newest {
+			return true
+		}
+	}
+	return !ok
+}
+
+// checkConfigurations finds probes that were handled by a configuration older than the one that had to be in force, or older than one
+// that the same process was seen to have.
+func checkConfigurations(o outcome, e *evidence) []violation {
+	var list []violation
+	seen := map[string][]result{}
+	for i := range o.probes {
+		r := &o.probes[i]
+		newest := written(e.history, r.until)
+		needed := required(e.history, r.from)
+		if e.inTouch(r) && !agrees(r, span{needed, newest}) {
+			list = append(list, violation{"late-configuration", fmt.Sprintf(
+				"%s at %s got %d for configuration %d of %d, of which %d had to be in force", r.request.Attempt, r.instance, r.answer.Status, r.marker, newest, needed,
+			)})
+		}
+		had := e.had(r, seen[r.instance])
+		if !agrees(r, span{had, newest}) {
+			list = append(list, violation{"older-configuration", fmt.Sprintf(
+				"%s at %s got %d for configuration %d of %d although the process had %d", r.request.Attempt, r.instance, r.answer.Status, r.marker, newest, had,
+			)})
+		}
+		seen[r.instance] = append(seen[r.instance], *r)
+	}
+	return list
+}
+
+// had returns the oldest configuration that the process may have had which answered a probe, as seen by earlier ones.
+func (e *evidence) had(r *result, earlier []result) int {
+	had := 0
+	for i := range earlier {
+		p := &earlier[i]
+		if !p.until.Add(rollbackTime).Before(r.from) || e.started(r.instance, p.from, r.until) {
+			continue
+		}
+		if p.answer.Status == http.StatusOK {
+			had = max(had, p.marker)
+		}
+	}
+	return had
 }
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -56,6 +56,7 @@
 	faultsEndedAt time.Time
 	// leaving has the times at which servers were marked as leaving.
 	leaving map[string]time.Time
+	operator
 }
 
 func newDeployment(binary, directory string, seed uint64) (*deployment, error) {
@@ -70,7 +71,8 @@
 	}
 	d.address = l.Addr().String()
 	go func() { _ = http.Serve(l, d.store) }()
-	d.store.Put(emulator.OperatorTable, emulator.ConfigurationKey, emulator.Configuration(1))
+	d.written = map[rowID]string{}
+	d.configure(1)
 	for n := range poolServers + plainServers {
 		service := "pool"
 		if n >= poolServers {
@@ -108,7 +110,7 @@
 	}
 	s.SetFaults(d.faultsOf(s))
 	d.servers[id] = s
-	d.store.Put(emulator.ServersTable, id, s.Entry(false))
+	d.write(emulator.ServersTable, id, s.Entry(false))
 }
 
 // faultsOf returns the faults of a server: those of all, and its own. The caller holds the lock.
@@ -123,13 +125,13 @@
 func (d *deployment) replaceCrashed(s *emulator.Server) {
 	d.log(eventServer, "crash of "+s.ID)
 	d.mutex.Lock()
-	d.crashes[s.ID] = time.Now()
+	d.crashes[s.ID] = s.ClosedAt()
 	d.mutex.Unlock()
 	time.AfterFunc(serverRestartDelay, func() {
 		d.mutex.Lock()
 		delete(d.servers, s.ID)
 		d.mutex.Unlock()
-		d.store.Put(emulator.ServersTable, s.ID, "")
+		d.write(emulator.ServersTable, s.ID, "")
 		d.startServer(s.Service, s.Zone)
 	})
 }
@@ -147,9 +149,9 @@
 	d.leaving[s.ID] = time.Now()
 	delete(d.servers, s.ID)
 	d.mutex.Unlock()
-	d.store.Put(emulator.ServersTable, s.ID, s.Entry(true))
+	d.write(emulator.ServersTable, s.ID, s.Entry(true))
 	time.AfterFunc(leavingTime, func() {
-		d.store.Put(emulator.ServersTable, s.ID, "")
+		d.write(emulator.ServersTable, s.ID, "")
 		time.AfterFunc(leavingTime, s.Close)
 	})
 }
@@ -160,7 +162,7 @@
 	defer d.mutex.Unlock()
 	var list []*emulator.Server
 	for _, s := range d.servers {
-		if !s.Crashed() {
+		if s.ClosedAt().IsZero() {
 			list = append(list, s)
 		}
 	}
@@ -199,6 +201,7 @@
 	})
 	d.store.SetUnavailable(false)
 	d.store.SetSilent(false)
+	d.store.SetResetting(false)
 	d.log(eventOther, "all faults have ended")
 }
 
--- a/cmd/soak/evidence.go
+++ b/cmd/soak/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/poplarwinch/poplarwinch/platform/emulator"
@@ -49,6 +50,13 @@
 	partsUntil    time.Time
 	// crashes has the times at which servers crashed.
 	crashes map[string]time.Time
+	// history has the writes and losses of configurations, and starts the times at which the processes of each instance started.
+	history []configurationEvent
+	starts  map[string][]time.Time
+	// calls has the numbers of calls to the store over time.
+	calls []callCount
+	// unregistered is the number of instances that the store doesn't list in the end.
+	unregistered int
 }
 
 func (d *deployment) log(kind eventKind, text string) { d.logEvent(event{kind: kind, text: text}) }
@@ -72,9 +80,18 @@
 		e.leaving[id] = at
 	}
 	e.runs, e.arrivals = d.record.Runs(), d.record.Arrivals()
+	listed := d.store.Values(emulator.InstancesTable)
+	e.starts = map[string][]time.Time{}
 	for _, p := range d.instances {
 		e.unexpected += p.unexpectedEnds()
+		e.starts[p.Name] = p.startTimes()
+		if listed[p.Name] == "" {
+			e.unregistered++
+		}
 	}
+	d.rowsMutex.Lock()
+	e.history, e.calls = append(e.history, d.history...), append(e.calls, d.calls...)
+	d.rowsMutex.Unlock()
 	e.crashingParts, e.partsUntil = []string{crashingPart}, d.faultsEndedAt
 	e.crashes = map[string]time.Time{}
 	for id, at := range d.crashes {
@@ -92,3 +109,43 @@
 	}
 	return false
 }
+
+// inTouch reports whether neither the store nor the instance was disturbed from convergenceTime before a request to its end.
+func (e *evidence) inTouch(r *result) bool {
+	from := r.from.Add(-convergenceTime)
+	for _, v := range e.events {
+		if (v.kind == eventStore || v.kind == eventInstance && v.name == r.instance) && v.at.Before(r.until) && v.until.After(from) {
+			return false
+		}
+	}
+	return !e.started(r.instance, from, r.until)
+}
+
+// started reports whether a process of the instance started in the span.
+func (e *evidence) started(instance string, from, until time.Time) bool {
+	for _, at := range e.starts[instance] {
+		if at.After(from) && at.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// clock returns a time as the log of events has it.
+func (e *evidence) clock(at time.Time) string {
+	if len(e.events) == 0 {
+		return "0.00"
+	}
+	return fmt.Sprintf("%.2f", at.Sub(e.events[0].at).Seconds())
+}
+
+// runsOf lists the servers that ran a request.
+func (e *evidence) runsOf(r *result) string {
+	var list []string
+	for _, run := range e.runs {
+		if run.Attempt == r.request.Attempt {
+			list = append(list, fmt.Sprintf("%s at %s, completed %t", run.Server, e.clock(run.At), run.Completed))
+		}
+	}
+	return strings.Join(list, "; ")
+}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -54,6 +55,11 @@
 		fmt.Fprintln(os.Stderr, err, "logs:", directory)
 		return exitViolation
 	}
+	operating, endOperating := context.WithCancel(ctx)
+	defer endOperating()
+	go d.runCopies(operating)
+	go d.runStatus(operating)
+	go d.runOperator(operating, rand.New(rand.NewPCG(a.Seed, 3)))
 	c := startCallers(ctx, d, a.Seed)
 	newSeries(d, a.Seed).run(ctx, time.Duration(a.Seconds)*time.Second)
 	d.endFaults()
--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -25,6 +25,7 @@
 	// unexpected counts ends that no fault of the series caused.
 	unexpected int
 	closed     bool
+	starts     []time.Time
 }
 
 func newInstance(i emulator.Instance, binary, directory string) (*instance, error) {
@@ -54,6 +55,7 @@
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
 	p.command, p.expected = c, false
+	p.starts = append(p.starts, time.Now())
 	go p.run(c)
 	return nil
 }
@@ -116,3 +118,10 @@
 	defer p.mutex.Unlock()
 	return p.unexpected
 }
+
+// startTimes returns the times at which the processes started.
+func (p *instance) startTimes() []time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]time.Time{}, p.starts...)
+}
--- a/cmd/soak/series.go
+++ b/cmd/soak/series.go
@@ -29,11 +29,10 @@
 	busyUntil map[int]time.Time
 	// store and parts are the ends of the faults of the store and of the crashing part; one of each lasts at a time.
 	store, parts time.Time
-	version      int
 }
 
 func newSeries(d *deployment, seed uint64) *series {
-	return &series{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), busyUntil: map[int]time.Time{}, version: 1}
+	return &series{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), busyUntil: map[int]time.Time{}}
 }
 
 // run injects faults for the time or until ctx ends.
@@ -41,6 +40,7 @@
 	kinds := []func(){
 		s.stopInstance, s.killInstance, s.pauseInstance, s.stopInstance, s.killInstance, s.crashServer, s.removeServer, s.changeConfiguration,
 		s.failStore, s.silenceStore, s.dropHistory, s.loseAnswers, s.unframeAnswers, s.limitServers, s.crashByPart, s.hangServer, s.reload,
+		s.restoreStore, s.stallServers,
 	}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -147,12 +147,19 @@
 	time.AfterFunc(length, func() { d.setFaults(func(*emulator.Faults) { delete(d.hanging, o.ID) }) })
 }
 
-func (s *series) changeConfiguration() {
-	s.version += 1 + s.random.IntN(3)
-	s.deployment.log(eventOther, fmt.Sprintf("configuration %d", s.version))
-	s.deployment.store.Put(emulator.OperatorTable, emulator.ConfigurationKey, emulator.Configuration(s.version))
+// stallServers lets one to three servers fall silent for a moment and go on.
+func (s *series) stallServers() {
+	for range 1 + s.random.IntN(3) {
+		if o, ok := s.pick([]string{"pool", "bookings"}[s.random.IntN(2)]); ok {
+			length := s.between(time.Second, 1500*time.Millisecond)
+			s.deployment.log(eventServer, fmt.Sprintf("%s is silent for %d ms", o.ID, length.Milliseconds()))
+			o.Stall(length)
+		}
+	}
 }
 
+func (s *series) changeConfiguration() { s.deployment.configure(1 + s.random.IntN(3)) }
+
 // storeFault lets the store fail for some seconds.
 func (s *series) storeFault(what string, set func(bool)) {
 	if s.store.After(time.Now()) {
@@ -171,6 +178,23 @@
 	s.storeFault("the store is silent", s.deployment.store.SetSilent)
 }
 
+// restoreStore lets the store be away for a moment and come back from a copy some seconds old.
+func (s *series) restoreStore() {
+	d, now := s.deployment, time.Now()
+	if s.store.After(now) {
+		return
+	}
+	away, age := s.between(300*time.Millisecond, 2*time.Second), s.between(time.Second, 9*time.Second)
+	random := rand.New(rand.NewPCG(s.random.Uint64(), 2))
+	s.store = now.Add(away + maxRewrite)
+	d.logEvent(event{kind: eventStore, text: fmt.Sprintf("the store is away and comes back from a copy %d ms old", age.Milliseconds()), until: now.Add(away)})
+	d.store.SetResetting(true)
+	time.AfterFunc(away, func() {
+		d.restore(age, random)
+		d.store.SetResetting(false)
+	})
+}
+
 func (s *series) dropHistory() {
 	s.deployment.log(eventStore, "the store forgets its history")
 	s.deployment.store.DropHistory()
