Order what the store says by Store-Era, and keep what a restored copy has lost until it is written again

Cause: a replica orders rows and reads by the store's counter alone. In the copy the counter has gone back, so rows were dropped as older, the question for changes named a version that the copy doesn't have, and the answer 410 was followed at once by the next whole read, without end. Class of fault: a position in another system's history is compared without the identity of that history.

Change: a position is an era and a version (header Store-Era), in the replica, in datagrams and in calls between instances; a later era is newer whatever its versions. A whole read of a later era is installed over what is known: rows that the copy lacks stay for the usual grace period, rows that were removed before are held back until they are written again or 5 s have passed, and a row that says itself that it is later (a server that leaves, a configuration with a higher version) stays until the source catches up. An instance that started since then learns of such rows from its peers (generations). Answers of an earlier era are ignored, changes of another era lead to a whole read, pages of two eras aren't joined. A decision on a missing row at an unchanged version counts as a revision, so that peers learn of it.

--- a/gossip/announce.go
+++ b/gossip/announce.go
@@ -14,13 +14,13 @@
 	maxChangeBytes = 8 << 10
 )
 
-// tableChanges has the rows of a table that changed after a version.
+// tableChanges has the rows of a table that changed between two positions of an era.
 type tableChanges struct {
-	_       struct{} `cbor:",toarray"`
-	Table   string
-	After   replica.Version
-	Version replica.Version
-	Rows    []replica.Row
+	_     struct{} `cbor:",toarray"`
+	Table string
+	After replica.Position
+	To    replica.Position
+	Rows  []replica.Row
 }
 
 // AnnounceTables schedules datagrams with the changes of tables that this instance has read from their source: to the peers of the
@@ -49,27 +49,27 @@
 func (g *Gossip) changes() []tableChanges {
 	var list []tableChanges
 	for name, r := range g.replicas {
-		version, loaded := r.ContentVersion()
+		position, loaded := r.ContentPosition()
 		if !loaded {
 			continue
 		}
-		known, _ := r.Version()
+		known, _ := r.Position()
 		g.mutex.Lock()
 		after := g.announced[name]
-		g.announced[name] = version
-		if after == 0 {
-			// What was removed before the table was loaded is not known.
+		continued := after.Version != 0 && after.Era == position.Era
+		if g.announced[name] = position; !continued {
+			// What was removed before the table was loaded, or the source restored, is not known.
 			g.announced[name] = known
 		}
 		g.mutex.Unlock()
-		if after == 0 || after >= version {
+		if !continued || after.Compare(position) >= 0 {
 			continue
 		}
 		batch := r.Since(after)
 		if batch.Complete || rowBytes(batch.Rows) > maxChangeBytes {
 			continue
 		}
-		list = append(list, tableChanges{Table: name, After: after, Version: batch.Version, Rows: batch.Rows})
+		list = append(list, tableChanges{Table: name, After: after, To: batch.Position(), Rows: batch.Rows})
 	}
 	return list
 }
@@ -92,8 +92,8 @@
 		if r == nil {
 			continue
 		}
-		if version, loaded := r.Version(); loaded && version >= c.After {
-			r.Merge(replica.Batch{Rows: c.Rows, Version: c.Version})
+		if known, loaded := r.Position(); loaded && known.Era == c.After.Era && known.Compare(c.After) >= 0 {
+			r.Merge(replica.NewBatch(c.To, c.Rows, false))
 		}
 	}
 }
--- a/gossip/announce_internal_test.go
+++ b/gossip/announce_internal_test.go
@@ -23,6 +23,9 @@
 	return g, r
 }
 
+// at returns a position of the first era.
+func at(version replica.Version) replica.Position { return replica.Position{Version: version} }
+
 // Guards against each peer opening a connection to the follower at each change, and against gaps: changes are in the announcement,
 // and only an instance that has everything before them takes them from there.
 func TestChangesAreAnnounced(t *testing.T) {
@@ -38,15 +41,15 @@
 	for version, want := range map[replica.Version]replica.Version{0: 0, 3: 3, 5: 10, 20: 20} {
 		peer, own := holder(t, version)
 		peer.mergeChanges(list)
-		if got, _ := own.Version(); got != want {
-			t.Errorf("a peer at version %d is at %d after the announcement, want %d", version, got, want)
+		if got, _ := own.Position(); got.Version != want {
+			t.Errorf("a peer at version %d is at %d after the announcement, want %d", version, got.Version, want)
 		}
 	}
-	late := []tableChanges{{Table: "servers", After: 10, Version: 12, Rows: []replica.Row{{Key: "c", Version: 12}}}}
+	late := []tableChanges{{Table: "servers", After: at(10), To: at(12), Rows: []replica.Row{{Key: "c", Version: 12}}}}
 	peer, own := holder(t, 5)
 	peer.mergeChanges(late)
-	if got, _ := own.Version(); got != 5 {
-		t.Errorf("a peer that missed changes is at version %d, want 5", got)
+	if got, _ := own.Position(); got.Version != 5 {
+		t.Errorf("a peer that missed changes is at version %d, want 5", got.Version)
 	}
 }
 
--- a/gossip/cell_internal_test.go
+++ b/gossip/cell_internal_test.go
@@ -44,7 +44,7 @@
 	}
 	merge(1)
 	for version := replica.Version(2); version < 5; version++ {
-		g.compareVersions(peer, false, map[string]replica.Version{"servers": version})
+		g.comparePositions(peer, false, map[string]replica.Position{"servers": at(version)})
 		if fetching() {
 			t.Fatalf("version %d is fetched although it was just announced", version)
 		}
@@ -52,9 +52,9 @@
 		merge(version)
 		time.Advance(900)
 	}
-	g.compareVersions(peer, false, map[string]replica.Version{"servers": 9})
+	g.comparePositions(peer, false, map[string]replica.Position{"servers": at(9)})
 	time.Advance(fetchDelay)
-	g.compareVersions(peer, false, map[string]replica.Version{"servers": 10})
+	g.comparePositions(peer, false, map[string]replica.Position{"servers": at(10)})
 	if !fetching() {
 		t.Error("a version that does not arrive is not fetched")
 	}
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -30,15 +30,15 @@
 // fetchRequest requests the changes of a table.
 type fetchRequest struct {
 	Table string `cbor:"table"`
-	// After is the version of the requesting instance's replica; zero if the table was not loaded yet.
-	After replica.Version `cbor:"after"`
+	// After is the position of the requesting instance's replica; zero if the table was not loaded yet.
+	After replica.Position `cbor:"after"`
 }
 
-// fetchResponse has the changes of a table since the requested version, or all its rows if Complete.
+// fetchResponse has the changes of a table since the requested position, or all its rows if Complete.
 type fetchResponse struct {
-	Rows     []replica.Row   `cbor:"rows"`
-	Version  replica.Version `cbor:"version"`
-	Complete bool            `cbor:"complete"`
+	Rows     []replica.Row    `cbor:"rows"`
+	Position replica.Position `cbor:"position"`
+	Complete bool             `cbor:"complete"`
 }
 
 // fetchTracker limits fetches to one at a time for each table.
@@ -67,14 +67,14 @@
 	delete(t.inProgress, table)
 }
 
-// fetch reads a table from a peer in the background, unless a fetch of it is in progress.
-func (g *Gossip) fetch(from Member, table string) {
+// fetch reads what changed in a table after a position from a peer in the background, unless a fetch of it is in progress.
+func (g *Gossip) fetch(from Member, table string, after replica.Position) {
 	if g.fetches.start(table) {
-		go g.runFetch(from, table)
+		go g.runFetch(from, table, after)
 	}
 }
 
-func (g *Gossip) runFetch(from Member, table string) {
+func (g *Gossip) runFetch(from Member, table string, after replica.Position) {
 	defer g.fetches.end(table)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -84,18 +84,18 @@
 		connect.WithCodec(g.codec), connect.WithReadMaxBytes(maxTableBytes),
 	)
 	entry := g.log.WithField("table", table).WithField("peer", string(from.ID))
-	after, _ := g.replicas[table].Version()
 	reply, err := client.CallUnary(ctx, connect.NewRequest(&fetchRequest{Table: table, After: after}))
 	if err != nil {
 		entry.WithError(err).Warn("table not read from peer")
-		if after == 0 {
+		if after.Version == 0 {
 			g.bootstrapFailed.Store(true)
 			g.updateFollowing()
 		}
 		return
 	}
-	entry.WithField("version", reply.Msg.Version).Info("table read from peer")
-	g.replicas[table].Merge(replica.Batch{Rows: reply.Msg.Rows, Version: reply.Msg.Version, Complete: reply.Msg.Complete})
+	position := reply.Msg.Position
+	entry.WithField("era", position.Era).WithField("version", position.Version).Info("table read from peer")
+	g.replicas[table].Merge(replica.NewBatch(position, reply.Msg.Rows, reply.Msg.Complete))
 }
 
 // Handler returns the handler for calls from peers.
@@ -124,7 +124,7 @@
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no table %q", request.Msg.Table))
 	}
 	batch := table.Since(request.Msg.After)
-	return connect.NewResponse(&fetchResponse{Rows: batch.Rows, Version: batch.Version, Complete: batch.Complete}), nil
+	return connect.NewResponse(&fetchResponse{Rows: batch.Rows, Position: batch.Position(), Complete: batch.Complete}), nil
 }
 
 // Serve serves calls from peers until the listener is closed.
--- a/gossip/fetch_internal_test.go
+++ b/gossip/fetch_internal_test.go
@@ -69,7 +69,7 @@
 		t.Fatal("the last of ten instances follows the table")
 	}
 	address := netip.MustParseAddrPort(strings.TrimPrefix(busy.URL, "http://"))
-	g.runFetch(Member{ID: ids[0], Domain: "north", Address: address}, "servers")
+	g.runFetch(Member{ID: ids[0], Domain: "north", Address: address}, "servers", replica.Position{})
 	if !table.Following() {
 		t.Error("the instance does not read the table after a peer failed to send it")
 	}
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -28,7 +28,7 @@
 	waited := g.clock.Now() - g.startedAt
 	g.mutex.Unlock()
 	for _, r := range g.replicas {
-		_, loaded := r.Version()
+		_, loaded := r.Position()
 		r.SetFollowing(on || !loaded && (waited > bootstrapWait || g.bootstrapFailed.Load()))
 	}
 }
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -17,7 +17,7 @@
 	m.From, m.Domain, m.Sequence, m.OwnWork = "j", "north", 1, true
 	m.Servers = []serverWork{{ID: "e1", Requests: 1}}
 	m.Summaries = []summary{{Domain: "south", CellIndex: 1, CellCount: 2, Servers: m.Servers}}
-	m.Changes = []tableChanges{{Table: "servers", After: 5, Version: 9, Rows: []replica.Row{{Key: "b", Version: 8}}}}
+	m.Changes = []tableChanges{{Table: "servers", After: at(5), To: at(9), Rows: []replica.Row{{Key: "b", Version: 8}}}}
 	data, err := sender.codec.Marshal(m)
 	if err != nil {
 		f.Fatal(err)
@@ -37,7 +37,7 @@
 		if g.codec.Unmarshal(data, &m) != nil {
 			return
 		}
-		m.Versions = nil // would start calls to the address
+		m.Positions, m.Generations = nil, nil // would start calls to the address
 		g.receive(netip.MustParseAddrPort("127.0.0.1:9"), &m)
 		g.updateCell()
 		_ = g.fleet.Candidates("pool")
@@ -46,7 +46,7 @@
 			_ = g.exchangesSummaries(p)
 			_ = isAffected(p, []fleet.Place{{Domain: "north", Position: 1, Total: 3}})
 		}
-		if _, loaded := own.Version(); loaded {
+		if _, loaded := own.Position(); loaded {
 			t.Error("a table was loaded from changes")
 		}
 	})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -80,8 +80,8 @@
 	followingSince clock.Millis
 	// announcedAt is the time of the last announcement of tables.
 	announcedAt clock.Millis
-	// announced has the versions that were announced last, by table name.
-	announced map[string]replica.Version
+	// announced has the positions that were announced last, by table name.
+	announced map[string]replica.Position
 	// affected has the servers that had load of this instance when distant peers were last sent its report.
 	affected []fleet.Place
 	// wake ends the wait of Run after a datagram became due earlier.
@@ -102,7 +102,7 @@
 	g := &Gossip{
 		self: self, clock: clock.Monotonic(), log: log.Log, codec: c, boot: time.Now().UnixNano(),
 		peers: map[poplarwinch.InstanceID]*peerState{}, unidentified: map[netip.AddrPort]bool{},
-		behind: map[string]lag{}, wake: make(chan struct{}, 1), announced: map[string]replica.Version{},
+		behind: map[string]lag{}, wake: make(chan struct{}, 1), announced: map[string]replica.Position{},
 		cell: fleet.Cell{Count: 1},
 	}
 	for _, opt := range opts {
@@ -266,20 +266,36 @@
 	g.send(connection, m, func(*peerState) bool { return true })
 }
 
-// versions returns the content versions of the loaded tables. While an announcement is due, they are those of the last one, so that
+// positions returns the content positions of the loaded tables. While an announcement is due, they are those of the last one, so that
 // peers wait for the changes that it has instead of fetching them.
-func (g *Gossip) versions() map[string]replica.Version {
+func (g *Gossip) positions() map[string]replica.Position {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	versions := map[string]replica.Version{}
+	positions := map[string]replica.Position{}
 	for name, r := range g.replicas {
-		version, loaded := r.ContentVersion()
-		if announced := g.announced[name]; g.due.tables != 0 && announced != 0 {
-			version = min(version, announced)
+		position, loaded := r.ContentPosition()
+		if announced := g.announced[name]; g.due.tables != 0 && announced.Version != 0 && announced.Compare(position) < 0 {
+			position = announced
 		}
 		if loaded {
-			versions[name] = version
+			positions[name] = position
 		}
 	}
-	return versions
+	return positions
+}
+
+// generations returns the generations of the tables of which this instance has rows that their restored source lacks.
+func (g *Gossip) generations() map[string]int64 {
+	var generations map[string]int64
+	for name, r := range g.replicas {
+		generation, carriedOver := r.Generation()
+		if !carriedOver || generation == 0 {
+			continue
+		}
+		if generations == nil {
+			generations = map[string]int64{}
+		}
+		generations[name] = generation
+	}
+	return generations
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -113,8 +113,8 @@
 	b := start(t, "b", "south", nil)
 	b.gossip.Add([]gossip.Member{{Address: a.address}})
 	eventually(t, "b has the table", func() bool {
-		v, ok := b.table.Version()
-		return ok && v == 5
+		p, ok := b.table.Position()
+		return ok && p.Version == 5
 	})
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -17,9 +17,10 @@
 	Domain   poplarwinch.FailureDomain
 	Boot     int64
 	Sequence uint64
-	Versions map[string]replica.Version
-	Servers  []serverWork
-	Limits   []serverLimit
+	// Positions has what the sender knows of the tables.
+	Positions map[string]replica.Position
+	Servers   []serverWork
+	Limits    []serverLimit
 	// Waiting is the number of the sender's requests that are queued for a server.
 	Waiting  int
 	Suspects []suspect
@@ -38,6 +39,8 @@
 	Changes []tableChanges
 	// Leaving is set if the sender is stopping and puts no more load on servers.
 	Leaving bool
+	// Generations has those of the tables of which the sender has rows that their restored source lacks.
+	Generations map[string]int64
 }
 
 // serverWork is the load on one server; see fleet.ServerWork and fleet.Load for the fields.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -77,7 +77,8 @@
 	g.mergeWork(m)
 	g.mergeChanges(m.Changes)
 	g.suspects.Merge(decodeSuspects(m.Suspects, g.clock.Now()))
-	g.compareVersions(peer.Member, near, m.Versions)
+	g.comparePositions(peer.Member, near, m.Positions)
+	g.compareGenerations(peer.Member, m.Generations)
 	if joined || followersChanged {
 		g.updateFollowing()
 	}
@@ -107,25 +108,40 @@
 	}
 }
 
-// lag is a version of a table that this instance did not have at a time.
+// lag is a position of a table that this instance did not have at a time.
 type lag struct {
-	version replica.Version
-	since   clock.Millis
+	position replica.Position
+	since    clock.Millis
 }
 
-// compareVersions compares the replicas with the versions of a peer, near or distant, and fetches tables that stay behind. Their
+// compareGenerations fetches tables of which a peer has later states than this instance, although their source has older ones: it was
+// restored, and this instance started since then.
+func (g *Gossip) compareGenerations(from Member, generations map[string]int64) {
+	for name, generation := range generations {
+		r := g.replicas[name]
+		if r == nil {
+			continue
+		}
+		if own, _ := r.Generation(); own < generation {
+			g.fetch(from, name, replica.Position{})
+		}
+	}
+}
+
+// comparePositions compares the replicas with the positions of a peer, near or distant, and fetches tables that stay behind. Their
 // reads may be stuck on an unresponsive connection or be rejected by the source.
-func (g *Gossip) compareVersions(from Member, near bool, versions map[string]replica.Version) {
+func (g *Gossip) comparePositions(from Member, near bool, positions map[string]replica.Position) {
 	now := g.clock.Now()
 	for name, r := range g.replicas {
-		own, loaded := r.Version()
-		if loaded && versions[name] <= own || versions[name] == 0 {
+		own, loaded := r.Position()
+		theirs := positions[name]
+		if loaded && theirs.Compare(own) <= 0 || theirs == (replica.Position{}) {
 			continue
 		}
 		g.mutex.Lock()
 		l, behind := g.behind[name]
-		if !behind || l.version <= own || now-l.since > maxMissedHeartbeats*heartbeatInterval {
-			l = lag{version: versions[name], since: now}
+		if !behind || l.position.Compare(own) <= 0 || now-l.since > maxMissedHeartbeats*heartbeatInterval {
+			l = lag{position: theirs, since: now}
 			g.behind[name] = l
 		}
 		wait := loaded && now-l.since < fetchDelay && (!near || r.Following() && !r.Failing())
@@ -139,6 +155,6 @@
 		if r.Following() {
 			r.Recheck()
 		}
-		g.fetch(from, name)
+		g.fetch(from, name, own)
 	}
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -152,7 +152,7 @@
 	g.mutex.Unlock()
 	return &message{
 		CellIndex: cell.Index, CellCount: cell.Count,
-		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Versions: g.versions(), Follows: g.following(),
+		From: g.self.ID, Domain: g.self.Domain, Boot: g.boot, Positions: g.positions(), Generations: g.generations(), Follows: g.following(),
 		Failing: g.failing(), Suspects: encodeSuspects(g.suspects.Report(), g.clock.Now()),
 	}
 }
--- a/replica/option.go
+++ b/replica/option.go
@@ -24,6 +24,22 @@
 // outage may come back.
 func WithMissingRowGrace() Option { return func(r *Replica) { r.keepMissing = true } }
 
+// WithSupersedes sets the function that reports whether a row has a later state than another one with the same key, by what they say
+// themselves. It decides between a row of an earlier era and one of the restored source; without it the source's row counts.
+func WithSupersedes(supersedes func(row, other Row) bool) Option {
+	return func(r *Replica) { r.supersedes = supersedes }
+}
+
+// WithGeneration sets the function that returns how new the rows are by what they say themselves, as a number that only rises; zero if
+// that is not known. By it, instances that start after a restoration learn that their peers know later states than the source.
+func WithGeneration(generation func(rows []Row) int64) Option {
+	return func(r *Replica) { r.generation = generation }
+}
+
+// WithOnRestored sets the function that is called after the source was seen to have been restored from an older copy of itself, with the
+// era that began then.
+func WithOnRestored(restored func(era Era)) Option { return func(r *Replica) { r.restored = restored } }
+
 // WithClock sets the clock; the default is monotonic.
 func WithClock(c *clock.Clock) Option { return func(r *Replica) { r.clock = c } }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -18,20 +20,26 @@
 var (
 	// errRechecked ends a wait for changes after Recheck.
 	errRechecked = errors.New("rechecked")
+	// errRestored says that changes are those of a restored source, of which the whole table has to be read.
+	errRestored = fmt.Errorf("the source was restored from an older copy: %w", ErrHistoryLost)
+	// errOlderSource says that a batch from the source is older than what is known, as from an answer that was delayed.
+	errOlderSource = errors.New("the source returned an older state")
 	// errConfirmDue ends a wait for changes when the missing rows are to be looked for.
 	errConfirmDue = errors.New("missing rows are to be looked for")
 )
 
 const (
-	// minRetryDelay is the delay after the first failed read; it doubles with each further one.
-	minRetryDelay clock.Millis = 100
-	// maxRetryDelay bounds the delay after a failed read.
-	maxRetryDelay clock.Millis = 400
 	// changesPause is the pause after a change before further ones are asked for, so that those of one moment arrive together.
 	changesPause clock.Millis = 150
 	// failureRetention is the time for which an instance that no longer follows the source still counts as failing. Without it,
 	// all instances would take turns trying to follow a source that is down.
 	failureRetention = 3 * clock.Second
+	// removedRowGrace is the time for which a row that was removed in an earlier era is not taken from a restored source unless it is
+	// written again. The source removes within it the rows of servers that are gone.
+	removedRowGrace = 5 * clock.Second
+	// removedRowRetention is the time for which removed rows are remembered. It exceeds the age of the copies from which a source
+	// is restored.
+	removedRowRetention = 60 * clock.Second
 	// missingRowGrace is the time after a row is first missing from a snapshot in which it may come back before it is removed.
 	// Rows that expired during an outage of the source are renewed within that time.
 	missingRowGrace clock.Millis = 2200
@@ -43,6 +51,9 @@
 	read        func(ctx context.Context) (Batch, error)
 	changes     func(ctx context.Context, after Version) (Batch, error)
 	changed     func(rows []Row)
+	supersedes  func(row, other Row) bool
+	restored    func(era Era)
+	generation  func(rows []Row) int64
 	keepMissing bool
 	clock       *clock.Clock
 	log         log.Interface
@@ -50,9 +61,13 @@
 	// notifyMutex is held while rows are passed to changed, so that older rows never replace newer ones.
 	notifyMutex sync.Mutex
 
-	mutex   sync.Mutex
-	rows    map[string]Row
+	mutex sync.Mutex
+	rows  map[string]Row
+	// era is the era of all versions below.
+	era     Era
 	version Version
+	// revision counts the decisions at version on rows that were missing or held back; see Position.
+	revision int
 	// contentVersion is the largest version of a row that was seen.
 	contentVersion Version
 	loaded         bool
@@ -66,8 +81,17 @@
 	historyStart Version
 	// passive is set if the source is not followed and changes come from other instances.
 	passive bool
+	// currentGeneration and hasCarriedOver are what Generation returns.
+	currentGeneration int64
+	hasCarriedOver    bool
 	// missingSince has the time at which a row that is still kept was first missing from a snapshot.
 	missingSince map[string]clock.Millis
+	// removed has the rows that were removed lately, as they were before.
+	removed map[string]removedRow
+	// latestEra is the latest era of the source that was heard of.
+	latestEra Era
+	// held has the rows that were removed in an earlier era, and that the restored source has from its copy.
+	held map[string]heldRow
 	// recheck ends a wait for changes or for SetFollowing.
 	recheck chan struct{}
 }
@@ -76,7 +100,9 @@
 func New(name string, opts ...Option) *Replica {
 	r := &Replica{
 		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
-		rows: map[string]Row{}, missingSince: map[string]clock.Millis{}, deleted: map[string]Row{}, recheck: make(chan struct{}, 1),
+		supersedes: func(Row, Row) bool { return false }, restored: func(Era) {}, generation: func([]Row) int64 { return 0 },
+		rows: map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
+		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -84,18 +110,26 @@
 	return r
 }
 
-// Version returns the source's version up to which changes are known, and whether the table was ever loaded.
-func (r *Replica) Version() (Version, bool) {
+// Position returns the source's position up to which changes are known, and whether the table was ever loaded.
+func (r *Replica) Position() (Position, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.version, r.loaded
+	return r.position(), r.loaded
 }
 
-// ContentVersion returns the version of the latest known change of a row, and whether the table was ever loaded.
-func (r *Replica) ContentVersion() (Version, bool) {
+// ContentPosition returns the position of the latest known change of a row, and whether the table was ever loaded.
+func (r *Replica) ContentPosition() (Position, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.contentVersion, r.loaded
+	if r.contentVersion == r.version {
+		return r.position(), r.loaded
+	}
+	return Position{Era: r.era, Version: r.contentVersion}, r.loaded
+}
+
+// position returns the position up to which changes are known. The caller holds the lock.
+func (r *Replica) position() Position {
+	return Position{Era: r.era, Version: r.version, Revision: r.revision}
 }
 
 // Failing reports whether this instance can't read the source, as of its last attempt. A failure is forgotten some time after
@@ -106,18 +140,20 @@
 	return r.failing && !(r.passive && r.clock.Now()-r.failedAt >= failureRetention)
 }
 
-// Since returns the changes after a version, or all rows if the version is zero or precedes the known changes.
-func (r *Replica) Since(after Version) Batch {
+// Since returns the changes after a position, or all rows if it is zero, of another era, or precedes the known changes.
+func (r *Replica) Since(after Position) Batch {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	batch := Batch{Version: r.version, Complete: after == 0 || after < r.historyStart}
+	batch := Batch{Era: r.era, Version: r.version, Revision: r.revision}
+	batch.Complete = after.Version == 0 || after.Era != r.era || after.Version < r.historyStart ||
+		after.Version == r.version && after.Revision < r.revision
 	for _, row := range r.list() {
-		if batch.Complete || row.Version > after {
+		if batch.Complete || row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
 	for _, row := range r.deleted {
-		if !batch.Complete && row.Version > after {
+		if !batch.Complete && row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
@@ -142,18 +178,28 @@
 	return !r.passive
 }
 
-// Merge applies rows that another instance read from the same source: all of them, or the changes after a version that this
-// replica had. A batch that is not newer than the replica is ignored, and so are changes before the replica is
-// loaded.
+// Merge applies rows that another instance read from the same source: all of them, or the changes after a position that this
+// replica had. Of a batch that is not newer than the replica, only rows count that this replica has from an earlier era's older copy;
+// changes are ignored before the replica is loaded and across eras.
 func (r *Replica) Merge(batch Batch) {
 	r.mutex.Lock()
-	if r.loaded && batch.Version <= r.version || !r.loaded && !batch.Complete {
+	if !batch.Complete && (!r.loaded || batch.Era != r.era) {
+		r.mutex.Unlock()
+		return
+	}
+	if r.loaded && batch.Position().Compare(r.position()) <= 0 {
+		changed := r.applyLaterStates(batch.Rows)
 		r.mutex.Unlock()
+		r.notify(changed)
 		return
 	}
+	era, loaded := r.era, r.loaded
 	changed := r.apply(batch, fromPeer)
 	r.mutex.Unlock()
 	r.notify(changed)
+	if loaded && batch.Era != era {
+		r.restored(batch.Era)
+	}
 }
 
 // Recheck ends the current wait for changes. It is called when another instance knows a newer version, because the connection
@@ -167,21 +213,21 @@
 
 // Run follows the source until ctx ends, except while SetFollowing has turned that off.
 func (r *Replica) Run(ctx context.Context) {
-	pause := minRetryDelay
+	failures, losses := backoff{limit: maxRetryDelay}, backoff{limit: maxLossDelay}
 	mode := readWhole
 	var confirmAt clock.Millis
 	for r.awaitFollow(ctx) {
 		batch, err := r.next(ctx, mode, confirmAt)
+		if err == nil {
+			err = r.applyFromSource(batch, mode)
+		}
 		switch {
 		case err == nil:
 			r.recordRecovery()
-			pause = minRetryDelay
-			pending := r.applyFromSource(batch, mode)
-			switch {
-			case !pending:
-				confirmAt = 0
-			case mode != readChanges:
-				confirmAt = r.clock.Now() + missingRowGrace/2
+			failures.reset()
+			confirmAt = r.confirmAt(confirmAt, mode)
+			if mode == readChanges {
+				losses.reset()
 			}
 			if mode == readChanges && len(batch.Rows) > 0 {
 				_ = r.clock.Sleep(ctx, changesPause) // Run ends with ctx
@@ -189,18 +235,25 @@
 			mode = readChanges
 		case errors.Is(err, errRechecked):
 			r.log.WithField("table", r.name).Debug("rechecked; asking for the changes again")
+			if r.isInEarlierEra() {
+				mode = readWhole
+			}
 		case errors.Is(err, errConfirmDue):
 			mode = confirmMissing
+		case errors.Is(err, errOlderSource):
+			r.log.WithField("table", r.name).WithField("era", batch.Era).WithField("version", batch.Version).Info("older state of the source ignored")
+			losses.wait(ctx, r.clock)
+			mode = readChanges
 		case errors.Is(err, ErrHistoryLost):
-			r.log.WithField("table", r.name).Warn("history lost; reading the whole table")
+			r.log.WithField("table", r.name).WithError(err).Warn("history lost; reading the whole table")
+			losses.waitUnlessFirst(ctx, r.clock)
 			mode = readWhole
 		default:
 			if ctx.Err() != nil {
 				return
 			}
 			r.recordFailure(err)
-			_ = r.clock.Sleep(ctx, pause)
-			pause = min(2*pause, maxRetryDelay)
+			failures.wait(ctx, r.clock)
 			mode = readWhole
 		}
 	}
@@ -212,10 +265,14 @@
 		if r.Following() {
 			return true
 		}
+		r.installHeld()
+		due, stop := r.clock.After(r.untilHeldIsDue())
 		select {
 		case <-ctx.Done():
 		case <-r.recheck:
+		case <-due:
 		}
+		stop()
 	}
 	return false
 }
@@ -240,13 +297,13 @@
 	if mode != readChanges {
 		return r.read(ctx)
 	}
-	version, _ := r.Version()
+	position, _ := r.Position()
 	wait, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.endWait(stop, confirmAt, cancel)
-	batch, err := r.changes(wait, version)
+	batch, err := r.changes(wait, position.Version)
 	if cause := context.Cause(wait); err != nil && (errors.Is(cause, errRechecked) || errors.Is(cause, errConfirmDue)) {
 		return Batch{}, cause
 	}
@@ -270,53 +327,105 @@
 	}
 }
 
-// applyFromSource applies a batch from the source. It reports whether rows are missing that may come back.
-func (r *Replica) applyFromSource(batch Batch, mode readMode) (pending bool) {
+// applyFromSource applies a batch from the source, unless it is older than the replica or has changes of another era.
+func (r *Replica) applyFromSource(batch Batch, mode readMode) error {
 	r.mutex.Lock()
+	era, loaded := r.era, r.loaded
+	switch {
+	case !loaded:
+	case batch.Era > era && !batch.Complete:
+		r.mutex.Unlock()
+		return errRestored
+	case batch.Era < era || batch.Era == era && batch.Version < r.version:
+		r.mutex.Unlock()
+		return errOlderSource
+	}
 	changed := r.apply(batch, mode)
-	pending = len(r.missingSince) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
-	return pending
+	if loaded && batch.Era != era {
+		r.restored(batch.Era)
+	}
+	return nil
 }
 
 // apply merges a batch that was read in a mode and reports whether a row changed. Rows that are missing from a complete batch stay
-// for a grace period if they may come back.
+// for a grace period if they may come back. The caller holds the lock.
 func (r *Replica) apply(batch Batch, mode readMode) bool {
 	changed := !r.loaded
+	restored := r.loaded && batch.Era > r.era
+	if restored {
+		r.carryOver(batch.Position())
+	}
+	r.era = batch.Era
+	if batch.Version > r.version {
+		r.version, r.revision = batch.Version, batch.Revision
+	}
+	r.revision = max(r.revision, batch.Revision)
 	seen := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
 		seen[row.Key] = true
-		r.contentVersion = max(r.contentVersion, row.Version)
 		delete(r.missingSince, row.Key)
-		old, known := r.rows[row.Key]
-		switch {
-		case known && old.Version > row.Version:
-		case row.Deleted:
-			changed = changed || known
-			delete(r.rows, row.Key)
-			r.deleted[row.Key] = row
-		case !known || old.Version < row.Version:
-			changed = true
-			r.rows[row.Key] = row
-			delete(r.deleted, row.Key)
+		if r.holdBack(&row, &batch, restored) {
+			continue
 		}
+		r.contentVersion = max(r.contentVersion, row.Version)
+		changed = r.applyRow(row) || changed
 	}
 	if batch.Complete {
-		changed = r.removeMissing(seen, mode, batch.Version) || changed
+		changed = r.removeMissing(seen, mode, restored) || changed
+	}
+	if changed || restored {
+		r.update()
 	}
-	r.version = max(r.version, batch.Version)
 	r.loaded = true
 	return changed
 }
 
+// applyRow installs or removes a row unless a later state of it is known, and reports whether that changed the table. The caller holds
+// the lock.
+func (r *Replica) applyRow(row Row) bool {
+	old, known := r.rows[row.Key]
+	switch {
+	case known && !r.replaces(row, old):
+		return false
+	case row.Deleted:
+		r.remove(row)
+		return known
+	}
+	r.rows[row.Key] = row
+	delete(r.deleted, row.Key)
+	return true
+}
+
+// replaces reports whether a row takes the place of the known one.
+func (r *Replica) replaces(row, known Row) bool {
+	switch {
+	case row.Version == carriedOver:
+		return r.supersedes(row, known)
+	case known.Version == carriedOver:
+		return row.Deleted || !r.supersedes(known, row)
+	}
+	return row.Version > known.Version
+}
+
+// remove removes the row of a tombstone. The caller holds the lock.
+func (r *Replica) remove(tombstone Row) {
+	if row, known := r.rows[tombstone.Key]; known {
+		r.rememberRemoved(row)
+	}
+	delete(r.rows, tombstone.Key)
+	r.deleted[tombstone.Key] = tombstone
+}
+
 // removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
-// The version at which a row was removed is not known, so its tombstone gets the version of the batch.
-func (r *Replica) removeMissing(seen map[string]bool, mode readMode, version Version) bool {
+// The version at which a row was removed is not known, so its tombstone gets the version of the batch. The caller holds the lock.
+func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored bool) bool {
+	maps.DeleteFunc(r.held, func(key string, _ heldRow) bool { return !seen[key] })
 	now := r.clock.Now()
 	removed := !r.loaded
 	if !r.loaded {
-		r.historyStart = version
+		r.historyStart = r.version
 	}
 	for key := range r.rows {
 		if seen[key] {
@@ -325,16 +434,18 @@
 		since, missing := r.missingSince[key]
 		switch {
 		case !r.keepMissing || mode == fromPeer:
-		case !missing && mode == readWhole:
+		case !missing && (mode == readWhole || restored):
 			r.missingSince[key] = now
 			continue
 		case missing && now-since < missingRowGrace:
 			continue
 		}
 		delete(r.missingSince, key)
-		delete(r.rows, key)
-		r.deleted[key] = Row{Key: key, Version: version, Deleted: true}
-		r.contentVersion = max(r.contentVersion, version)
+		r.remove(Row{Key: key, Version: r.version, Deleted: true})
+		if missing {
+			r.decided()
+		}
+		r.contentVersion = r.version
 		removed = true
 	}
 	return removed
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -69,7 +69,7 @@
 	notified [][]replica.Row
 }
 
-func newFixture(t *testing.T, keepMissing bool) *fixture {
+func newFixture(t *testing.T, keepMissing bool, more ...replica.Option) *fixture {
 	f := &fixture{source: source{changes: make(chan result)}}
 	opts := []replica.Option{
 		replica.WithSource(f.source.readAll, f.source.awaitChanges), replica.WithClock(clock.System()),
@@ -83,7 +83,7 @@
 	if keepMissing {
 		opts = append(opts, replica.WithMissingRowGrace())
 	}
-	f.replica = replica.New("servers", opts...)
+	f.replica = replica.New("servers", append(opts, more...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	f.source.setRead(func() (replica.Batch, error) { return complete(1, row("a", 1), row("b", 1)), nil })
@@ -102,7 +102,7 @@
 
 func (f *fixture) keys() []string {
 	var keys []string
-	for _, r := range f.replica.Since(0).Rows {
+	for _, r := range f.replica.Since(replica.Position{}).Rows {
 		keys = append(keys, r.Key)
 	}
 	return keys
@@ -125,8 +125,8 @@
 			row("c", 2), {Key: "a", Version: 3, Deleted: true},
 		}}}
 		f.expectKeys(t, "b", "c")
-		if v, _ := f.replica.Version(); v != 3 {
-			t.Errorf("got version %d, want 3", v)
+		if p, _ := f.replica.Position(); p.Version != 3 {
+			t.Errorf("got version %d, want 3", p.Version)
 		}
 	})
 }
@@ -169,7 +169,7 @@
 		f.source.changes <- result{err: errors.New("store unavailable")}
 		time.Sleep(4 * time.Second)
 		f.expectKeys(t, "b")
-		if b := f.replica.Since(1); b.Complete || len(b.Rows) != 1 || !b.Rows[0].Deleted || b.Rows[0].Key != "a" {
+		if b := f.replica.Since(replica.Position{Version: 1}); b.Complete || len(b.Rows) != 1 || !b.Rows[0].Deleted || b.Rows[0].Key != "a" {
 			t.Errorf("got %+v, want the removal of a", b)
 		}
 	})
--- a/replica/row.go
+++ b/replica/row.go
@@ -1,23 +1,61 @@
 // Package replica maintains a local copy of a table of versioned rows that is kept in a remote source.
 package replica
 
-// Version is the source's transaction counter. Every change of a row has a larger version than all earlier changes.
+import "cmp"
+
+// Version is the source's transaction counter. Every change of a row has a larger version than all earlier changes of the same era.
 type Version int64
 
+// Era counts how often the source was restored from an older copy of itself. Its versions go back then and are given out again, so
+// that versions of different eras don't compare.
+type Era int64
+
+// Position is a state of the source as an instance knows it.
+type Position struct {
+	_       struct{} `cbor:",toarray"`
+	Era     Era
+	Version Version
+	// Revision counts the decisions that an instance has made at this version, on rows that did not come back, or did.
+	Revision int
+}
+
+// Compare returns -1 if p is older than q, 1 if it is newer, and 0 otherwise. A later era is newer, whatever its versions.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version), cmp.Compare(p.Revision, q.Revision))
+}
+
 // Row is one row of the table.
 type Row struct {
-	Key     string  `cbor:"key"`
-	Value   []byte  `cbor:"value"`
+	Key   string `cbor:"key"`
+	Value []byte `cbor:"value"`
+	// Version is carriedOver for a row that is known from an earlier era only.
 	Version Version `cbor:"version"`
 	// Deleted marks the tombstone of a row that no longer exists.
 	Deleted bool `cbor:"deleted,omitempty"`
 }
 
+// carriedOver is the version of rows that are known from an earlier era and that the source has not written again.
+const carriedOver Version = 0
+
 // Batch is a result of reading the source: a full snapshot or incremental changes.
 type Batch struct {
 	Rows []Row
+	// Era is the source's era at the time of the read.
+	Era Era
 	// Version is the source's version at the time of the read.
 	Version Version
+	// Revision is that of the instance which passes the batch on; zero in batches from the source.
+	Revision int
 	// Complete is set if Rows holds every row of the table, not only changes.
 	Complete bool
 }
+
+// NewBatch returns a batch of the rows that are known at a position.
+func NewBatch(at Position, rows []Row, complete bool) Batch {
+	return Batch{Rows: rows, Era: at.Era, Version: at.Version, Revision: at.Revision, Complete: complete}
+}
+
+// Position returns the position of the rows.
+func (b *Batch) Position() Position {
+	return Position{Era: b.Era, Version: b.Version, Revision: b.Revision}
+}
