--- /dev/null
+++ b/replica/held_rows_test.go
@@ -0,0 +1,69 @@
+package replica_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/replica"
+)
+
+// passiveFixture returns a running replica that gets its rows from others.
+func passiveFixture(t *testing.T) *fixture {
+	f := &fixture{replica: replica.New("servers", replica.WithMissingRowGrace(), replica.WithClock(clock.System()), replica.WithLog(&log.Logger{Handler: discard.New()}))}
+	f.replica.SetFollowing(false)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.replica.Run(ctx)
+	synctest.Wait()
+	return f
+}
+
+// Guards against rows that an instance which doesn't follow the source holds back for much longer than the grace period.
+func TestRowsHeldBackByAPassiveReplicaAreInstalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := passiveFixture(t)
+		f.replica.Merge(complete(1, row("a", 1), row("b", 1)))
+		f.replica.Merge(replica.Batch{Version: 20, Rows: []replica.Row{{Key: "a", Version: 20, Deleted: true}}})
+		time.Sleep(time.Second)
+		f.replica.Merge(restored(5, row("a", 1), row("b", 1)))
+		f.expectKeys(t, "b")
+		time.Sleep(6 * time.Second)
+		f.expectKeys(t, "a", "b")
+	})
+}
+
+// Guards against an instance that removes a row because a peer, which has seen its removal in an earlier era, holds it back.
+func TestRowsHeldBackByAPeerStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, peer := newFixture(t, true), passiveFixture(t)
+		follower.restore(restored(31, row("a", 31), row("b", 1)))
+		peer.replica.Merge(complete(40, row("a", 40), row("b", 1)))
+		peer.replica.Merge(replica.Batch{Version: 41, Rows: []replica.Row{{Key: "a", Version: 41, Deleted: true}}})
+		peer.replica.Merge(replica.NewBatch(replica.Position{Era: 1, Version: 31, Revision: 1}, []replica.Row{row("a", 31), row("b", 1)}, true))
+		known, _ := follower.replica.Position()
+		follower.replica.Merge(peer.replica.Since(known))
+		follower.expectKeys(t, "a", "b")
+	})
+}
+
+// Guards against a removed row that comes back from the copy because it was known, when it was removed, from an earlier era only.
+func TestRemovedRowsOfEarlierErasAreHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		f.restore(restored(5, row("b", 1)))
+		f.expectKeys(t, "a", "b")
+		f.source.changes <- result{batch: replica.Batch{Era: 1, Version: 6, Rows: []replica.Row{{Key: "a", Version: 6, Deleted: true}}}}
+		f.expectKeys(t, "b")
+		again := restored(3, row("a", 1), row("b", 1))
+		again.Era = 2
+		f.source.setRead(func() (replica.Batch, error) { return again, nil })
+		f.source.changes <- result{err: replica.ErrHistoryLost}
+		f.expectKeys(t, "b")
+	})
+}
