--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -67,3 +67,19 @@
 		f.expectKeys(t, "b")
 	})
 }
+
+// Guards against changes that take effect late because the row was removed once and written again before the source was restored.
+func TestRowsThatCameBackBeforeARestorationAreNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		f.source.changes <- result{batch: replica.Batch{Version: 20, Rows: []replica.Row{row("a", 20)}}}
+		f.source.changes <- result{batch: replica.Batch{Version: 21, Rows: []replica.Row{{Key: "a", Version: 21, Deleted: true}}}}
+		f.expectKeys(t, "b")
+		f.source.changes <- result{batch: replica.Batch{Version: 22, Rows: []replica.Row{row("a", 22)}}}
+		f.expectKeys(t, "a", "b")
+		f.restore(restored(5, replica.Row{Key: "a", Value: []byte("a leaving"), Version: 5}, row("b", 1)))
+		if got := string(f.replica.Since(replica.Position{}).Rows[0].Value); got != "a leaving" {
+			t.Errorf("got %q, want what the restored source has", got)
+		}
+	})
+}
