--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -83,3 +83,28 @@
 		}
 	})
 }
+
+// Guards against a row that is installed after the grace period although the source has removed it: the follower that saw this, in a whole
+// read, held the row back itself.
+func TestRemovalOfRowsHeldBackReachesPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, peer := newFixture(t, true), passiveFixture(t)
+		removal := replica.Batch{Version: 20, Rows: []replica.Row{{Key: "a", Version: 20, Deleted: true}}}
+		follower.source.changes <- result{batch: removal}
+		synctest.Wait()
+		follower.restore(restored(5, row("a", 1), row("b", 1)))
+		peer.replica.Merge(complete(1, row("a", 1), row("b", 1)))
+		peer.replica.Merge(removal)
+		peer.replica.Merge(restored(5, row("a", 1), row("b", 1))) // from a follower that has not seen the removal
+		follower.expectKeys(t, "b")
+		peer.expectKeys(t, "b")
+		time.Sleep(time.Second)
+		follower.restore(restored(7, row("b", 1)))
+		known, _ := peer.replica.Position()
+		peer.replica.Merge(follower.replica.Since(known))
+		time.Sleep(6 * time.Second)
+		peer.replica.Recheck()
+		time.Sleep(time.Second)
+		peer.expectKeys(t, "b")
+	})
+}
