--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -100,6 +100,7 @@
 		peer.expectKeys(t, "b")
 		time.Sleep(time.Second)
 		follower.restore(restored(7, row("b", 1)))
+		time.Sleep(time.Second) // the follower waits before it reads again
 		known, _ := peer.replica.Position()
 		peer.replica.Merge(follower.replica.Since(known))
 		time.Sleep(6 * time.Second)
