--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -109,3 +109,20 @@
 		peer.expectKeys(t, "b")
 	})
 }
+
+// Guards against a row that peers keep for good although it did not come back: they learn of it together with a later change.
+func TestRowsThatDidNotComeBackAreRemovedWithLaterChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, peer := newFixture(t, true), passiveFixture(t)
+		follower.restore(restored(5, row("b", 1)))
+		peer.replica.Merge(follower.replica.Since(replica.Position{}))
+		peer.expectKeys(t, "a", "b")
+		time.Sleep(4 * time.Second)
+		follower.expectKeys(t, "b")
+		follower.source.changes <- result{batch: replica.Batch{Era: 1, Version: 6, Rows: []replica.Row{row("c", 6)}}}
+		follower.expectKeys(t, "b", "c")
+		known, _ := peer.replica.Position()
+		peer.replica.Merge(follower.replica.Since(known))
+		peer.expectKeys(t, "b", "c")
+	})
+}
