--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -125,8 +125,13 @@
 	return false
 }
 
-// brokenOff reports whether a server reset the request's connection.
+// brokenOff reports whether a server reset the request's connection, also before it began to work on the request.
 func (e *evidence) brokenOff(r *result) bool {
+	for _, a := range e.arrivals {
+		if at, crashed := e.crashes[a.Server]; a.Attempt == r.request.Attempt && crashed && !at.Before(a.At) && !at.After(r.until) {
+			return true
+		}
+	}
 	return e.serverCrashed(r) || slices.ContainsFunc(e.runs, func(run emulator.Run) bool { return run.Attempt == r.request.Attempt && run.BrokenOff })
 }
 
--- a/cmd/soak/checks_test.go
+++ b/cmd/soak/checks_test.go
@@ -131,10 +131,15 @@
 			probed(o, 30, 1, 0)
 			o.probes[len(o.probes)-1].answer.Err = errReset
 		}, "unanswered"},
-		"closed beside a kill":            {func(o *outcome, e *evidence) { closed(o, e); disturbed(e) }, ""},
-		"closed after a restart":          {func(o *outcome, e *evidence) { closed(o, e); e.starts["one"] = []time.Time{start, at(59)} }, ""},
-		"closed by a crashed server":      {func(o *outcome, e *evidence) { closed(o, e); e.crashes["pool-2"] = at(61.5) }, ""},
-		"closed by a server before":       {func(o *outcome, e *evidence) { closed(o, e); e.crashes["pool-2"] = at(60.5) }, "unanswered"},
+		"closed beside a kill":       {func(o *outcome, e *evidence) { closed(o, e); disturbed(e) }, ""},
+		"closed after a restart":     {func(o *outcome, e *evidence) { closed(o, e); e.starts["one"] = []time.Time{start, at(59)} }, ""},
+		"closed by a crashed server": {func(o *outcome, e *evidence) { closed(o, e); e.crashes["pool-2"] = at(61.5) }, ""},
+		"closed by a server before":  {func(o *outcome, e *evidence) { closed(o, e); e.crashes["pool-2"] = at(60.5) }, "unanswered"},
+		"crashed before it began": {func(o *outcome, e *evidence) {
+			closed(o, e)
+			e.arrivals = append(e.arrivals, emulator.Arrival{Attempt: "a", Server: "pool-4", At: at(61.4)})
+			e.crashes["pool-4"] = at(61.5)
+		}, ""},
 		"broken off by a server":          {func(o *outcome, e *evidence) { closed(o, e); e.runs[0].BrokenOff = true }, ""},
 		"closed at the end of its time":   {func(o *outcome, e *evidence) { closed(o, e); o.results[0].request.Timeout = time.Second }, ""},
 		"added route not served":          {func(o *outcome, e *evidence) { written(e, 25, 2); probed(o, 27.1, 2, 404) }, "late-configuration"},
