--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -126,3 +126,22 @@
 		peer.expectKeys(t, "b", "c")
 	})
 }
+
+// Guards against a row that an instance keeps for good because it has made as many decisions of its own as the follower that has removed
+// the row.
+func TestDecisionsOfTwoInstancesDoNotHideEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, peer := newFixture(t, true), passiveFixture(t)
+		peer.replica.Merge(complete(1, row("a", 1), row("b", 1), row("c", 1)))
+		peer.replica.Merge(replica.Batch{Version: 20, Rows: []replica.Row{{Key: "c", Version: 20, Deleted: true}}})
+		follower.restore(restored(5, row("b", 1), row("c", 1)))
+		peer.replica.Merge(follower.replica.Since(replica.Position{}))
+		time.Sleep(6 * time.Second)
+		peer.replica.Recheck()
+		synctest.Wait()
+		follower.expectKeys(t, "b", "c") // a did not come back
+		known, _ := peer.replica.Position()
+		peer.replica.Merge(follower.replica.Since(known))
+		peer.expectKeys(t, "b", "c")
+	})
+}
