Hold rows of a restored copy back by what they are about, not by versions of another era

Change: a row is held back if it is about the same (for a server: the same process, by its start) as one that was removed; a row that is written again is forgotten as removed. Peers get the rows that are held back, marked as such, and a tombstone when they are gone. An instance that doesn't follow the store is woken when it begins to hold rows back; what it installs after the grace period is no decision for others.

--- a/replica/era.go
+++ b/replica/era.go
@@ -62,28 +62,57 @@
 	r.removed[row.Key] = removedRow{row: row, removedAt: now}
 }
 
-// holdBack reports whether a row of a batch is not to be installed yet: it was removed in an earlier era, and the restored source has
-// it from its copy. Once it is written again, or after a grace period, it is installed. The caller holds the lock.
-func (r *Replica) holdBack(row *Row, batch *Batch, restored bool) bool {
+// passedOn returns the row as other instances get it.
+func (h *heldRow) passedOn() Row {
+	row := h.row
+	row.Held = true
+	return row
+}
+
+// holdBack reports whether a row of a batch is not to be installed yet: a restored source has it from its copy, and it is about the same as a
+// row that this instance, or the peer which holds it back too, knows to have been removed. It is installed once it is written
+// again, or after a grace period. The caller holds the lock.
+func (r *Replica) holdBack(row *Row, complete bool, mode readMode, restored bool) bool {
 	now := r.clock.Now()
-	if h, held := r.held[row.Key]; held {
-		if batch.Complete && row.Version <= h.row.Version && now-h.since < removedRowGrace {
-			return true
-		}
+	h, held := r.held[row.Key]
+	_, known := r.rows[row.Key]
+	switch {
+	case held && complete && !row.Held && now-h.since >= removedRowGrace:
 		delete(r.held, row.Key)
-		if batch.Complete {
+		if mode != fromPeer {
 			row.Version = r.decided()
 		}
 		return false
+	case held && complete && r.identity(*row) == r.identity(h.row):
+		return true
+	case row.Held:
+		if !known {
+			row.Held = false
+			r.held[row.Key] = heldRow{row: *row, since: now}
+		}
+		return true
 	}
+	delete(r.held, row.Key)
 	old, removed := r.removed[row.Key]
-	if !restored || !removed || row.Version > old.row.Version {
+	if !restored || !removed || row.Deleted || r.identity(old.row) != r.identity(*row) {
 		return false
 	}
 	r.held[row.Key] = heldRow{row: *row, since: now}
 	return true
 }
 
+// removeHeld removes the rows that are held back and that a complete batch no longer has. The caller holds the lock.
+func (r *Replica) removeHeld(seen map[string]bool) {
+	for key := range r.held {
+		if seen[key] {
+			continue
+		}
+		delete(r.held, key)
+		r.deleted[key] = Row{Key: key, Version: r.version, Deleted: true}
+		r.contentVersion = r.version
+	}
+}
+
 // decided counts a decision on a row that was missing or held back, and returns the version that the row or its tombstone gets: peers
 // may know the changes up to there. The caller holds the lock.
 func (r *Replica) decided() Version {
@@ -91,7 +120,8 @@
 	return r.version
 }
 
-// installHeld installs the rows that were held back for long enough.
+// installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. It is no decision for
+// others, who hold back what they know to have been removed.
 func (r *Replica) installHeld() {
 	r.mutex.Lock()
 	now := r.clock.Now()
@@ -101,8 +131,7 @@
 			continue
 		}
 		delete(r.held, key)
-		h.row.Version = r.decided()
-		r.contentVersion = r.version
+		h.row.Version = r.version
 		changed = r.applyRow(h.row) || changed
 	}
 	if changed {
--- a/replica/option.go
+++ b/replica/option.go
@@ -30,6 +30,12 @@
 	return func(r *Replica) { r.supersedes = supersedes }
 }
 
+// WithIdentity sets the function that returns what a row is about beyond its key, as the process of a server that may start again. Of the
+// rows that a restored source has, those are held back that are about the same as one that was removed; the default is the value.
+func WithIdentity(identity func(row Row) string) Option {
+	return func(r *Replica) { r.identity = identity }
+}
+
 // WithGeneration sets the function that returns how new the rows are by what they say themselves, as a number that only rises; zero if
 // that is not known. By it, instances that start after a restoration learn that their peers know later states than the source.
 func WithGeneration(generation func(rows []Row) int64) Option {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 
@@ -54,6 +53,7 @@
 	supersedes  func(row, other Row) bool
 	restored    func(era Era)
 	generation  func(rows []Row) int64
+	identity    func(row Row) string
 	keepMissing bool
 	clock       *clock.Clock
 	log         log.Interface
@@ -101,7 +101,8 @@
 	r := &Replica{
 		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
 		supersedes: func(Row, Row) bool { return false }, restored: func(Era) {}, generation: func([]Row) int64 { return 0 },
-		rows: map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
+		identity: func(row Row) string { return string(row.Value) },
+		rows:     map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
 		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -157,6 +158,11 @@
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
+	for _, h := range r.held {
+		if batch.Complete {
+			batch.Rows = append(batch.Rows, h.passedOn())
+		}
+	}
 	return batch
 }
 
@@ -195,11 +201,15 @@
 	}
 	era, loaded := r.era, r.loaded
 	changed := r.apply(batch, fromPeer)
+	wake := r.passive && len(r.held) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
 	if loaded && batch.Era != era {
 		r.restored(batch.Era)
 	}
+	if wake {
+		r.Recheck() // Run waits until the first held row is due
+	}
 }
 
 // Recheck ends the current wait for changes. It is called when another instance knows a newer version, because the connection
@@ -366,7 +376,7 @@
 	for _, row := range batch.Rows {
 		seen[row.Key] = true
 		delete(r.missingSince, row.Key)
-		if r.holdBack(&row, &batch, restored) {
+		if r.holdBack(&row, batch.Complete, mode, restored) {
 			continue
 		}
 		r.contentVersion = max(r.contentVersion, row.Version)
@@ -395,6 +405,7 @@
 	}
 	r.rows[row.Key] = row
 	delete(r.deleted, row.Key)
+	delete(r.removed, row.Key)
 	return true
 }
 
@@ -421,7 +432,7 @@
 // removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
 // The version at which a row was removed is not known, so its tombstone gets the version of the batch. The caller holds the lock.
 func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored bool) bool {
-	maps.DeleteFunc(r.held, func(key string, _ heldRow) bool { return !seen[key] })
+	r.removeHeld(seen)
 	now := r.clock.Now()
 	removed := !r.loaded
 	if !r.loaded {
@@ -442,7 +453,7 @@
 		}
 		delete(r.missingSince, key)
 		r.remove(Row{Key: key, Version: r.version, Deleted: true})
-		if missing {
+		if missing && mode != fromPeer {
 			r.decided()
 		}
 		r.contentVersion = r.version
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -103,7 +103,9 @@
 func (f *fixture) keys() []string {
 	var keys []string
 	for _, r := range f.replica.Since(replica.Position{}).Rows {
-		keys = append(keys, r.Key)
+		if !r.Held {
+			keys = append(keys, r.Key)
+		}
 	}
 	return keys
 }
--- a/replica/row.go
+++ b/replica/row.go
@@ -32,6 +32,8 @@
 	Version Version `cbor:"version"`
 	// Deleted marks the tombstone of a row that no longer exists.
 	Deleted bool `cbor:"deleted,omitempty"`
+	// Held is set, between instances, if the sender holds the row back; see Replica.
+	Held bool `cbor:"held,omitempty"`
 }
 
 // carriedOver is the version of rows that are known from an earlier era and that the source has not written again.
