--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -145,3 +145,17 @@
 		peer.expectKeys(t, "b", "c")
 	})
 }
+
+// Guards against a removed row that comes back from a peer which has missed the removal and keeps the row until it is written again.
+func TestRowsKeptByAPeerStayRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, peer := newFixture(t, true), newFixture(t, true)
+		f.source.changes <- result{batch: replica.Batch{Version: 20, Rows: []replica.Row{{Key: "a", Version: 20, Deleted: true}}}}
+		f.expectKeys(t, "b")
+		f.restore(restored(5, row("b", 1)))
+		peer.restore(restored(6, row("b", 1), row("c", 6)))
+		peer.expectKeys(t, "a", "b", "c")
+		f.replica.Merge(peer.replica.Since(replica.Position{}))
+		f.expectKeys(t, "b", "c")
+	})
+}
