--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -53,8 +53,8 @@
 	selected.sentAt = x.d.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatchdog(x.firstEventTimeout(selected), x.firstEventExtension(selected), cancel)
-	defer w.stop()
+	w := x.watch(selected, cancel)
+	defer w.reset(0)
 	defer x.watchUsage(ctx, selected, cancel)()
 	answer, err := x.d.send(ctx, &Call{
 		Request: x.Request, Server: selected.first, Helpers: selected.helpers, ResumeAfter: x.resumeFrom(),
@@ -64,9 +64,18 @@
 	if err == nil {
 		err = x.relay(answer, selected, w)
 	}
+	x.successor = w.stop()
 	return x.finishAttempt(ctx, selected, err)
 }
 
+// watch starts the watchdog of an attempt.
+func (x *run) watch(selected *selection, cancel context.CancelCauseFunc) *watchdog {
+	s := &silence{x: x, selected: selected, extension: x.firstEventExtension(selected)}
+	w := &watchdog{decide: s.decide, discard: func(s *selection) { s.release(x.d) }, cancel: cancel}
+	w.reset(x.firstEventTimeout(selected))
+	return w
+}
+
 // observeLimit tells the fleet which limit the server named in its answer or rejection. A rejection without one ends no limit, since
 // another server may have written it.
 func (x *run) observeLimit(answer *Answer, err error, selected *selection) {
@@ -245,13 +254,19 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if hasContent(events) {
+	switch {
+	case hasContent(events):
 		if x.firstEvent == 0 {
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
 		x.recordEvent(selected)
 		selected.ticket.FirstEvent()
 		w.reset(x.eventTimeout())
+	case x.splitter.last == "":
+		w.reset(0) // once it has begun, nothing can continue it
+	}
+	if !x.begun && x.splitter.last == "" && w.hasEnded() {
+		return &CallError{Failure: FailureBroken, Cause: errSilentServer}
 	}
 	x.begin(a)
 	return x.write(events)
@@ -286,7 +301,7 @@
 // eventTimeout returns the longest time between events before the stream is resumed on another server, or zero if it is not
 // resumed.
 func (x *run) eventTimeout() clock.Millis {
-	if !x.Route.Resumable || x.possibleRuns+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
+	if !x.Route.Resumable || x.splitter.last == "" || x.possibleRuns+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
 		return 0
 	}
 	return clock.Millis(patienceFraction * float64(x.patience()))
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -78,6 +78,9 @@
 
 // pick selects the servers of the next attempt and records its load on them. It waits while no engine has capacity.
 func (x *run) pick(ctx context.Context) (*selection, error) {
+	if s := x.takeSuccessor(); s != nil {
+		return s, nil
+	}
 	started := x.d.clock.Now()
 	defer func() { x.waited += x.d.clock.Now() - started }()
 	defer x.d.fleet.CountWaiting()()
@@ -95,6 +98,9 @@
 		}
 		due, stop := x.d.clock.After(pollInterval)
 		select {
+		case <-x.waitingEnds():
+			stop()
+			return nil, shuttingDown()
 		case <-changed:
 			_ = x.d.clock.Sleep(ctx, x.d.jitter())
 		case <-due:
@@ -106,6 +112,14 @@
 	}
 }
 
+// waitingEnds returns the channel that is closed when the request should no longer wait for a server, or nil if it has been sent to one.
+func (x *run) waitingEnds() <-chan struct{} {
+	if x.begun || x.possibleRuns > 0 {
+		return nil
+	}
+	return x.d.waitingEnds
+}
+
 // jitter returns a random delay before a waiting request reacts to a change of the fleet. The waiting requests of all
 // instances see the same change; the delays let most of them learn of the others' decisions before they decide.
 func (d *Dispatcher) jitter() clock.Millis {
@@ -131,8 +145,10 @@
 }
 
 // candidates returns the servers of the service; those that have failed the request are to be avoided.
-func (x *run) candidates() []fleet.Candidate {
-	candidates := x.d.fleet.Candidates(x.Service)
+func (x *run) candidates() []fleet.Candidate { return x.markExcluded(x.d.fleet.Candidates(x.Service)) }
+
+// markExcluded marks the servers that have failed the request as to be avoided.
+func (x *run) markExcluded(candidates []fleet.Candidate) []fleet.Candidate {
 	for i := range candidates {
 		if x.excluded[candidates[i].ID] {
 			candidates[i].Avoid = true
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// retryAfterShutdown is the Retry-After hint of an instance that exits. It is short because a new connection reaches another one.
+	retryAfterShutdown clock.Millis = 50
 	// retryAfterSuspect is the Retry-After hint for a request rejected because it, or a part of its prompt, crashes servers.
 	retryAfterSuspect = 10 * clock.Second
 	// neighbourProbeDelay is the time in which the probes of a server's neighbours have ended.
@@ -22,9 +24,24 @@
 	maxSends = 6
 )
 
+// errShutdown is the cancellation cause of requests that are ended because the process exits.
+var errShutdown = errors.New("this instance is shutting down")
+
 // errCallerWrite marks the error of a failed write to the caller.
 var errCallerWrite = errors.New("the response could not be written to the caller")
 
+// denial is the reason for which a request is not sent to another server.
+type denial string
+
+const (
+	denialNotRepeatable denial = "not-repeatable"
+	denialMaxAttempts   denial = "max-attempts"
+	denialNotResumable  denial = "not-resumable"
+	denialBudget        denial = "retry-budget"
+	denialBlocked       denial = "blocked"
+	denialNoServer      denial = "no-server"
+)
+
 // run is the state of one running request.
 type run struct {
 	*Request
@@ -46,6 +63,8 @@
 	firstEvent clock.Millis
 	// last is the server of the latest attempt.
 	last fleet.Server
+	// successor has the servers that were prepared to take over from the latest attempt, or is nil.
+	successor *selection
 	// waited is the total time spent selecting servers, including waits for capacity.
 	waited clock.Millis
 }
@@ -62,6 +81,10 @@
 func (x *run) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, (x.Deadline - x.d.clock.Now()).Duration())
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.d.ending, func() { end(errShutdown) })()
+	defer x.discardSuccessor()
 	for {
 		err := x.attempt(ctx)
 		if err == nil {
@@ -96,19 +119,41 @@
 	if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !errors.As(err, &failed) || x.sends >= maxSends {
 		return false
 	}
-	allowed := false
+	denied := x.denyRetry(failed)
+	x.log.WithFields(log.Fields{
+		"upstream": x.last.ID, "attempt": x.sends, "ran": x.possibleRuns, "again": denied == "", "denied": denied,
+		"silent": errors.Is(failed, errSilentServer), "last-event": x.splitter.last, "servers": x.usableServers(),
+	}).WithError(err).Warn("attempt failed")
+	return denied == ""
+}
+
+// denyRetry returns the reason against another attempt, or an empty one. It takes a retry from the budget if it finds none, unless that
+// was done with the choice of a successor.
+func (x *run) denyRetry(failed *CallError) denial {
 	switch {
 	case failed.Failure == FailureNotSent:
-		allowed = true
-	case !failed.MayHaveRun():
-		allowed = x.d.budget(x.Service).Take()
-	default:
-		allowed = x.Route.MayRepeat() && x.possibleRuns < max(x.Route.MaxAttempts, 1) && x.resumable() && x.d.budget(x.Service).Take()
+		return ""
+	case failed.MayHaveRun() && !x.Route.MayRepeat():
+		return denialNotRepeatable
+	case failed.MayHaveRun() && x.possibleRuns >= max(x.Route.MaxAttempts, 1):
+		return denialMaxAttempts
+	case failed.MayHaveRun() && !x.resumable():
+		return denialNotResumable
+	case x.successor == nil && !x.d.budget(x.Service).Take():
+		return denialBudget
 	}
-	x.log.WithFields(log.Fields{
-		"upstream": x.last.ID, "attempt": x.sends, "ran": x.possibleRuns, "again": allowed, "last-event": x.splitter.last,
-	}).WithError(err).Warn("attempt failed")
-	return allowed
+	return ""
+}
+
+// usableServers returns the number of servers that are not to be avoided.
+func (x *run) usableServers() int {
+	count := 0
+	for _, c := range x.candidates() {
+		if !c.Avoid {
+			count++
+		}
+	}
+	return count
 }
 
 // resumable reports whether another server can continue the response: nothing was sent to the caller yet, or the stream can
--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -45,7 +45,7 @@
 		follower.restore(restored(31, row("a", 31), row("b", 1)))
 		peer.replica.Merge(complete(40, row("a", 40), row("b", 1)))
 		peer.replica.Merge(replica.Batch{Version: 41, Rows: []replica.Row{{Key: "a", Version: 41, Deleted: true}}})
-		peer.replica.Merge(replica.NewBatch(replica.Position{Era: 1, Version: 31, Revision: 1}, []replica.Row{row("a", 31), row("b", 1)}, true))
+		peer.replica.Merge(replica.NewBatch(replica.Position{Era: 1, Version: 31}, []replica.Row{row("a", 31), row("b", 1)}, true))
 		known, _ := follower.replica.Position()
 		follower.replica.Merge(peer.replica.Since(known))
 		follower.expectKeys(t, "a", "b")
--- a/replica/restorations_test.go
+++ b/replica/restorations_test.go
@@ -267,7 +267,9 @@
 	defer w.source.mutex.Unlock()
 	rows := map[string]string{}
 	for _, row := range w.Since(replica.Position{}).Rows {
-		rows[row.Key] = string(row.Value)
+		if !row.Held {
+			rows[row.Key] = string(row.Value)
+		}
 	}
 	want := maps.Clone(w.source.written)
 	maps.DeleteFunc(want, func(_, value string) bool { return value == "" })
@@ -340,7 +342,7 @@
 	exchange := func() {
 		from, to := list[chosen.IntN(len(list))], list[chosen.IntN(len(list))]
 		after, loaded := to.Position()
-		if theirs, ok := from.Position(); from != to && ok && (!loaded || theirs.Compare(after) > 0) {
+		if theirs, ok := from.Position(); from != to && ok && (!loaded || after.IsBehind(theirs)) {
 			to.Merge(from.Since(after))
 		}
 	}
