--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	instanceCount = 6
-	poolServers   = 9
-	plainServers  = 3
+	poolServers  = 9
+	plainServers = 3
 	// restartDelay is the time from the end of a process, or the crash of a server, to the next start.
 	restartDelay       = 500 * time.Millisecond
 	serverRestartDelay = 2500 * time.Millisecond
@@ -56,21 +55,23 @@
 	faultsEndedAt time.Time
 	// leaving has the times at which servers were marked as leaving.
 	leaving map[string]time.Time
+	operator
 }
 
-func newDeployment(binary, directory string, seed uint64) (*deployment, error) {
+func newDeployment(a *arguments, directory string) (*deployment, error) {
 	d := &deployment{
 		store: emulator.NewStore(), record: &emulator.Record{}, started: time.Now(), servers: map[string]*emulator.Server{}, leaving: map[string]time.Time{},
 		crashes: map[string]time.Time{}, limitOf: map[string]float64{}, hanging: map[string]bool{},
 	}
-	network := fmt.Sprintf("127.%d.%d", 60+seed%60, seed/60%250)
+	network := fmt.Sprintf("127.%d.%d", 60+a.Seed%60, a.Seed/60%250)
 	l, err := net.Listen("tcp", network+".1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
 	}
 	d.address = l.Addr().String()
 	go func() { _ = http.Serve(l, d.store) }()
-	d.store.Put(emulator.OperatorTable, emulator.ConfigurationKey, emulator.Configuration(1))
+	d.written = map[rowID]string{}
+	d.configure(1)
 	for n := range poolServers + plainServers {
 		service := "pool"
 		if n >= poolServers {
@@ -79,10 +80,10 @@
 		d.startServer(service, zones[n%len(zones)])
 	}
 	seeds := []string{network + ".10", network + ".11", network + ".12"}
-	for n := range instanceCount {
+	for n := range a.Instances {
 		p, err := newInstance(emulator.Instance{
 			Name: fmt.Sprintf("instance-%d", n), Zone: zones[n%len(zones)], IP: fmt.Sprintf("%s.%d", network, 10+n), Seeds: seeds, Store: d.address,
-		}, binary, directory)
+		}, a.Binary, directory)
 		if err != nil {
 			d.close()
 			return nil, err
@@ -108,7 +109,7 @@
 	}
 	s.SetFaults(d.faultsOf(s))
 	d.servers[id] = s
-	d.store.Put(emulator.ServersTable, id, s.Entry(false))
+	d.write(emulator.ServersTable, id, s.Entry(false))
 }
 
 // faultsOf returns the faults of a server: those of all, and its own. The caller holds the lock.
@@ -123,13 +124,13 @@
 func (d *deployment) replaceCrashed(s *emulator.Server) {
 	d.log(eventServer, "crash of "+s.ID)
 	d.mutex.Lock()
-	d.crashes[s.ID] = time.Now()
+	d.crashes[s.ID] = s.ClosedAt()
 	d.mutex.Unlock()
 	time.AfterFunc(serverRestartDelay, func() {
 		d.mutex.Lock()
 		delete(d.servers, s.ID)
 		d.mutex.Unlock()
-		d.store.Put(emulator.ServersTable, s.ID, "")
+		d.write(emulator.ServersTable, s.ID, "")
 		d.startServer(s.Service, s.Zone)
 	})
 }
@@ -147,9 +148,9 @@
 	d.leaving[s.ID] = time.Now()
 	delete(d.servers, s.ID)
 	d.mutex.Unlock()
-	d.store.Put(emulator.ServersTable, s.ID, s.Entry(true))
+	d.write(emulator.ServersTable, s.ID, s.Entry(true))
 	time.AfterFunc(leavingTime, func() {
-		d.store.Put(emulator.ServersTable, s.ID, "")
+		d.write(emulator.ServersTable, s.ID, "")
 		time.AfterFunc(leavingTime, s.Close)
 	})
 }
@@ -160,7 +161,7 @@
 	defer d.mutex.Unlock()
 	var list []*emulator.Server
 	for _, s := range d.servers {
-		if !s.Crashed() {
+		if s.ClosedAt().IsZero() {
 			list = append(list, s)
 		}
 	}
@@ -199,6 +200,7 @@
 	})
 	d.store.SetUnavailable(false)
 	d.store.SetSilent(false)
+	d.store.SetResetting(false)
 	d.log(eventOther, "all faults have ended")
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,10 +23,11 @@
 
 // arguments are the command line.
 type arguments struct {
-	Binary  string `arg:"--binary" default:"bin/poplarwinch" help:"program of the instances"`
-	Seed    uint64 `arg:"--seed" default:"1" help:"seed of the series of faults"`
-	Seconds int    `arg:"--seconds" default:"20" help:"length of the series of faults, in seconds"`
-	Keep    bool   `arg:"--keep" help:"keep the logs of a run without a violation"`
+	Binary    string `arg:"--binary" default:"bin/poplarwinch" help:"program of the instances"`
+	Seed      uint64 `arg:"--seed" default:"1" help:"seed of the series of faults"`
+	Seconds   int    `arg:"--seconds" default:"20" help:"length of the series of faults, in seconds"`
+	Instances int    `arg:"--instances" default:"6" help:"number of instances"`
+	Keep      bool   `arg:"--keep" help:"keep the logs of a run without a violation"`
 }
 
 func main() {
@@ -44,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	d, err := newDeployment(a.Binary, directory, a.Seed)
+	d, err := newDeployment(a, directory)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
@@ -54,6 +56,11 @@
 		fmt.Fprintln(os.Stderr, err, "logs:", directory)
 		return exitViolation
 	}
+	operating, endOperating := context.WithCancel(ctx)
+	defer endOperating()
+	go d.runCopies(operating)
+	go d.runStatus(operating)
+	go d.runOperator(operating, rand.New(rand.NewPCG(a.Seed, 3)))
 	c := startCallers(ctx, d, a.Seed)
 	newSeries(d, a.Seed).run(ctx, time.Duration(a.Seconds)*time.Second)
 	d.endFaults()
