--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -107,6 +107,25 @@
 	eventually(t, "b counts a as dead", func() bool { return b.gossip.Alive() == 1 })
 }
 
+// Guards against instances that don't hear from each other which servers are leaving, or hear it only with the next heartbeat.
+func TestNoticesReachPeers(t *testing.T) {
+	a := start(t, "a", "north", snapshotAt(3))
+	b := start(t, "b", "south", snapshotAt(3))
+	b.gossip.Add([]gossip.Member{a.gossip.Self()})
+	eventually(t, "both know each other", func() bool { return a.gossip.Alive() == 2 && b.gossip.Alive() == 2 })
+	usable := func() bool { _, ok := b.fleet.Server("e1"); return ok }
+	server, ok := a.fleet.Server("e1")
+	if !ok || !usable() {
+		t.Fatal("the server is not listed")
+	}
+	told := time.Now()
+	a.fleet.Observe(server, fleet.Notice{Leaving: true}, 1)
+	eventually(t, "b knows that the server is leaving", func() bool { return !usable() })
+	if took := time.Since(told); took > 500*time.Millisecond {
+		t.Errorf("b knew after %v", took)
+	}
+}
+
 // Guards against an instance that never loads a table because the store rejects its reads: it must fetch it from a peer.
 func TestTableIsFetchedFromPeer(t *testing.T) {
 	a := start(t, "a", "north", snapshotAt(5))
