Set no limit for a call that was ended for silence

A late event set the limit again after a successor had been chosen; while the caller was slow to read, a second successor was chosen and the first one's load stayed for good. Test before: 'server e2 still has {Requests:1 ...}' (TestSuccessorIsNotForgottenForAnother).

--- a/dispatch/watchdog.go
+++ b/dispatch/watchdog.go
@@ -45,7 +45,7 @@
 	w.set(limit)
 }
 
-// set replaces the timer and ends the decision about the previous limit. The caller holds the lock.
+// set replaces the timer and ends the decision about the previous limit. Once the call was ended there is no limit. The caller holds the lock.
 func (w *watchdog) set(limit clock.Millis) {
 	if w.timer != nil {
 		w.timer.Stop()
@@ -55,7 +55,7 @@
 		w.endDecision = nil
 	}
 	w.limits++
-	if n := w.limits; limit > 0 {
+	if n := w.limits; limit > 0 && !w.ended {
 		w.timer = time.AfterFunc(limit.Duration(), func() { w.expire(n) })
 	}
 }
