Recover from a panic of a decision on a silent server

The decision runs in a timer's goroutine, so that a panic ended the process and with it all requests. Test before: 'the process ended with exit status 2: panic: no such server' (TestPanicOfASilenceDecisionEndsOnlyItsRequest). The attempt waits on now, and the panic is logged.

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 
 	"github.com/apex/log"
@@ -35,7 +37,13 @@
 }
 
 // decide returns the ruling on the attempt.
-func (s *silence) decide(ctx context.Context) ruling {
+func (s *silence) decide(ctx context.Context) (r ruling) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.x.log.WithFields(log.Fields{"cause": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("decision on a silent server panicked")
+			r = ruling{wait: successorInterval}
+		}
+	}()
 	if more := s.extension(); more > 0 {
 		return ruling{wait: more}
 	}
