--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -231,22 +231,28 @@
 	if len(events) == 0 {
 		return nil
 	}
-	switch {
-	case hasContent(events):
+	progress := hasContent(events)
+	if progress {
 		if x.firstEvent == 0 {
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
 		x.recordEvent(selected)
 		selected.ticket.FirstEvent()
-		w.reset(x.eventTimeout())
-	case x.splitter.last == "":
-		w.reset(0) // once it has begun, nothing can continue it
+	}
+	if progress || x.splitter.last == "" {
+		w.reset(0) // the caller's time to read doesn't count, and without an id nothing can continue the stream
 	}
 	if !x.begun && x.splitter.last == "" && w.hasEnded() {
 		return &CallError{Failure: FailureBroken, Cause: errSilentServer}
 	}
 	x.begin(a)
-	return x.write(events)
+	if err := x.write(events); err != nil {
+		return err
+	}
+	if progress {
+		w.reset(x.eventTimeout())
+	}
+	return nil
 }
 
 // recordEvent records an event of the attempt, and once that its server has survived the parts of the prompt.
