--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -61,10 +63,28 @@
 			return
 		}
 		defer s.endRequest()
-		x.finish(x.authenticateAndServe(serve))
+		x.finish(x.serveSafely(serve))
 	}
 }
 
+// serveSafely is authenticateAndServe, with a panic as an error. A panic with http.ErrAbortHandler closes the connection on purpose.
+func (x *exchange) serveSafely(serve func(context.Context, *exchange) error) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause == http.ErrAbortHandler {
+			panic(cause)
+		}
+		x.log.WithFields(log.Fields{"cause": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("request handler panicked")
+		err = &poplarwinch.Error{
+			Kind: poplarwinch.KindInternal, Outcome: poplarwinch.OutcomeUnknown, Message: "internal error", Remedy: "report the request id",
+		}
+	}()
+	return x.authenticateAndServe(serve)
+}
+
 // authenticateAndServe authenticates the caller and serves the request if the instance can serve requests.
 func (x *exchange) authenticateAndServe(serve func(context.Context, *exchange) error) error {
 	s := x.server
