Register once in each era of the store

An instance that had registered before the store was restored, and loaded its tables afterwards, never learned that its row was lost; one that had loaded them registered twice, once for each table. Tests before: 'the instance is not registered 3 s after it was ready', 'the instance read the table of instances 2 times after the restoration, want once'. The era of the registration is compared with the latest known one now.

--- a/replica/option.go
+++ b/replica/option.go
@@ -42,9 +42,9 @@
 	return func(r *Replica) { r.generation = generation }
 }
 
-// WithOnRestored sets the function that is called after the source was seen to have been restored from an older copy of itself, with the
-// era that began then.
-func WithOnRestored(restored func(era Era)) Option { return func(r *Replica) { r.restored = restored } }
+// WithOnEra sets the function that is called after the first rows have told the source's era, and after each restoration of the source from an
+// older copy of itself, with the era that began then.
+func WithOnEra(onEra func(era Era)) Option { return func(r *Replica) { r.onEra = onEra } }
 
 // WithClock sets the clock; the default is monotonic.
 func WithClock(c *clock.Clock) Option { return func(r *Replica) { r.clock = c } }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -51,7 +51,7 @@
 	changes     func(ctx context.Context, after Version) (Batch, error)
 	changed     func(rows []Row)
 	supersedes  func(row, other Row) bool
-	restored    func(era Era)
+	onEra       func(era Era)
 	generation  func(rows []Row) int64
 	identity    func(row Row) string
 	keepMissing bool
@@ -98,7 +98,7 @@
 func New(name string, opts ...Option) *Replica {
 	r := &Replica{
 		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
-		supersedes: func(Row, Row) bool { return false }, restored: func(Era) {}, generation: func([]Row) int64 { return 0 },
+		supersedes: func(Row, Row) bool { return false }, onEra: func(Era) {}, generation: func([]Row) int64 { return 0 },
 		identity: func(row Row) string { return string(row.Value) },
 		rows:     map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
 		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
@@ -200,8 +200,8 @@
 	wake := r.passive && len(r.held) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
-	if loaded && batch.Era != era {
-		r.restored(batch.Era)
+	if !loaded || batch.Era != era {
+		r.onEra(batch.Era)
 	}
 	if wake {
 		r.Recheck() // Run waits until the first held row is due
@@ -350,8 +350,8 @@
 	changed := r.apply(batch, mode)
 	r.mutex.Unlock()
 	r.notify(changed)
-	if loaded && batch.Era != era {
-		r.restored(batch.Era)
+	if !loaded || batch.Era != era {
+		r.onEra(batch.Era)
 	}
 	return nil
 }
