Let instances that start after a restoration and their peers learn from each other

A peer that had started since the restoration made others give up, at once, the rows of the lost seconds that it never knew; and such an instance used servers that its peers knew to be draining.

A table that was loaded within the grace period says so when it is passed on, and an instance without states of an earlier era asks a peer that has some for the whole table, once in each era.

--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -39,6 +39,7 @@
 	Rows     []replica.Row    `cbor:"rows"`
 	Position replica.Position `cbor:"position"`
 	Complete bool             `cbor:"complete"`
+	Recent   bool             `cbor:"recent,omitempty"`
 }
 
 // fetchTracker limits fetches to one at a time for each table.
@@ -95,7 +96,9 @@
 	}
 	position := reply.Msg.Position
 	entry.WithField("era", position.Era).WithField("version", position.Version).Info("table read from peer")
-	g.replicas[table].Merge(replica.NewBatch(position, reply.Msg.Rows, reply.Msg.Complete))
+	batch := replica.NewBatch(position, reply.Msg.Rows, reply.Msg.Complete)
+	batch.Recent = reply.Msg.Recent
+	g.replicas[table].Merge(batch)
 }
 
 // Handler returns the handler for calls from peers.
@@ -124,7 +127,7 @@
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no table %q", request.Msg.Table))
 	}
 	batch := table.Since(request.Msg.After)
-	return connect.NewResponse(&fetchResponse{Rows: batch.Rows, Position: batch.Position(), Complete: batch.Complete}), nil
+	return connect.NewResponse(&fetchResponse{Rows: batch.Rows, Position: batch.Position(), Complete: batch.Complete, Recent: batch.Recent}), nil
 }
 
 // Serve serves calls from peers until the listener is closed.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -87,8 +87,12 @@
 	// wake ends the wait of Run after a datagram became due earlier.
 	wake chan struct{}
 	// behind has what peers are known to have of a table beyond this instance's replica, by table name.
-	behind  map[string]lag
-	fetches fetchTracker
+	behind map[string]lag
+	// compared has the eras for which a table was compared with that of a peer which knows later states than the source, by table name.
+	compared map[string]replica.Era
+	// settledAt has the time of the latest fetch of a table to settle what is known of it, by table name.
+	settledAt map[string]clock.Millis
+	fetches   fetchTracker
 	// bootstrapFailed is set if a peer failed to send a whole table.
 	bootstrapFailed atomic.Bool
 }
@@ -102,7 +106,7 @@
 	g := &Gossip{
 		self: self, clock: clock.Monotonic(), log: log.Log, codec: c, boot: time.Now().UnixNano(),
 		peers: map[poplarwinch.InstanceID]*peerState{}, unidentified: map[netip.AddrPort]bool{},
-		behind: map[string]lag{}, wake: make(chan struct{}, 1), announced: map[string]replica.Position{},
+		behind: map[string]lag{}, wake: make(chan struct{}, 1), announced: map[string]replica.Position{}, compared: map[string]replica.Era{}, settledAt: map[string]clock.Millis{},
 		cell: fleet.Cell{Count: 1},
 	}
 	for _, opt := range opts {
@@ -289,7 +293,7 @@
 	var generations map[string]int64
 	for name, r := range g.replicas {
 		generation, carriedOver := r.Generation()
-		if !carriedOver || generation == 0 {
+		if !carriedOver {
 			continue
 		}
 		if generations == nil {
--- a/gossip/mixed_versions_internal_test.go
+++ b/gossip/mixed_versions_internal_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/replica"
 )
 
@@ -29,6 +31,16 @@
 	Leaving   bool
 }
 
+// serverLimit was what such a datagram said of a server with a limit.
+type serverLimit struct {
+	_     struct{} `cbor:",toarray"`
+	ID    poplarwinch.UpstreamID
+	Sent  int
+	Known bool
+	Rate  fleet.RequestRate
+	Age   clock.Millis
+}
+
 // tableChangesBeforeEras are changes of a table in such a datagram.
 type tableChangesBeforeEras struct {
 	_       struct{} `cbor:",toarray"`
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -122,12 +122,42 @@
 		if r == nil {
 			continue
 		}
-		if own, _ := r.Generation(); own < generation {
+		if own, _ := r.Generation(); own < generation || generation == 0 && g.comparesOnce(name, r) {
 			g.fetch(from, name, replica.Position{})
 		}
 	}
 }
 
+// settle fetches a whole table from a peer that knows what became of the rows which this instance keeps or holds back.
+func (g *Gossip) settle(from Member, name string, own replica.Position) {
+	now := g.clock.Now()
+	g.mutex.Lock()
+	due := now-g.settledAt[name] >= fetchDelay
+	if due {
+		g.settledAt[name] = now
+	}
+	g.mutex.Unlock()
+	if due {
+		g.fetch(from, name, own)
+	}
+}
+
+// comparesOnce reports whether a table without generations is to be compared with a peer's, which is done once in each era, by an instance
+// that has loaded the table in it and knows no later states itself.
+func (g *Gossip) comparesOnce(name string, r *replica.Replica) bool {
+	position, loaded := r.Position()
+	if _, carriedOver := r.Generation(); !loaded || carriedOver {
+		return false
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.compared[name] == position.Era {
+		return false
+	}
+	g.compared[name] = position.Era
+	return true
+}
+
 // comparePositions compares the replicas with the positions of a peer, near or distant, and fetches tables that stay behind. Their
 // reads may be stuck on an unresponsive connection or be rejected by the source.
 func (g *Gossip) comparePositions(from Member, near bool, positions map[string]replica.Position) {
@@ -138,6 +168,10 @@
 		if loaded && !own.IsBehind(theirs) || theirs == (replica.Position{}) {
 			continue
 		}
+		if loaded && own.Unsettled && theirs.Era == own.Era && theirs.Version <= own.Version {
+			g.settle(from, name, own)
+			continue
+		}
 		g.mutex.Lock()
 		l, behind := g.behind[name]
 		if !behind || !own.IsBehind(l.position) || now-l.since > maxMissedHeartbeats*heartbeatInterval {
--- a/replica/era.go
+++ b/replica/era.go
@@ -167,7 +167,7 @@
 func (r *Replica) applyLaterStates(rows []Row) bool {
 	changed := false
 	for _, row := range rows {
-		if known, ok := r.rows[row.Key]; ok && !row.Deleted && r.supersedes(row, known) {
+		if known, ok := r.rows[row.Key]; ok && !row.Deleted && !row.Held && r.supersedes(row, known) {
 			row.Version = carriedOver
 			r.rows[row.Key] = row
 			changed = true
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,6 +69,7 @@
 	// contentVersion is the largest version of a row that was seen.
 	contentVersion Version
 	loaded         bool
+	loadedAt       clock.Millis
 	// failing is set if the last read of the source failed.
 	failing bool
 	// failedAt is the time of the last failed read.
@@ -145,6 +146,7 @@
 	defer r.mutex.Unlock()
 	complete := after.Version == 0 || after.Era != r.era || after.Unsettled || after.Version < r.historyStart
 	batch := NewBatch(r.position(), nil, complete)
+	batch.Recent = r.clock.Now()-r.loadedAt < missingRowGrace
 	for _, row := range r.list() {
 		_, row.Missing = r.missingSince[row.Key]
 		if complete || row.Missing || row.Version > after.Version {
@@ -379,12 +381,14 @@
 		changed = r.applyRow(row) || changed
 	}
 	if batch.Complete {
-		changed = r.removeMissing(seen, mode, restored) || changed
+		changed = r.removeMissing(seen, mode, restored, batch.Recent) || changed
 	}
 	if changed || restored {
 		r.update()
 	}
-	r.loaded = true
+	if !r.loaded {
+		r.loaded, r.loadedAt = true, r.clock.Now()
+	}
 	return changed
 }
 
@@ -427,21 +431,22 @@
 
 // removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
 // The version at which a row was removed is not known, so its tombstone gets the version of the batch. The caller holds the lock.
-func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored bool) bool {
+func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored, recent bool) bool {
 	r.removeHeld(seen)
 	now := r.clock.Now()
 	removed := !r.loaded
 	if !r.loaded {
 		r.historyStart = r.version
 	}
-	for key := range r.rows {
+	for key, row := range r.rows {
 		if seen[key] {
 			continue
 		}
 		since, missing := r.missingSince[key]
 		switch {
-		case !r.keepMissing || mode == fromPeer:
-		case !missing && (mode == readWhole || restored):
+		case !r.keepMissing || mode == fromPeer && !recent:
+		case mode == fromPeer && row.Version != carriedOver:
+		case !missing && (mode == readWhole || restored || mode == fromPeer):
 			r.missingSince[key] = now
 			continue
 		case missing && now-since < missingRowGrace:
--- a/replica/row.go
+++ b/replica/row.go
@@ -63,6 +63,8 @@
 	Version Version
 	// Unsettled is that of the position of the instance which passes the batch on.
 	Unsettled bool
+	// Recent is set if the sender has loaded the table so lately that it may not know rows which may come back.
+	Recent bool
 	// Complete is set if Rows holds every row of the table, not only changes.
 	Complete bool
 }
