--- a/replica/replica.go
+++ b/replica/replica.go
@@ -51,7 +51,7 @@
 	changes     func(ctx context.Context, after Version) (Batch, error)
 	changed     func(rows []Row)
 	supersedes  func(row, other Row) bool
-	restored    func(era Era)
+	onEra       func(era Era)
 	generation  func(rows []Row) int64
 	identity    func(row Row) string
 	keepMissing bool
@@ -69,6 +69,7 @@
 	// contentVersion is the largest version of a row that was seen.
 	contentVersion Version
 	loaded         bool
+	loadedAt       clock.Millis
 	// failing is set if the last read of the source failed.
 	failing bool
 	// failedAt is the time of the last failed read.
@@ -98,7 +99,7 @@
 func New(name string, opts ...Option) *Replica {
 	r := &Replica{
 		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
-		supersedes: func(Row, Row) bool { return false }, restored: func(Era) {}, generation: func([]Row) int64 { return 0 },
+		supersedes: func(Row, Row) bool { return false }, onEra: func(Era) {}, generation: func([]Row) int64 { return 0 },
 		identity: func(row Row) string { return string(row.Value) },
 		rows:     map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
 		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
@@ -145,6 +146,7 @@
 	defer r.mutex.Unlock()
 	complete := after.Version == 0 || after.Era != r.era || after.Unsettled || after.Version < r.historyStart
 	batch := NewBatch(r.position(), nil, complete)
+	batch.Recent = r.clock.Now()-r.loadedAt < missingRowGrace
 	for _, row := range r.list() {
 		_, row.Missing = r.missingSince[row.Key]
 		if complete || row.Missing || row.Version > after.Version {
@@ -200,8 +202,8 @@
 	wake := r.passive && len(r.held) > 0
 	r.mutex.Unlock()
 	r.notify(changed)
-	if loaded && batch.Era != era {
-		r.restored(batch.Era)
+	if !loaded || batch.Era != era {
+		r.onEra(batch.Era)
 	}
 	if wake {
 		r.Recheck() // Run waits until the first held row is due
@@ -350,8 +352,8 @@
 	changed := r.apply(batch, mode)
 	r.mutex.Unlock()
 	r.notify(changed)
-	if loaded && batch.Era != era {
-		r.restored(batch.Era)
+	if !loaded || batch.Era != era {
+		r.onEra(batch.Era)
 	}
 	return nil
 }
@@ -379,12 +381,14 @@
 		changed = r.applyRow(row) || changed
 	}
 	if batch.Complete {
-		changed = r.removeMissing(seen, mode, restored) || changed
+		changed = r.removeMissing(seen, mode, restored, batch.Recent) || changed
 	}
 	if changed || restored {
 		r.update()
 	}
-	r.loaded = true
+	if !r.loaded {
+		r.loaded, r.loadedAt = true, r.clock.Now()
+	}
 	return changed
 }
 
@@ -427,21 +431,22 @@
 
 // removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
 // The version at which a row was removed is not known, so its tombstone gets the version of the batch. The caller holds the lock.
-func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored bool) bool {
+func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored, recent bool) bool {
 	r.removeHeld(seen)
 	now := r.clock.Now()
 	removed := !r.loaded
 	if !r.loaded {
 		r.historyStart = r.version
 	}
-	for key := range r.rows {
+	for key, row := range r.rows {
 		if seen[key] {
 			continue
 		}
 		since, missing := r.missingSince[key]
 		switch {
-		case !r.keepMissing || mode == fromPeer:
-		case !missing && (mode == readWhole || restored):
+		case !r.keepMissing || mode == fromPeer && !recent:
+		case mode == fromPeer && row.Version != carriedOver:
+		case !missing && (mode == readWhole || restored || mode == fromPeer):
 			r.missingSince[key] = now
 			continue
 		case missing && now-since < missingRowGrace:
