--- a/replica/follow.go
+++ b/replica/follow.go
@@ -84,7 +84,7 @@
 	// confirmMissing reads the whole table while changes are followed, to see whether missing rows came back. Rows that were there
 	// after the failure did not expire during it: if they are missing now, they are gone.
 	confirmMissing readMode = "confirm"
-	// fromPeer marks a batch that another instance has read and that has no missing rows which may come back.
+	// fromPeer marks a batch that another instance has read.
 	fromPeer readMode = "peer"
 )
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,7 +69,8 @@
 	// contentVersion is the largest version of a row that was seen.
 	contentVersion Version
 	loaded         bool
-	loadedAt       clock.Millis
+	// loadedAt is the time of the first load.
+	loadedAt clock.Millis
 	// failing is set if the last read of the source failed.
 	failing bool
 	// failedAt is the time of the last failed read.
