--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -25,6 +25,8 @@
 	parts  string
 	tokens string
 	body   string
+	// key is the API key; empty for the usual one.
+	key    string
 	budget time.Duration
 }
 
@@ -32,6 +34,8 @@
 type answer struct {
 	status int
 	body   string
+	// key is the API key; empty for the usual one.
+	key string
 	// err is set if the channel ended without a complete answer.
 	err error
 }
@@ -56,7 +60,7 @@
 func (q *request) head() string {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\nAuthorization: Token %s\r\n",
-		cmp.Or(q.method, http.MethodPost), q.path, host, q.attempt, q.budget.Milliseconds(), apiKey)
+		cmp.Or(q.method, http.MethodPost), q.path, host, q.attempt, q.budget.Milliseconds(), cmp.Or(q.key, apiKey))
 	if q.body != "" {
 		fmt.Fprintf(b, "Content-Length: %d\r\n", len(q.body))
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -72,7 +72,10 @@
 	// network is the loopback network of the instances and servers, as "127.a.b".
 	network string
 	// models are the models of the model service; requests ask for them in turn.
-	models    []string
+	models []string
+	// version and keys are those of the configuration.
+	version   int
+	keys      []string
 	store     *store
 	servers   []*server
 	instances []*instance
@@ -84,7 +87,7 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	w := &world{record: r, directory: directory, network: fmt.Sprintf("127.%d.%d", 130+pid%100, pid/100%250), models: []string{"m"}}
+	w := &world{record: r, directory: directory, network: fmt.Sprintf("127.%d.%d", 130+pid%100, pid/100%250), models: []string{"m"}, version: 7, keys: []string{apiKey}}
 	w.store, err = newStore(w.network + ".1:0")
 	return w, err
 }
