--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -181,7 +181,7 @@
 		})
 		x.d.metrics.crashRecorded(x.Service)
 		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts, "known-suspects": x.d.suspects.Size(),
+			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts, "known-suspects": x.d.suspects.Size(),
 			"ran-ms": brokeAt - selected.sentAt, "answered-ms": selected.answeredFor(brokeAt), "recorded-after-ms": x.d.clock.Now() - brokeAt,
 		}).Warn("server crashed while running the request")
 	})
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -5,11 +5,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/poplarwinch/poplarwinch"
 )
 
-// Fingerprint identifies a request by customer, model and body, or a part of prompts by model and id.
+// Fingerprint identifies a request by its caller and what it asks for, or a part of prompts by model and id.
 type Fingerprint [16]byte
 
 // FingerprintOf returns the fingerprint of a request. Each part is hashed with its length first, so that no caller can
@@ -18,6 +19,27 @@
 	return hashFields([]byte(customer), []byte(model), body)
 }
 
+// Call names a request of a caller to a server. It holds what the server runs, and so all that stays the same when the caller sends the
+// request again; it leaves out what may differ then, such as an attempt's id and the time that is left.
+type Call struct {
+	Customer poplarwinch.CustomerID
+	Method   string
+	Host     string
+	// Target is the path with the query, as the caller sent them.
+	Target string
+	Model  poplarwinch.ModelName
+	// Prompt lists all parts of the prompt, with the request's own one.
+	Prompt string
+	Body   []byte
+}
+
+// Fingerprint returns the fingerprint of the request.
+func (c Call) Fingerprint() Fingerprint {
+	return hashFields(
+		[]byte(c.Customer), []byte(c.Method), []byte(strings.ToLower(c.Host)), []byte(c.Target), []byte(c.Model), []byte(c.Prompt), c.Body,
+	)
+}
+
 // FingerprintOfPart returns the fingerprint of a part of the model's prompts. It has fewer fields than that of a request, so that the
 // hashed bytes are never the same.
 func FingerprintOfPart(model poplarwinch.ModelName, part poplarwinch.PromptPartID) Fingerprint {
