Clear a crashing request only by an answer that is no server error

A request that crashes servers was sent on as long as now and then a server answered it with 500, as failing servers do: that counted as a complete answer and cleared the deaths before it. A 5xx answer doesn't show that the server ran the request to its end, so it clears nothing.

TestServerErrorsDoNotClearACrashingRequest failed before: 6 servers crashed in 12 requests, 3 now.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -115,7 +115,9 @@
 	switch {
 	case err == nil:
 		x.d.fleet.Succeeded(selected.first.ID)
-		x.recordAnswer(selected)
+		if !selected.serverError {
+			x.recordAnswer(selected)
+		}
 		x.d.metrics.attemptEnded(x.Service, "completed")
 		return nil
 	case !errors.As(err, &failed):
@@ -180,6 +182,7 @@
 			return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d", a.Status)}
 		}
 		x.d.fleet.Failed(selected.first.ID)
+		selected.serverError = true
 	}
 	if x.begun {
 		return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d instead of resuming the stream", a.Status)}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -335,6 +335,35 @@
 	})
 }
 
+// Guards against a request that goes on to crash servers because others answer it with an error between two crashes, without having run it
+// to its end.
+func TestServerErrorsDoNotClearACrashingRequest(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		crashes := 0
+		f.answer = func(_ context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error) {
+			if n%2 == 0 {
+				return complete(http.StatusInternalServerError, "out of order")
+			}
+			crashes++
+			f.mutex.Lock()
+			f.unreachable[c.Server.ID] = true
+			f.mutex.Unlock()
+			return failure(dispatch.FailureBroken)
+		}
+		for range 12 {
+			f.run(t.Context(), f.request(route.KindNonIdempotent))
+			time.Sleep(6 * time.Second)
+			f.mutex.Lock()
+			f.unreachable = map[poplarwinch.UpstreamID]bool{}
+			f.mutex.Unlock()
+			time.Sleep(6 * time.Second)
+		}
+		if crashes > 3 {
+			t.Errorf("the request crashed %d servers, want 3 at most", crashes)
+		}
+	})
+}
+
 // Guards against an innocent request whose repeats are rejected because its servers were cut off while it ran: if no server of the
 // failure domain can be reached, none is taken as crashed.
 func TestCutOffServersAreNoCrash(t *testing.T) {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -44,6 +44,8 @@
 	firstEventAt clock.Millis
 	// survived says that the server was recorded as having survived the parts of the prompt.
 	survived bool
+	// serverError says that the server answered with a 5xx status, which doesn't show that it can run the request.
+	serverError bool
 	// group is the memory that is reserved on several engines, or nil.
 	group *reservation.Group
 	// stopRenewals stops renewing the reservations of group.
