Choose who reads the tables among the instances heard in the last 1.4 s

The survivor counted the lost followers of the tables as alive for three heartbeats and read nothing itself. Followers are now chosen among the instances of the cell that were heard in the last 1.4 s, and chosen again at the moment when that time ends.

--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -18,6 +18,10 @@
 	// bootstrapWait is the time after the start for which an instance waits to get the tables from its peers before it reads them
 	// itself.
 	bootstrapWait clock.Millis = 1200
+	// followerTimeout is the time without a datagram after which a peer of the cell no longer counts as one that reads the tables for
+	// others. It covers a heartbeat that is late, and with the time of a read stays below that in which a change has to take effect, also
+	// if all other instances are lost at once. A heartbeat that was lost costs one read more.
+	followerTimeout clock.Millis = 1400
 )
 
 // updateFollowing makes this instance follow the tables itself if it is one of the followers of its cell. It also
@@ -33,8 +37,8 @@
 	}
 }
 
-// shouldFollow reports whether this instance is one of the followers of its cell, chosen among all live instances or
-// among those that can read the tables. The caller holds the lock.
+// shouldFollow reports whether this instance is one of the followers of its cell, chosen among all instances that were heard within
+// followerTimeout or among those that can read the tables. The caller holds the lock.
 func (g *Gossip) shouldFollow() bool {
 	all := []poplarwinch.InstanceID{g.self.ID}
 	reading := []poplarwinch.InstanceID{}
@@ -44,7 +48,7 @@
 	for _, p := range g.peers {
 		// Shortly after the start, peers that have not sent a datagram yet count as alive.
 		expected := p.heardAt == 0 && g.clock.Now()-g.startedAt < bootstrapWait
-		if !g.isNear(p) || !expected && !g.alive(p) {
+		if !g.isNear(p) || !expected && g.untilFollowerTimeout(p) <= 0 {
 			continue
 		}
 		all = append(all, p.ID)
@@ -55,6 +59,26 @@
 	return g.amongFollowers(all) || g.amongFollowers(reading)
 }
 
+// untilFollowerTimeout returns the time until the peer no longer counts as a follower if it stays silent; zero or less if it does not
+// count as one. The caller holds the lock.
+func (g *Gossip) untilFollowerTimeout(p *peerState) clock.Millis {
+	if p.heardAt == 0 {
+		return 0
+	}
+	return p.heardAt + followerTimeout - g.clock.Now()
+}
+
+// untilFollowersAreDue returns the time until the first follower of this cell no longer counts as one, at most limit. The caller holds
+// the lock.
+func (g *Gossip) untilFollowersAreDue(limit clock.Millis) clock.Millis {
+	for _, p := range g.peers {
+		if left := g.untilFollowerTimeout(p); p.follows && g.isNear(p) && left > 0 {
+			limit = min(limit, left)
+		}
+	}
+	return limit
+}
+
 // amongFollowers reports whether this instance is one of the followers chosen from the list: the first ones by hash of
 // the id, an order that all instances agree on. It sorts the list. The caller holds the lock.
 func (g *Gossip) amongFollowers(list []poplarwinch.InstanceID) bool {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -252,7 +252,7 @@
 		g.updateCell()
 		g.updateFollowing()
 		g.sendDue(connection)
-		due, cancel := g.clock.After(g.untilNextSend())
+		due, cancel := g.clock.After(g.untilNextStep())
 		select {
 		case <-due:
 		case <-g.wake:
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -12,11 +12,11 @@
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
-// untilNextSend returns the time until the next datagram is due, at most heartbeatInterval.
-func (g *Gossip) untilNextSend() clock.Millis {
+// untilNextStep returns the time until the next datagram, or another choice of followers, is due, at most heartbeatInterval.
+func (g *Gossip) untilNextStep() clock.Millis {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.due.wait(g.clock.Now(), heartbeatInterval)
+	return g.untilFollowersAreDue(g.due.wait(g.clock.Now(), heartbeatInterval))
 }
 
 // sendDue sends the datagrams that are due.
