Identify all parts of a prompt, and tell peers of all suspects

All that fit into the headers are identified now (4,096 at most, beyond that logged and counted), at both interfaces. Suspects that had no place in a datagram of 32 follow 50 ms later. 8,192 suspects are kept, and what is dropped is counted.

--- a/completion/parts.go
+++ b/completion/parts.go
@@ -8,22 +8,25 @@
 )
 
 // sharedParts returns the ids of the messages of a chat that other requests may have in common: all but the last one, at most
-// poplarwinch.MaxSharedParts. A text prompt has none. value is the JSON text of the prompt.
-func sharedParts(format Format, value []byte) []poplarwinch.PromptPartID {
+// poplarwinch.MaxSharedParts, and the number of those that are left out. A text prompt has none. value is the JSON text of the prompt.
+func sharedParts(format Format, value []byte) (parts []poplarwinch.PromptPartID, unidentified int) {
 	if format != FormatChat {
-		return nil
+		return nil, 0
 	}
-	var parts []poplarwinch.PromptPartID
 	previous := []byte(nil)
-	for i := skipSeparators(value, 1); value[i] != ']' && len(parts) < poplarwinch.MaxSharedParts; {
+	for i := skipSeparators(value, 1); value[i] != ']'; {
 		end := skipValue(value, i)
-		if previous != nil {
+		switch {
+		case previous == nil:
+		case len(parts) < poplarwinch.MaxSharedParts:
 			parts = append(parts, partID(previous))
+		default:
+			unidentified++
 		}
 		previous = value[i:end]
 		i = skipSeparators(value, end)
 	}
-	return parts
+	return parts, unidentified
 }
 
 // partID identifies a message by its JSON text.
--- a/completion/parts_test.go
+++ b/completion/parts_test.go
@@ -1,8 +1,12 @@
 package completion
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
+
+	"github.com/poplarwinch/poplarwinch"
 )
 
 // Guards against messages that are the same but have different ids, and against the last message, the request's own, among the parts.
@@ -30,3 +34,21 @@
 		t.Errorf("got the parts %v of a text prompt, error %v", r.SharedParts, err)
 	}
 }
+
+// Guards against a message that goes on crashing engines because it stands behind many others, and against hashing without bound.
+func TestSharedPartsOfLongChats(t *testing.T) {
+	for _, count := range []int{1, 34, 500, poplarwinch.MaxSharedParts + 1, poplarwinch.MaxSharedParts + 50} {
+		messages := make([]string, count)
+		for n := range messages {
+			messages[n] = fmt.Sprintf(`{"role":"user","content":"%d"}`, n)
+		}
+		r, err := Parse(FormatChat, []byte(`{"model":"m","messages":[`+strings.Join(messages, ", ")+`]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		identified := min(count-1, poplarwinch.MaxSharedParts)
+		if n := len(r.SharedParts); n != identified || r.UnidentifiedParts != count-1-identified {
+			t.Errorf("of %d messages %d are identified and %d counted as left out, want %d", count, n, r.UnidentifiedParts, identified)
+		}
+	}
+}
--- a/completion/request.go
+++ b/completion/request.go
@@ -30,6 +30,8 @@
 	Blocks []uint64
 	// SharedParts identify the parts of the prompt that other requests may have in common, in order.
 	SharedParts []poplarwinch.PromptPartID
+	// UnidentifiedParts is the number of such parts beyond poplarwinch.MaxSharedParts.
+	UnidentifiedParts int
 	// Body is the request body for the engine. It always requests a stream with usage.
 	Body []byte
 }
@@ -64,7 +66,7 @@
 	}
 	r.PromptBytes = poplarwinch.Bytes(len(prompt))
 	r.Blocks = Blocks(r.Model, r.Adapter, prompt)
-	r.SharedParts = sharedParts(format, prompt)
+	r.SharedParts, r.UnidentifiedParts = sharedParts(format, prompt)
 	r.Body = rewrite(fields, len(body), r.MaxTokens)
 	return r, nil
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -36,5 +36,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_crashes_recorded_total{service=%q}`, service)).Inc()
 }
 
+// partsUnidentified counts parts of prompts to which a crash can't be attributed.
+func (m *requestMetrics) partsUnidentified(service poplarwinch.ServiceName, count int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_unidentified_parts_total{service=%q}`, service)).Add(count)
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (d *Dispatcher) WriteMetrics(w io.Writer) { d.metrics.set.WritePrometheus(w) }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -35,6 +35,8 @@
 	Model poplarwinch.ModelName
 	// SharedParts are the parts of the prompt that other requests may have in common, in order.
 	SharedParts []poplarwinch.PromptPartID
+	// UnidentifiedParts is the number of such parts beyond poplarwinch.MaxSharedParts.
+	UnidentifiedParts int
 	// LastEventID is the id of the last event that the caller has received, if it resumes a stream.
 	LastEventID string
 	// Started is the arrival time, on the dispatcher's clock.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -22,6 +22,8 @@
 	neighbourProbeDelay clock.Millis = 600
 	// maxSends bounds the attempts of a request, including those that servers rejected.
 	maxSends = 6
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 32
 )
 
 // errShutdown is the cancellation cause of requests that are ended because the process exits.
@@ -70,11 +72,16 @@
 }
 
 func newRun(d *Dispatcher, r *Request, reply Reply) *run {
-	return &run{
+	x := &run{
 		Request: r, d: d, reply: reply, excluded: map[poplarwinch.UpstreamID]bool{},
 		suspects: quarantine.NewPromptSuspects(r.Fingerprint, r.Model, r.SharedParts),
 		log:      d.log.WithFields(log.Fields{"request-id": r.ID, "route": r.Route.Name, "customer": r.Customer}),
 	}
+	if n := r.UnidentifiedParts; n > 0 {
+		d.metrics.partsUnidentified(x.Service, n)
+		x.log.WithField("parts", len(r.SharedParts)+n).WithField("unidentified", n).Warn("prompt has too many parts; a crash can't be attributed to the last ones")
+	}
+	return x
 }
 
 // run makes attempts until one succeeds or no further one is allowed.
@@ -181,7 +188,8 @@
 		})
 		x.d.metrics.crashRecorded(x.Service)
 		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts, "known-suspects": x.d.suspects.Size(),
+			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts[:min(len(x.SharedParts), maxLoggedParts)],
+			"part-count": len(x.SharedParts), "known-suspects": x.d.suspects.Size(), "evicted-suspects": x.d.suspects.Evicted(),
 			"ran-ms": brokeAt - selected.sentAt, "answered-ms": selected.answeredFor(brokeAt), "recorded-after-ms": x.d.clock.Now() - brokeAt,
 		}).Warn("server crashed while running the request")
 	})
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -92,6 +92,10 @@
 		},
 	}
 	p.suspects = quarantine.NewPromptSuspects(p.fingerprint, request.Model, request.SharedParts)
+	if n := request.UnidentifiedParts; n > 0 {
+		x.log.WithField("messages", len(request.SharedParts)+n).WithField("unidentified", n).
+			Warn("prompt has too many messages; a crash can't be attributed to the last ones")
+	}
 	p.prompt.Key = binary.BigEndian.Uint64(p.fingerprint[:])
 	x.class = string(p.prompt.Class)
 	return p, nil
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -44,6 +44,8 @@
 	affectedInterval clock.Millis = 2000
 	// summaryInterval is the time between two summaries from an instance that follows the tables.
 	summaryInterval clock.Millis = 200
+	// suspectInterval is the time between datagrams with suspects, if there are too many for one.
+	suspectInterval clock.Millis = 50
 	// fetchDelay is the time for which a replica may be behind a peer's before it is fetched from the peer.
 	fetchDelay clock.Millis = 300
 )
@@ -93,6 +95,8 @@
 	// settledAt has the time of the latest fetch of a table to settle what is known of it, by table name.
 	settledAt map[string]clock.Millis
 	fetches   fetchTracker
+	// bytesSent is the size of all datagrams sent so far.
+	bytesSent atomic.Int64
 	// bootstrapFailed is set if a peer failed to send a whole table.
 	bootstrapFailed atomic.Bool
 }
@@ -138,6 +142,9 @@
 	g.countDistantPeers()
 }
 
+// BytesSent returns the size of all datagrams sent so far, in bytes.
+func (g *Gossip) BytesSent() int64 { return g.bytesSent.Load() }
+
 // Alive returns the number of live instances, including this one.
 func (g *Gossip) Alive() int {
 	g.mutex.Lock()
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -73,3 +73,72 @@
 		t.Errorf("3 s after the fifth crash %d of %d instances don't block the part, and %d block a harmless one", missing, instances, wrong)
 	}
 }
+
+// Guards against a part that goes on crashing servers because it comes late in long prompts: of hundreds of parts in each, no two prompts
+// share another one, and each crash is seen by another instance.
+func TestCrashingPartOfLongPromptsReachesAllInstances(t *testing.T) {
+	const parts = 400
+	instances := min(*deploymentSize, 24)
+	if *deploymentSize > 120 {
+		instances = *deploymentSize
+	}
+	now := clock.Monotonic()
+	var suspects []*quarantine.Register
+	var list []*instance
+	var members []gossip.Member
+	for n := range instances {
+		var i *instance
+		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachCrowded) }))
+		domain := poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%3))
+		i = start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), domain, snapshotAt(3), gossip.WithSuspects(register))
+		list, suspects, members = append(list, i), append(suspects, register), append(members, i.gossip.Self())
+	}
+	for _, i := range list {
+		i.gossip.Add(members)
+		i.gossip.ScheduleUpdate(fleet.ReachAll) // as after the registration
+	}
+	eventually(t, "all know the others", func() bool {
+		for _, i := range list {
+			if i.gossip.Alive() < instances*9/10 {
+				return false
+			}
+		}
+		return true
+	})
+	prompt := func(name string) quarantine.PromptSuspects {
+		var ids []poplarwinch.PromptPartID
+		for p := range parts {
+			ids = append(ids, poplarwinch.PromptPartID(fmt.Sprint(name, "-", p)))
+		}
+		ids[parts-2] = "bad"
+		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", ids)
+	}
+	time.Sleep(2 * time.Second) // the cells are determined once a second
+	sent := func() (most, sum int64) {
+		for _, i := range list {
+			most, sum = max(most, i.gossip.BytesSent()), sum+i.gossip.BytesSent()
+		}
+		return most, sum
+	}
+	mostBefore, sumBefore := sent()
+	time.Sleep(time.Second)
+	mostIdle, sumIdle := sent()
+	t.Logf("without a crash, %d instances send %d KB a second on average, the busiest %d", instances, (sumIdle-sumBefore)/1000/int64(instances), (mostIdle-mostBefore)/1000)
+	for n := range 5 {
+		crash := quarantine.Crash{Death: quarantine.Death{Upstream: poplarwinch.UpstreamID(fmt.Sprintf("e%d", n)), At: now.Now(), Ran: 50}}
+		suspects[n*61%instances].RecordCrash(prompt(fmt.Sprint("r", n)), crash)
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(learningTime)
+	mostAfter, sumAfter := sent()
+	t.Logf("in the 4 s of five crashes they send %d KB on average, the busiest %d", (sumAfter-sumIdle)/1000/int64(instances), (mostAfter-mostIdle)/1000)
+	missing := 0
+	for _, r := range suspects {
+		if _, blocked := r.Blocked(prompt("new")); !blocked {
+			missing++
+		}
+	}
+	if missing > 0 {
+		t.Errorf("3 s after the fifth crash %d of %d instances don't block the part", missing, instances)
+	}
+}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -34,6 +34,20 @@
 	if due.summaries {
 		g.sendSummaries(connection)
 	}
+	if g.suspects.HasUnreported() {
+		g.scheduleSuspects()
+	}
+}
+
+// scheduleSuspects schedules the next datagrams with suspects that had no place in the last ones.
+func (g *Gossip) scheduleSuspects() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	at := g.clock.Now() + suspectInterval
+	g.due.local = min(g.due.local, at)
+	if g.isSmall() {
+		g.due.remote = min(g.due.remote, at)
+	}
 }
 
 // takeDue returns the datagrams that are due. An instance that begins to send summaries tells all distant peers at once.
@@ -182,6 +196,7 @@
 		g.log.WithError(err).Error("datagram not encoded")
 		return
 	}
+	g.bytesSent.Add(int64(len(data) * len(targets)))
 	for _, to := range targets {
 		if _, err := connection.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.WithField("peer", to.String()).WithError(err).Debug("datagram not sent")
--- a/identifiers.go
+++ b/identifiers.go
@@ -22,8 +22,9 @@
 // PromptPartID identifies a part of a prompt that several requests may have in common.
 type PromptPartID string
 
-// MaxSharedParts bounds the parts of a prompt that are identified. They are the first ones, which most requests share.
-const MaxSharedParts = 32
+// MaxSharedParts bounds the parts of a prompt that are identified. They are the first ones, which most requests share. It is above what
+// the headers of a request have room for with usual limits; where a prompt has more, that is logged and counted.
+const MaxSharedParts = 4096
 
 // AdapterName is the name of an adapter of a model.
 type AdapterName string
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -45,7 +45,7 @@
 // RecordCrash records the crash of an engine during an attempt.
 func (g *Register) RecordCrash(p PromptSuspects, c Crash) {
 	g.mutex.Lock()
-	changed := g.merge(c.suspects(p))
+	changed := g.mergeOwn(c.suspects(p))
 	g.mutex.Unlock()
 	if len(changed) > 0 {
 		g.onChange()
@@ -94,7 +94,7 @@
 			cleared = append(cleared, s)
 		}
 	}
-	return len(g.merge(cleared)) > 0
+	return len(g.mergeOwn(cleared)) > 0
 }
 
 // Blocked reports whether the request is rejected now because it, or a part of its prompt, crashes engines. The part is its position,
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -48,11 +48,14 @@
 
 func hashFields(fields ...[]byte) Fingerprint {
 	h := sha256.New()
+	var length [8]byte
 	for _, field := range fields {
-		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
 		h.Write(field)
 	}
-	return Fingerprint(h.Sum(nil)[:16])
+	var sum [sha256.Size]byte
+	return Fingerprint(h.Sum(sum[:0])[:len(Fingerprint{})])
 }
 
 // String returns the fingerprint in hexadecimal.
--- a/quarantine/option.go
+++ b/quarantine/option.go
@@ -8,7 +8,7 @@
 // WithClock sets the clock; the default is the system clock.
 func WithClock(c *clock.Clock) Option { return func(g *Register) { g.clock = c } }
 
-// WithLimit sets the maximum number of suspects that are kept; the default is 4,096.
+// WithLimit sets the maximum number of suspects that are kept; the default is 8,192.
 func WithLimit(n int) Option { return func(g *Register) { g.limit = n } }
 
 // WithViolated sets the function that receives invariant violations; the default logs them.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -12,6 +12,9 @@
 	"github.com/poplarwinch/poplarwinch/internal/invariant"
 )
 
+// defaultLimit is the maximum number of suspects that are kept: those of a few crashes of engines with long prompts.
+const defaultLimit = 8192
+
 // Register holds the running requests of this instance and the suspects of all instances.
 type Register struct {
 	clock    *clock.Clock
@@ -33,12 +36,14 @@
 	halfOpen        halfOpen
 	// pending has the suspects that changed a short time ago.
 	pending map[Fingerprint]pendingReport
+	// evicted is the number of suspects that were dropped because there were more than limit.
+	evicted atomic.Int64
 }
 
 // New returns an empty register.
 func New(opts ...Option) *Register {
 	g := &Register{
-		clock: clock.System(), limit: 4096, violated: invariant.Log,
+		clock: clock.System(), limit: defaultLimit, violated: invariant.Log,
 		onChange: func() {},
 		runs:     map[poplarwinch.UpstreamID]map[*run]struct{}{}, halfOpen: newHalfOpen(),
 		pending: map[Fingerprint]pendingReport{},
@@ -106,7 +111,7 @@
 		suspects = append(suspects, r.suspects(now)...)
 	}
 	delete(g.runs, u)
-	return g.merge(suspects)
+	return g.mergeOwn(suspects)
 }
 
 // Merge merges suspects received from peers.
@@ -155,6 +160,18 @@
 	return changed
 }
 
+// mergeOwn merges suspects that this instance has found itself, and returns those that changed. The caller must hold the mutex.
+func (g *Register) mergeOwn(suspects []Suspect) []Suspect {
+	changed := g.merge(suspects)
+	for _, s := range changed {
+		if p, ok := g.pending[s.Fingerprint]; ok {
+			p.isOwn = true
+			g.pending[s.Fingerprint] = p
+		}
+	}
+	return changed
+}
+
 // changes returns the suspects that differ from those known so far, as they are after the merge. The caller must hold the mutex.
 func (g *Register) changes(suspects []Suspect, now clock.Millis) []Suspect {
 	known := *g.suspects.Load()
@@ -187,6 +204,7 @@
 		delete(suspects, s.Fingerprint)
 		g.forget(s.Fingerprint)
 	}
+	g.evicted.Add(int64(excess))
 }
 
 // forget removes what is kept for a suspect that is dropped. The caller must hold the mutex.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,6 +14,8 @@
 	reportPeriod = 5 * clock.Second
 	// reportedSuspects is the largest number of suspects in a report.
 	reportedSuspects = 32
+	// minOwnReports is the number of reports that have to have a change which this instance found itself, as one may be lost.
+	minOwnReports = 2
 	// reportedDeaths is the largest number of deaths in the report of a suspect that is not blocked.
 	reportedDeaths = 8
 )
@@ -23,6 +25,8 @@
 	changedAt clock.Millis
 	// reports is the number of reports that had the change.
 	reports int
+	// isOwn says that this instance found the change itself, and not a peer.
+	isOwn bool
 }
 
 // Report returns what peers should know now: the blocked suspects, and those that changed a short time ago, with their deaths. If
@@ -58,6 +62,22 @@
 	return report
 }
 
+// HasUnreported reports whether this instance has found changes that were not in enough reports yet, because there are too many for one.
+func (g *Register) HasUnreported() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	for _, p := range g.pending {
+		if p.isOwn && p.reports < minOwnReports && now-p.changedAt < reportPeriod {
+			return true
+		}
+	}
+	return false
+}
+
+// Evicted returns the number of suspects that were dropped because there were too many.
+func (g *Register) Evicted() int64 { return g.evicted.Load() }
+
 // Size returns the number of suspects, including those that expire with the next change.
 func (g *Register) Size() int { return len(*g.suspects.Load()) }
 
