Reject only prompts with all parts that can't be told apart, and blame survived parts last

Suspects with the same deaths now form a group, and a prompt is rejected if it has all of its parts; one that has some of them runs, once, and tells them apart. Parts that a server has survived lately are considered last. Deaths count against a part from the age of 1 s, so that the order of reports doesn't matter. Whole requests with the same deaths are blocked one by one.

--- a/dispatch/crashing_part_test.go
+++ b/dispatch/crashing_part_test.go
@@ -246,3 +246,50 @@
 	<-s.ctx.Done()
 	return 0, s.ctx.Err()
 }
+
+// Guards against sound requests that are rejected because they share a part with the ones that crash servers, behind the part at fault, and
+// come too rarely for an answer to clear it in time.
+func TestRareSoundRequestsBesideACrashingPartBeforeTheirs(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		s := newCrashingServers(f, 12)
+		var wait sync.WaitGroup
+		var mutex sync.Mutex
+		begun, sent, n := 0, 0, 0
+		start := func(count bool, parts ...poplarwinch.PromptPartID) {
+			n++
+			r := s.prompt(n, parts...)
+			wait.Go(func() {
+				o := f.run(t.Context(), r)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if count && o.begun > 0 {
+					begun++
+				}
+			})
+		}
+		for range 5 {
+			start(false, "shared")
+			time.Sleep(2 * time.Second)
+		}
+		for range 3 {
+			start(false, crashingPart, "shared")
+		}
+		for second := range 50 {
+			time.Sleep(time.Second)
+			if second%6 == 5 {
+				start(false, crashingPart, "shared")
+			}
+			if second%2 == 1 {
+				sent++
+				start(true, "shared")
+			}
+		}
+		wait.Wait()
+		if begun < sent*9/10 {
+			t.Errorf("%d of %d sound requests began", begun, sent)
+		}
+		if n := s.sendsAfter(s.crashes[min(len(s.crashes), 5)-1] + learningTime); n > 3 {
+			t.Errorf("%d attempts with the part 3 s after the fifth crash or the last one, %d crashes in all; want 3 at most", n, len(s.crashes))
+		}
+	})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -41,6 +41,7 @@
 	denialNotResumable  denial = "not-resumable"
 	denialBudget        denial = "retry-budget"
 	denialBlocked       denial = "blocked"
+	denialSuspect       denial = "suspect"
 	denialNoServer      denial = "no-server"
 )
 
@@ -146,6 +147,8 @@
 		return denialMaxAttempts
 	case failed.MayHaveRun() && !x.resumable():
 		return denialNotResumable
+	case failed.MayHaveRun() && x.d.suspects.IsSuspect(x.suspects):
+		return denialSuspect
 	case x.successor == nil && !x.d.budget(x.Service).Take():
 		return denialBudget
 	}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -16,50 +16,139 @@
 	// minSuccessiveDeaths is the least number of these that came one after the other, each of a request that was sent after the death
 	// before. Engines that die at the same moment for another reason count as one.
 	minSuccessiveDeaths = 2
-	// partDelay is the time from the death that would block a part until it is blocked. Answers that clear a part which many requests
-	// have in common are known to all instances by then.
+	// partDelay is the age from which a death counts against a part. Answers that clear a part which many requests have in common, and
+	// reports of the same death for other suspects, are known to all instances by then.
 	partDelay = clock.Second
+	// maxBlocks bounds the groups that are blocked at a time.
+	maxBlocks = 64
+	// minBlocksOfSurvived is the number of groups among which the deaths of a part that engines have survived before are divided, and
+	// from which the part itself is blamed for them: it is likelier that it became harmful than that so many others are.
+	minBlocksOfSurvived = 3
 )
 
-// block is the decision to reject the requests with a suspect.
+// block is the decision to reject the requests that have all suspects of a group of parts, or one whole request.
 type block struct {
-	// from is the time from which the requests are rejected.
-	from clock.Millis
-	// lastDeathAt is the time of the suspect's last death.
+	// others are the suspects of the group besides the one under which the block is kept.
+	others []Fingerprint
+	// lastDeathAt is the time of the latest death of the group.
 	lastDeathAt clock.Millis
 }
 
-// findBlocks returns the suspects that crash engines.
+// blockSet has the blocks at a time.
+type blockSet struct {
+	// byLeader has each block under one suspect of its group.
+	byLeader map[Fingerprint]block
+	// members are the suspects of all groups.
+	members map[Fingerprint]bool
+	// groups is the number of groups.
+	groups int
+	// due is the time at which the blocks are to be derived again, since further deaths count then; zero if no death is that recent.
+	due clock.Millis
+}
+
+// outdated reports whether the blocks are to be derived again.
+func (b *blockSet) outdated(now clock.Millis) bool { return b.due != 0 && now >= b.due }
+
+// findBlocks derives which requests are rejected.
 //
-// A request that crashes an engine makes suspects of all that ran there. Deaths are attributed to the suspect with the most of them
-// first, and don't count for the others then. Among suspects with the same number of deaths, a whole request comes before a part,
-// and a later part before an earlier one, which more requests have in common.
-func findBlocks(suspects map[Fingerprint]Suspect, now clock.Millis) map[Fingerprint]block {
-	var candidates []candidate
+// A request that crashes an engine makes suspects of all that ran there, so that the deaths of sound suspects are among those of the one
+// at fault. Deaths are therefore attributed to the suspect with the most of them first, and don't count for the others then. Suspects
+// with the same deaths can't be told apart: they form a group, and only requests that have all of its parts are rejected. A request that
+// has some of them runs, and its answer or its crash shows which one it is. Suspects that engines have survived before are considered last.
+// survivedAt returns the time at which an engine last survived a suspect; zero if that is not known.
+func findBlocks(suspects map[Fingerprint]Suspect, survivedAt func(Fingerprint) clock.Millis, now clock.Millis) *blockSet {
+	b := &blockSet{byLeader: map[Fingerprint]block{}, members: map[Fingerprint]bool{}}
+	var fresh, survived []candidate
 	for _, s := range suspects {
-		if s.expired(now) {
-			continue
-		}
-		if deaths := s.unclearedDeaths(); len(deaths) >= blockingDeaths {
-			candidates = append(candidates, candidate{fingerprint: s.Fingerprint, position: s.Position, deaths: deaths})
+		c, ok := b.candidate(&s, now)
+		switch {
+		case !ok:
+		case survivedAt(s.Fingerprint) == 0:
+			fresh = append(fresh, c)
+		default:
+			survived = append(survived, c)
 		}
 	}
-	slices.SortFunc(candidates, candidate.compare)
-	blocks := map[Fingerprint]block{}
 	attributed := attributedDeaths{}
-	for _, c := range candidates {
-		deaths := slices.DeleteFunc(slices.Clone(c.deaths), attributed.has)
-		from, ok := blockedFrom(deaths)
-		if !ok {
+	b.attribute(fresh, attributed, math.MaxInt)
+	b.attribute(survived, attributed, minBlocksOfSurvived)
+	return b
+}
+
+// candidate returns the suspect with its deaths that count now, if there are enough to block it.
+func (b *blockSet) candidate(s *Suspect, now clock.Millis) (candidate, bool) {
+	if s.expired(now) {
+		return candidate{}, false
+	}
+	deaths := s.unclearedDeaths()
+	if len(deaths) < blockingDeaths {
+		return candidate{}, false
+	}
+	c := candidate{fingerprint: s.Fingerprint, position: s.Position, lastDeathAt: deaths[len(deaths)-1].At}
+	for _, d := range deaths {
+		due := d.At + partDelay
+		if s.Position > 0 && due > now {
+			if b.due == 0 || due < b.due {
+				b.due = due
+			}
 			continue
 		}
-		if c.position > 0 {
-			from += partDelay
+		c.deaths = append(c.deaths, d)
+	}
+	return c, len(c.deaths) >= blockingDeaths
+}
+
+// attribute adds the blocks for the deaths of the candidates that are not attributed yet. Deaths that are divided among as many groups as
+// shared count against a candidate nevertheless.
+func (b *blockSet) attribute(candidates []candidate, attributed attributedDeaths, shared int) {
+	slices.SortFunc(candidates, candidate.compare)
+	for b.groups < maxBlocks {
+		best := -1
+		for i := range candidates {
+			c := &candidates[i]
+			if attributed.groupsOf(c.deaths) < shared {
+				c.deaths = slices.DeleteFunc(c.deaths, attributed.has)
+			}
+			if _, enough := blockedFrom(c.deaths); enough && (best < 0 || len(c.deaths) > len(candidates[best].deaths)) {
+				best = i
+			}
 		}
-		blocks[c.fingerprint] = block{from: from, lastDeathAt: c.deaths[len(c.deaths)-1].At}
-		attributed.add(deaths)
+		if best < 0 {
+			return
+		}
+		candidates = b.add(candidates, best, attributed)
 	}
-	return blocks
+}
+
+// add adds the block for a candidate and those with the same deaths, and returns the remaining candidates. If there are whole requests
+// among them, each of these is blocked by itself, as no request has two of them; the parts are not blocked then, since a request is more
+// specific.
+func (b *blockSet) add(candidates []candidate, leader int, attributed attributedDeaths) []candidate {
+	l := candidates[leader]
+	var remaining []candidate
+	var requests, parts []Fingerprint
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case len(c.deaths) != len(l.deaths) || !c.hasAll(l.deaths):
+			remaining = append(remaining, *c)
+			continue
+		case c.position == 0:
+			requests = append(requests, c.fingerprint)
+		default:
+			parts = append(parts, c.fingerprint)
+		}
+		b.members[c.fingerprint] = true
+	}
+	for _, f := range requests {
+		b.byLeader[f] = block{lastDeathAt: l.lastDeathAt}
+	}
+	if len(requests) == 0 {
+		b.byLeader[parts[0]] = block{others: parts[1:], lastDeathAt: l.lastDeathAt}
+	}
+	b.groups++
+	attributed.add(l.deaths, b.groups)
+	return remaining
 }
 
 // blockedFrom returns the time of the death that is enough, with those before, to block a suspect. The deaths are ordered by time.
@@ -80,13 +169,25 @@
 type candidate struct {
 	fingerprint Fingerprint
 	position    int
-	deaths      []Death
+	// deaths are those that count and are not attributed to another suspect.
+	deaths []Death
+	// lastDeathAt is the time of the latest death, also of one that doesn't count yet.
+	lastDeathAt clock.Millis
+}
+
+// hasAll reports whether the deaths are all among the candidate's.
+func (c *candidate) hasAll(deaths []Death) bool {
+	for _, d := range deaths {
+		if !slices.ContainsFunc(c.deaths, d.sameAs) {
+			return false
+		}
+	}
+	return true
 }
 
-// compare orders candidates by the number of their deaths and, if that is the same, from specific to general.
+// compare orders candidates from specific to general. The first one of a group is named in the error for its requests.
 func (c candidate) compare(other candidate) int {
 	return cmp.Or(
-		cmp.Compare(len(other.deaths), len(c.deaths)),
 		cmp.Compare(other.specificity(), c.specificity()),
 		bytes.Compare(c.fingerprint[:], other.fingerprint[:]),
 	)
@@ -100,13 +201,34 @@
 	return c.position
 }
 
-// attributedDeaths has the deaths that are attributed to a blocked suspect, by engine.
-type attributedDeaths map[poplarwinch.UpstreamID][]Death
+// attributedDeaths has the deaths that are attributed to a group, by engine.
+type attributedDeaths map[poplarwinch.UpstreamID][]attributedDeath
+
+// attributedDeath is a death with the number of the group to which it is attributed.
+type attributedDeath struct {
+	Death
+	group int
+}
 
-func (a attributedDeaths) add(deaths []Death) {
+func (a attributedDeaths) add(deaths []Death, group int) {
 	for _, d := range deaths {
-		a[d.Upstream] = append(a[d.Upstream], d)
+		a[d.Upstream] = append(a[d.Upstream], attributedDeath{Death: d, group: group})
 	}
 }
 
-func (a attributedDeaths) has(d Death) bool { return slices.ContainsFunc(a[d.Upstream], d.sameAs) }
+func (a attributedDeaths) has(d Death) bool {
+	return slices.ContainsFunc(a[d.Upstream], func(o attributedDeath) bool { return o.sameAs(d) })
+}
+
+// groupsOf returns the number of groups to which the deaths are attributed.
+func (a attributedDeaths) groupsOf(deaths []Death) int {
+	groups := map[int]bool{}
+	for _, d := range deaths {
+		for _, o := range a[d.Upstream] {
+			if o.sameAs(d) {
+				groups[o.group] = true
+			}
+		}
+	}
+	return len(groups)
+}
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -84,6 +84,38 @@
 			"crash e1 r1:i:bad, crash e5 s1:i:worse, wait 300, crash e2 r2:i:bad, crash e6 s2:i:worse, wait 300, crash e3 r3:i:bad, crash e7 s3:i:worse, wait 300, answer r9:i, wait 1000",
 			"new:i:bad new:i:worse", "new:i",
 		},
+		"two requests on the same engines": {
+			"crash e1 r1:i o:j, wait 300, crash e2 r1:i o:j, wait 300, crash e3 r1:i o:j, wait 1300", "r1:i o:j", "new:i new:j",
+		},
+		"a sound part after the one at fault": {
+			"crash e1 r1:bad:i, crash e2 r2:bad:i, crash e3 r3:bad:i, wait 300, crash e4 r1:bad:i, crash e5 r2:bad:i, wait 1300", "new:bad:i new:x:bad:i", "new:i new:i:good new:bad",
+		},
+		"a sound part that was answered before": {
+			"answer r0:i, wait 10, crash e1 r1:bad:i, crash e2 r2:bad:i, wait 300, crash e3 r3:bad:i, wait 1300", "new:bad:i new:bad new:bad:j", "new:i new:i:good",
+		},
+		"a sound part, answered before, on one engine more": {
+			"answer r0:i, wait 10, crash e1 r1:bad:i, crash e2 r2:bad:i, wait 300, crash e3 r3:bad:i, crash e4 s1:i, wait 1300", "new:bad:i new:bad", "new:i",
+		},
+		"two parts at fault with a sound one that was answered before": {
+			"answer r0:i, wait 10, crash e1 r1:a:i, crash e2 s1:b:i, wait 300, crash e3 r2:a:i, crash e4 s2:b:i, wait 300, crash e5 r3:a:i, crash e6 s3:b:i, wait 1300",
+			"new:a new:b new:a:i new:i:b", "new:i",
+		},
+		"one of two parts comes with another later": {
+			"crash e1 r1:bad:i, crash e2 r2:bad:i, wait 300, crash e3 r3:bad:i, wait 1300, crash e4 r4:bad:j, wait 1300", "new:bad new:bad:i new:k:bad", "new:i new:j",
+		},
+		"one of two parts is answered later": {
+			"crash e1 r1:bad:i, crash e2 r2:bad:i, wait 300, crash e3 r3:bad:i, wait 1300, answer r4:i, wait 10", "new:bad new:bad:i new:j:bad", "new:i",
+		},
+		"a death that is reported for one of two parts first": {
+			"crash e1 r1:bad:i, crash e2 r2:bad:i, wait 300, crash e3 r3:bad:i, wait 2000, crash e4 r4:i, wait 900", "new:bad:i", "new:i new:bad",
+		},
+		"three parts that always come together": {
+			"crash e1 r1:a:b:c, crash e2 r2:a:b:c, wait 300, crash e3 r3:a:b:c, wait 1300", "new:a:b:c new:c:x:a:b", "new:a:b new:b:c new:a new:b new:c",
+		},
+		"a part that has become harmful, in requests that come again": {
+			"answer r0:i, wait 10, crash e1 r1:i, crash e2 r2:i, crash e3 r3:i, wait 300, crash e4 r1:i, crash e5 r2:i, crash e6 r3:i, wait 300, crash e7 r1:i, crash e8 r2:i, crash e9 r3:i, wait 1300",
+			"r1:i r2:i r3:i new:i", "new:j",
+		},
 		"one engine many times": {strings.Repeat("crash e1 r1:i:bad, wait 300, ", 8) + "wait 1000", "", "new:i:bad"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"slices"
+
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 )
@@ -22,6 +24,23 @@
 	return p
 }
 
+// all returns the fingerprints of the request and then those of its parts.
+func (p *PromptSuspects) all() []Fingerprint {
+	return append([]Fingerprint{p.Request}, p.Parts...)
+}
+
+// hasAll reports whether the fingerprints are all among those of the request and its parts.
+func (p *PromptSuspects) hasAll(list []Fingerprint) bool {
+	if len(list) > len(p.Parts) {
+		return false
+	}
+	own := map[Fingerprint]bool{p.Request: true}
+	for _, f := range p.Parts {
+		own[f] = true
+	}
+	return !slices.ContainsFunc(list, func(f Fingerprint) bool { return !own[f] })
+}
+
 // Crash is the crash of an engine during an attempt of a request.
 type Crash struct {
 	Death
@@ -100,20 +119,48 @@
 // Blocked reports whether the request is rejected now because it, or a part of its prompt, crashes engines. The part is its position,
 // from 1, or zero for the request itself.
 func (g *Register) Blocked(p PromptSuspects) (part int, blocked bool) {
-	blocks := *g.blocks.Load()
-	if len(blocks) == 0 {
+	now := g.clock.Now()
+	blocks := g.currentBlocks(now)
+	if len(blocks.byLeader) == 0 {
 		return 0, false
 	}
-	now := g.clock.Now()
-	for i, f := range append([]Fingerprint{p.Request}, p.Parts...) {
-		b, ok := blocks[f]
-		if ok && now >= b.from && now-b.lastDeathAt < quarantinePeriod && !g.allowsSingle(f, b, now) {
+	for i, f := range p.all() {
+		b, ok := blocks.byLeader[f]
+		if ok && now-b.lastDeathAt < quarantinePeriod && p.hasAll(b.others) && !g.allowsSingle(f, b, now) {
 			return i, true
 		}
 	}
 	return 0, false
 }
 
+// IsSuspect reports whether the request has one of the suspects that may be at fault for crashes, also if it isn't rejected because
+// another one that it doesn't have may be at fault as well.
+func (g *Register) IsSuspect(p PromptSuspects) bool {
+	blocks := g.currentBlocks(g.clock.Now())
+	return len(blocks.members) > 0 && slices.ContainsFunc(p.all(), func(f Fingerprint) bool { return blocks.members[f] })
+}
+
+// currentBlocks returns the blocks at the time now. They are derived again once further deaths count.
+func (g *Register) currentBlocks(now clock.Millis) *blockSet {
+	blocks := g.blocks.Load()
+	if !blocks.outdated(now) {
+		return blocks
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.updateBlocks(now)
+}
+
+// updateBlocks does the same for a caller that holds the mutex.
+func (g *Register) updateBlocks(now clock.Millis) *blockSet {
+	blocks := g.blocks.Load()
+	if blocks.outdated(now) {
+		blocks = findBlocks(*g.suspects.Load(), g.survivals.at, now)
+		g.blocks.Store(blocks)
+	}
+	return blocks
+}
+
 // allowsSingle reports whether a single request with a blocked suspect may run now.
 func (g *Register) allowsSingle(f Fingerprint, b block, now clock.Millis) bool {
 	g.mutex.Lock()
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -27,7 +27,7 @@
 	// suspects is immutable and replaced on each change, so that Check needs no lock.
 	suspects atomic.Pointer[map[Fingerprint]Suspect]
 	// blocks is immutable and replaced on each change, and empty nearly always.
-	blocks atomic.Pointer[map[Fingerprint]block]
+	blocks atomic.Pointer[blockSet]
 	// lastDeathMillis is the time in milliseconds of the last engine death that was reported to this instance.
 	lastDeathMillis atomic.Int64
 	mutex           sync.Mutex
@@ -52,7 +52,7 @@
 		opt(g)
 	}
 	g.suspects.Store(&map[Fingerprint]Suspect{})
-	g.blocks.Store(&map[Fingerprint]block{})
+	g.blocks.Store(&blockSet{})
 	return g
 }
 
@@ -154,9 +154,8 @@
 		g.pending[s.Fingerprint] = pendingReport{changedAt: now}
 	}
 	g.evict(next)
-	blocks := findBlocks(next, now)
 	g.suspects.Store(&next)
-	g.blocks.Store(&blocks)
+	g.blocks.Store(findBlocks(next, g.survivals.at, now))
 	return changed
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -34,11 +34,12 @@
 func (g *Register) Report() []Suspect {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	suspects, blocks := *g.suspects.Load(), *g.blocks.Load()
+	suspects := *g.suspects.Load()
 	if len(suspects) == 0 {
 		return nil
 	}
 	now := g.clock.Now()
+	blocks := g.updateBlocks(now).members
 	maps.DeleteFunc(g.pending, func(_ Fingerprint, p pendingReport) bool { return now-p.changedAt >= reportPeriod })
 	var list []reported
 	for f := range blocks {
