--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -401,10 +401,11 @@
 			}
 			if name == "soon" {
 				time.AfterFunc(after, func() {
+					// A process applies the list before it says that the list is loaded, so that no request sees an empty one.
+					f.fleet.Apply([]fleet.Server{{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6}})
 					f.mutex.Lock()
 					f.listMissing = false
 					f.mutex.Unlock()
-					f.fleet.Apply([]fleet.Server{{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6}})
 				})
 			}
 			began := time.Now()
