Test a blocked suspect with one request after half a minute

A wrong block kept its own proof away for 3 to 10 minutes: until then no instance let a request through whose answer would have ended it. Now the instances allow their first requests 30 s and more after the last crash, spread over 4 s for each instance, so that one of them is first and all others know its result; each one that crashes doubles the time.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -32,6 +32,8 @@
 	others []Fingerprint
 	// lastDeathAt is the time of the latest death of the group.
 	lastDeathAt clock.Millis
+	// failedTrials is the number of requests that were allowed in spite of the block and crashed their engines.
+	failedTrials int
 }
 
 // blockSet has the blocks at a time.
@@ -84,7 +86,7 @@
 	if len(deaths) < blockingDeaths {
 		return candidate{}, false
 	}
-	c := candidate{fingerprint: s.Fingerprint, position: s.Position, lastDeathAt: deaths[len(deaths)-1].At}
+	c := candidate{fingerprint: s.Fingerprint, position: s.Position, lastDeathAt: deaths[len(deaths)-1].At, failedTrials: failedTrials(deaths)}
 	for _, d := range deaths {
 		due := d.At + partDelay
 		if s.Position > 0 && due > now {
@@ -140,11 +142,13 @@
 		}
 		b.members[c.fingerprint] = true
 	}
+	added := block{lastDeathAt: l.lastDeathAt, failedTrials: l.failedTrials}
 	for _, f := range requests {
-		b.byLeader[f] = block{lastDeathAt: l.lastDeathAt}
+		b.byLeader[f] = added
 	}
 	if len(requests) == 0 {
-		b.byLeader[parts[0]] = block{others: parts[1:], lastDeathAt: l.lastDeathAt}
+		added.others = parts[1:]
+		b.byLeader[parts[0]] = added
 	}
 	b.groups++
 	attributed.add(l.deaths, b.groups)
@@ -172,7 +176,8 @@
 	// deaths are those that count and are not attributed to another suspect.
 	deaths []Death
 	// lastDeathAt is the time of the latest death, also of one that doesn't count yet.
-	lastDeathAt clock.Millis
+	lastDeathAt  clock.Millis
+	failedTrials int
 }
 
 // hasAll reports whether the deaths are all among the candidate's.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -126,7 +126,7 @@
 	}
 	for i, f := range p.all() {
 		b, ok := blocks.byLeader[f]
-		if ok && now-b.lastDeathAt < quarantinePeriod && p.hasAll(b.others) && !g.allowsSingle(f, b, now) {
+		if ok && now-b.lastDeathAt < quarantinePeriod && p.hasAll(b.others) && !g.allowsSingle(f, &b, now) {
 			return i, true
 		}
 	}
@@ -162,8 +162,8 @@
 }
 
 // allowsSingle reports whether a single request with a blocked suspect may run now.
-func (g *Register) allowsSingle(f Fingerprint, b block, now clock.Millis) bool {
+func (g *Register) allowsSingle(f Fingerprint, b *block, now clock.Millis) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.halfOpen.allow(f, b.lastDeathAt, now)
+	return g.halfOpen.allow(f, b, now)
 }
--- a/quarantine/half_open.go
+++ b/quarantine/half_open.go
@@ -7,33 +7,62 @@
 )
 
 const (
-	// minHalfOpenDelay is the time after the last death before which all requests with a blocked suspect are rejected.
-	minHalfOpenDelay = 3 * clock.Minute
-	// halfOpenInterval is the time between two requests that this instance allows after that.
-	halfOpenInterval = 10 * clock.Second
+	// minHalfOpenDelay is the time after the last death before which all requests with a blocked suspect are rejected. It doubles with
+	// each request that was allowed after it and crashed its engine, up to maxHalfOpenDelay.
+	minHalfOpenDelay = 30 * clock.Second
+	maxHalfOpenDelay = 5 * clock.Minute
+	// halfOpenSpacing is the mean time between the first requests that two instances allow. The crash of one is known to all within it.
+	halfOpenSpacing = 4 * clock.Second
+	// maxHalfOpenSpread bounds the time in which all instances allow their first request.
+	maxHalfOpenSpread = 4 * clock.Minute
+	// halfOpenInterval is the time between two requests that this instance allows.
+	halfOpenInterval = 20 * clock.Second
 )
 
-// halfOpen allows single requests with blocked suspects some minutes after the last death, like a half-open circuit breaker, so that
-// an answer clears a suspect that is blocked wrongly. Each instance begins at another time, so that few requests run before all
-// instances know of the first result.
+// halfOpen allows single requests with blocked suspects some time after the last death, like a half-open circuit breaker, so that an
+// answer clears a suspect that is blocked wrongly. Each instance begins at another time, so that few requests run before all instances
+// know of the first result.
 type halfOpen struct {
-	// delay is the time from the last death to the first request that this instance allows.
-	delay clock.Millis
+	// instances returns the number of live instances.
+	instances func() int
+	// share is this instance's place among the instances, from 0 to 1.
+	share float64
 	// allowedAt has the times of the latest requests that were allowed.
 	allowedAt map[Fingerprint]clock.Millis
 }
 
 func newHalfOpen() halfOpen {
-	spread := int64(quarantinePeriod - minHalfOpenDelay)
-	return halfOpen{delay: minHalfOpenDelay + clock.Millis(rand.Int64N(spread)), allowedAt: map[Fingerprint]clock.Millis{}}
+	return halfOpen{instances: func() int { return 1 }, share: rand.Float64(), allowedAt: map[Fingerprint]clock.Millis{}}
 }
 
 // allow reports whether a request with the suspect may run, and counts it if so.
-func (h *halfOpen) allow(f Fingerprint, lastDeathAt, now clock.Millis) bool {
+func (h *halfOpen) allow(f Fingerprint, b *block, now clock.Millis) bool {
 	last, allowed := h.allowedAt[f]
-	if now-lastDeathAt < h.delay || allowed && now-last < halfOpenInterval {
+	if now-b.lastDeathAt < h.delay(b.failedTrials) || allowed && now-last < halfOpenInterval {
 		return false
 	}
 	h.allowedAt[f] = now
 	return true
 }
+
+// delay returns the time from the last death to the first request that this instance allows.
+func (h *halfOpen) delay(failedTrials int) clock.Millis {
+	delay := minHalfOpenDelay
+	for range failedTrials {
+		delay = min(2*delay, maxHalfOpenDelay)
+	}
+	spread := min(halfOpenSpacing*clock.Millis(h.instances()), maxHalfOpenSpread)
+	return delay + clock.Millis(h.share*float64(spread))
+}
+
+// failedTrials returns the number of deaths, ordered by time, that came so long after the one before that a request which was allowed as
+// a trial caused them.
+func failedTrials(deaths []Death) int {
+	count := 0
+	for i := 1; i < len(deaths); i++ {
+		if deaths[i].At-deaths[i-1].At >= minHalfOpenDelay {
+			count++
+		}
+	}
+	return count
+}
--- a/quarantine/option.go
+++ b/quarantine/option.go
@@ -14,5 +14,10 @@
 // WithViolated sets the function that receives invariant violations; the default logs them.
 func WithViolated(f func(name, detail string)) Option { return func(g *Register) { g.violated = f } }
 
+// WithInstances sets the function that returns the number of live instances; the default returns 1.
+func WithInstances(instances func() int) Option {
+	return func(g *Register) { g.halfOpen.instances = instances }
+}
+
 // WithOnChange sets the function that is called after this instance has learned something of a suspect that its peers may not know.
 func WithOnChange(f func()) Option { return func(g *Register) { g.onChange = f } }
