Renew each reservation by itself, and repeat renewals without an answer

Callers with a prompt on several engines lost their stream if one engine left the renewal of its memory unanswered: renewals were sent one after the other without a timeout, so that the reservations on all other engines expired meanwhile, and engines cut off a request whose memory expires. Each reservation is now renewed in a goroutine of its own, and a renewal that is not answered within a sixth of its time is sent again.

TestRenewalsBesideAnEngineThatIsSilent failed before: with an engine that is silent for 1.3 s or for good the others weren't renewed for the 9 s of the answer.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -522,6 +522,61 @@
 	})
 }
 
+// Guards against a stream that is cut off because its reservations expire on sound engines, while another one leaves orders unanswered, for
+// a moment or for good.
+func TestRenewalsBesideAnEngineThatIsSilent(t *testing.T) {
+	const lifetime = 3 * clock.Second // see newFixture
+	for name, silentFor := range map[string]time.Duration{"for a moment": 1300 * time.Millisecond, "for good": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, f *fixture) {
+				var silent string
+				var silentUntil time.Time
+				renewedAt := map[engine.ReservationID]clock.Millis{}
+				addresses := map[engine.ReservationID]string{}
+				reserve := f.builder.Reserve
+				f.builder.Reserve = func(ctx context.Context, address string, r engine.Reservation) error {
+					f.mutex.Lock()
+					isRenewal := renewedAt[r.ID] != 0
+					if isRenewal && silent == "" {
+						silent, silentUntil = address, time.Now().Add(silentFor)
+					}
+					isSilent := isRenewal && address == silent && time.Now().Before(silentUntil)
+					f.mutex.Unlock()
+					if isSilent {
+						<-ctx.Done()
+						return ctx.Err()
+					}
+					f.mutex.Lock()
+					last := renewedAt[r.ID]
+					renewedAt[r.ID], addresses[r.ID] = f.dispatcher.Now(), address
+					f.mutex.Unlock()
+					if isRenewal && f.dispatcher.Now()-last > lifetime {
+						t.Errorf("the reservation on %s was renewed after %d ms", address, f.dispatcher.Now()-last)
+					}
+					return reserve(ctx, address, r)
+				}
+				f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+					time.Sleep(9 * time.Second)
+					return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+				}
+				r := f.request(route.KindStreaming)
+				r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+				f.run(t.Context(), r)
+				f.mutex.Lock()
+				defer f.mutex.Unlock()
+				if len(renewedAt) < 2 {
+					t.Fatalf("got %d reservations, want several", len(renewedAt))
+				}
+				for id, at := range renewedAt {
+					if age := r.Started + 9*clock.Second - at; age > lifetime && (addresses[id] != silent || silentFor < time.Hour) {
+						t.Errorf("the reservation on %s expired, its last renewal was %d ms before the end", addresses[id], age)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against memory that stays reserved, and renewed, for a request that its engine never begins. A request that is shown to use
 // the memory is not cut, however long its prefill takes.
 func TestUnusedReservationsEnd(t *testing.T) {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/assignment"
@@ -18,6 +19,8 @@
 	reserveTimeout clock.Millis = 400
 	// renewalsPerTTL is the number of renewals within the time to live of a reservation.
 	renewalsPerTTL = 3
+	// attemptsPerTTL is the number of attempts to renew a reservation that an engine leaves unanswered within its time to live.
+	attemptsPerTTL = 6
 	// unusedFraction is the fraction of the limit for unused reservations after which an attempt whose request is not shown to
 	// use its reservations ends. The rest is left for the answer of the engine and for the releases.
 	unusedFraction = 0.7
@@ -171,18 +174,36 @@
 }
 
 // runRenewals renews the reservations until ctx ends, and then closes done. Reservations are short so that those of a
-// crashed process expire soon.
+// crashed process expire soon. Each one is renewed by itself, so that an engine that leaves orders unanswered doesn't hold up the others.
 func (x *run) runRenewals(ctx context.Context, group *reservation.Group, done chan<- struct{}) {
 	defer close(done)
-	for x.d.clock.Sleep(ctx, x.d.reservationTTL/renewalsPerTTL) == nil {
-		for _, s := range group.Shares {
-			if ctx.Err() != nil {
-				return
-			}
-			err := x.d.reservations.Reserve(ctx, s.Address, engine.Reservation{ID: s.ID, Tokens: s.Tokens})
-			if err != nil && !errors.Is(err, context.Canceled) {
-				x.log.WithField("upstream", s.Upstream).WithError(err).Warn("reservation not renewed")
-			}
+	var renewals sync.WaitGroup
+	for _, s := range group.Shares {
+		renewals.Go(func() { x.runRenewal(ctx, s) })
+	}
+	renewals.Wait()
+}
+
+// runRenewal renews one reservation until ctx ends. A renewal without an answer is repeated at once.
+func (x *run) runRenewal(ctx context.Context, s reservation.Share) {
+	interval := x.d.reservationTTL / renewalsPerTTL
+	for wait := interval; x.d.clock.Sleep(ctx, wait) == nil; {
+		started := x.d.clock.Now()
+		err := x.renew(ctx, s)
+		wait = max(started+interval-x.d.clock.Now(), 0)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		x.log.WithField("upstream", s.Upstream).WithError(err).Warn("reservation not renewed")
+		if errors.Is(err, context.DeadlineExceeded) {
+			wait = 0
 		}
 	}
 }
+
+// renew renews a reservation, within the time that leaves room for another attempt.
+func (x *run) renew(ctx context.Context, s reservation.Share) error {
+	ctx, cancel := context.WithTimeout(ctx, (x.d.reservationTTL / attemptsPerTTL).Duration())
+	defer cancel()
+	return x.d.reservations.Reserve(ctx, s.Address, engine.Reservation{ID: s.ID, Tokens: s.Tokens})
+}
