Take a response with a status below 200 for a failed one

A caller got no answer at all where a server in trouble sent a status line with 099: net/http panics on such a status, and the connection closed.

TestServerResponses failed before for both statuses, TestStatusThatEndsNoCall for 0 and 99.

--- a/service/do.go
+++ b/service/do.go
@@ -68,8 +68,8 @@
 // read returns the complete body. net/http returns an error for a body that is shorter than its Content-Length or lacks its
 // last chunk.
 func (c *Client) read(method string, r *http.Response) ([]byte, error) {
-	if r.StatusCode == http.StatusSwitchingProtocols {
-		return nil, errors.New("server switched protocols")
+	if r.StatusCode < http.StatusOK {
+		return nil, fmt.Errorf("server responded with status %d, which ends no call", r.StatusCode)
 	}
 	limit := int64(c.config.maxResponse)
 	if method == http.MethodHead {
