Replace the readers of the manifest's row as soon as they are suspected of having failed

At the own interface a change of the manifest was in force nowhere for over 10 s if the instances that read its row crashed at once: two of each failure domain have that duty, and kept it until they counted as dead. Owners without suspected members now read the row too.

--- a/instance/peers.go
+++ b/instance/peers.go
@@ -94,8 +94,12 @@
 // instances returns the number of live instances that share the engines of the failure domain, at least 1.
 func (i *Instance) instances() int { return max(1, len(i.members.Snapshot().Live)) }
 
-// readsManifest reports whether this instance is one of the ownersPerKey that read the manifest's row often.
-func (i *Instance) readsManifest() bool { return i.members.Snapshot().Owns(manifestKey, ownersPerKey) }
+// readsManifest reports whether this instance is one of the ownersPerKey that read the manifest's row often. Others take over as soon as
+// those are suspected of having failed: until they are known to be dead, a change would be in force nowhere for too long.
+func (i *Instance) readsManifest() bool {
+	view := i.members.Snapshot()
+	return view.Owns(manifestKey, ownersPerKey) || view.OwnsUnlessSuspected(manifestKey, ownersPerKey)
+}
 
 // announceVersion notifies the peers in this failure domain of a new manifest version. The contacts in other domains get
 // it with the next exchange.
--- a/membership/members_test.go
+++ b/membership/members_test.go
@@ -232,6 +232,46 @@
 	}
 }
 
+// Guards against a manifest that is in force nowhere within 8 s because all members that read its row have crashed at once, alone or with
+// others: somebody else must count as their successor in time for a poll, which comes each 2 s.
+func TestReadersThatCrashTogetherAreReplaced(t *testing.T) {
+	const key, readers, bound = "manifest-row", 2, 6 * time.Second
+	for _, size := range []int{3, 6, 12, 32} {
+		for _, others := range []int{0, size / 3} {
+			failure := runScenario(t, 1, func(n *network) string {
+				nodes := start(n, size)
+				if _, failure := waitUntil(convergenceBound, n.disagreement); failure != "" {
+					return failure
+				}
+				owners := nodes[0].Snapshot().Owners(key, readers)
+				crashed := 0
+				for _, x := range nodes {
+					isOwner := slices.Contains(owners, poplarwinch.InstanceID(x.address))
+					if isOwner || crashed < others && size > readers+others {
+						n.pause(x)
+						if !isOwner {
+							crashed++
+						}
+					}
+				}
+				took, failure := waitUntil(bound, func() string {
+					for _, x := range n.running() {
+						if v := x.Snapshot(); v.Owns(key, readers) || v.OwnsUnlessSuspected(key, readers) {
+							return ""
+						}
+					}
+					return "nobody reads the row"
+				})
+				t.Logf("%d members, %d readers and %d others crashed: replaced after %v", size, readers, crashed, took)
+				return failure
+			})
+			if failure != "" {
+				t.Errorf("%d members: %s %s after the crash of its readers and %d others", size, failure, bound, others)
+			}
+		}
+	}
+}
+
 // A member that joins during the others' probe cycle must be probed in that cycle. Otherwise its crash
 // stays undetected for up to one second per member of the domain.
 func TestCrashesInALargeDomainAreDetected(t *testing.T) {
--- a/membership/view.go
+++ b/membership/view.go
@@ -29,6 +29,11 @@
 
 // Owners returns the n live members with the highest rendezvous hash for key, highest first.
 func (v *View) Owners(key string, n int) []poplarwinch.InstanceID {
+	return v.owners(key, n, func(*Member) bool { return true })
+}
+
+// owners does the same among the live members that are eligible.
+func (v *View) owners(key string, n int, isEligible func(m *Member) bool) []poplarwinch.InstanceID {
 	n = min(n, len(v.Live))
 	if n <= 0 {
 		return nil
@@ -41,7 +46,7 @@
 	base := xxhash.Sum64String(key)
 	for i, h := range v.hashes {
 		s := scored{mixHashes(base, h), i}
-		if len(best) == n && s.score <= best[n-1].score {
+		if !isEligible(&v.Live[i]) || len(best) == n && s.score <= best[n-1].score {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
@@ -60,6 +65,13 @@
 	return slices.Contains(v.Owners(key, n), v.Self.ID)
 }
 
+// OwnsUnlessSuspected reports whether this instance is one of the n owners of key without the members that are suspected of having failed.
+// A duty that may have two owners more for a while moves on sooner by it than by Owns.
+func (v *View) OwnsUnlessSuspected(key string, n int) bool {
+	owners := v.owners(key, n, func(m *Member) bool { return m.State != StateSuspect || m.ID == v.Self.ID })
+	return slices.Contains(owners, v.Self.ID)
+}
+
 // Delegates returns the members of this domain that exchange with the given other domain.
 func (v *View) Delegates(domain poplarwinch.FailureDomain) []poplarwinch.InstanceID {
 	return v.Owners(delegateKey(domain), delegateCount)
