Own interface: an answer clears a prompt of the deaths before it

A customer's prompt was rejected for 10 minutes as one that crashes engines if two engines died within 10 minutes while it ran, each for another reason, though it had been answered in between: nothing cleared it there. Deaths before a complete answer no longer count, neither in the register nor in the suspect's row.

TestVerdicts (two new cases) and TestDeathBeforeAnAnswerDoesNotCount failed before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -73,12 +73,13 @@
 	}
 	defer selected.release()
 	defer a.ticket.End()
-	crashesBefore := p.server.quarantine.Deaths(p.fingerprint)
+	crashesBefore, sentAt := p.server.quarantine.Deaths(p.fingerprint), p.server.clock.Now()
 	err = a.run(ctx)
 	if err == nil {
 		p.server.quarantine.RecordCompletion(u.ID, p.fingerprint)
+		p.server.quarantine.RecordAnswer(p.suspects, sentAt)
 		a.freeGroup()
-		p.releasePermit(selected.permit, false)
+		p.releasePermit(selected.permit, quarantine.RunCompleted)
 		return nil
 	}
 	p.prompt.Avoid = append(p.prompt.Avoid, u.ID)
@@ -94,23 +95,27 @@
 		p.server.probe(ctx, u)
 	}
 	p.engineCrashed = p.server.quarantine.Deaths(p.fingerprint) > crashesBefore || engineMayHaveStopped(err) && u.State() == upstream.StateDown
-	p.releasePermit(selected.permit, p.engineCrashed && a.engineMayHaveRun)
+	result := quarantine.RunEnded
+	if p.engineCrashed && a.engineMayHaveRun {
+		result = quarantine.RunCrashed
+	}
+	p.releasePermit(selected.permit, result)
 	a.cancelStream(err)
 	return err
 }
 
 // releasePermit records the end of a suspect's run in the background, so that the answer does not wait for the table.
 // Until it is recorded no other copy of the suspect runs.
-func (p *promptRun) releasePermit(permit *quarantine.Permit, crashed bool) {
+func (p *promptRun) releasePermit(permit *quarantine.Permit, result quarantine.RunResult) {
 	if permit != nil {
-		p.server.background.Go(func() { p.recordRelease(permit, crashed) })
+		p.server.background.Go(func() { p.recordRelease(permit, result) })
 	}
 }
 
-func (p *promptRun) recordRelease(permit *quarantine.Permit, crashed bool) {
+func (p *promptRun) recordRelease(permit *quarantine.Permit, result quarantine.RunResult) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	if err := permit.Release(ctx, crashed); err != nil {
+	if err := permit.Release(ctx, result); err != nil {
 		p.log.WithError(err).Warn("permit of a suspect not released; the run counts as a crash when the permit expires")
 	}
 }
@@ -144,7 +149,7 @@
 	}
 	selected, err := p.acquireEngine(ctx, permit != nil)
 	if err != nil {
-		p.releasePermit(permit, false)
+		p.releasePermit(permit, quarantine.RunEnded)
 		return nil, err
 	}
 	selected.permit = permit
@@ -210,7 +215,7 @@
 	q := p.server.quarantine
 	release, ok := q.Start(selected.upstream.ID, p.fingerprint, p.suspects.Parts...)
 	if !ok {
-		p.releasePermit(permit, false)
+		p.releasePermit(permit, quarantine.RunEnded)
 		if q.Check(p.fingerprint) == quarantine.VerdictReject {
 			return false, quarantine.Rejected()
 		}
@@ -218,7 +223,7 @@
 	}
 	selected.release = func() {
 		release()
-		p.releasePermit(permit, false)
+		p.releasePermit(permit, quarantine.RunEnded)
 	}
 	return true, nil
 }
--- a/quarantine/deaths.go
+++ b/quarantine/deaths.go
@@ -1,11 +1,11 @@
 package quarantine
 
-// Deaths returns the number of engine deaths during the request that this instance knows of, or 0 once they have
-// expired.
+// Deaths returns the number of engine deaths during the request that this instance knows of and no answer has cleared, or 0 once they
+// have expired.
 func (g *Register) Deaths(f Fingerprint) int {
 	s := (*g.suspects.Load())[f]
 	if s.expired(g.clock.Now()) {
 		return 0
 	}
-	return len(s.Deaths)
+	return len(s.unclearedDeaths())
 }
--- a/quarantine/guard_restore_test.go
+++ b/quarantine/guard_restore_test.go
@@ -57,13 +57,13 @@
 // Guards against a request that crashes a third engine, since a restore of the table lost the row of the run that crashed the second.
 func TestDeathAfterRestore(t *testing.T) {
 	withGuards(t, func(t *testing.T, table *memory.Platform, a, b *quarantine.Guard) {
-		if err := mustAcquire(t, a, 0).Release(context.Background(), true); err != nil {
+		if err := mustAcquire(t, a, 0).Release(context.Background(), quarantine.RunCrashed); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(5 * time.Second)
 		p := mustAcquire(t, a, 1)
 		table.Restore(clock.Second)
-		if err := p.Release(context.Background(), true); err != nil {
+		if err := p.Release(context.Background(), quarantine.RunCrashed); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := acquire(b, 1); !errors.Is(err, quarantine.ErrRejected) {
@@ -72,6 +72,21 @@
 	})
 }
 
+// Guards against a sound request that is rejected for minutes because two engines ended while it ran, each for another reason, though it was
+// answered in between.
+func TestDeathBeforeAnAnswerDoesNotCount(t *testing.T) {
+	withGuards(t, func(t *testing.T, _ *memory.Platform, a, b *quarantine.Guard) {
+		for _, result := range []quarantine.RunResult{quarantine.RunCrashed, quarantine.RunCompleted, quarantine.RunCrashed} {
+			if err := mustAcquire(t, a, 0).Release(context.Background(), result); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := acquire(b, 0); err != nil {
+			t.Errorf("after an answer and a death Acquire() = %v", err)
+		}
+	})
+}
+
 // Guards against two copies of a suspect at once, since a restore of the table lost the row of the first.
 func TestCopyAfterRestore(t *testing.T) {
 	withGuards(t, func(t *testing.T, table *memory.Platform, a, b *quarantine.Guard) {
@@ -90,7 +105,7 @@
 	withGuards(t, func(t *testing.T, table *memory.Platform, a, b *quarantine.Guard) {
 		p := mustAcquire(t, a, 1)
 		time.Sleep(time.Second)
-		if err := p.Release(context.Background(), false); err != nil {
+		if err := p.Release(context.Background(), quarantine.RunEnded); err != nil {
 			t.Fatal(err)
 		}
 		table.Restore(clock.Second / 2)
--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -49,12 +49,28 @@
 	return held, nil
 }
 
-// Release records the end of the run and whether the engine died. If the row can't be written before ctx ends, the run
-// counts as an engine death after its time limit.
-func (p *Permit) Release(ctx context.Context, died bool) error {
+// RunResult is the result of a suspect's run.
+type RunResult string
+
+// The results.
+const (
+	// RunCompleted means that the engine completed the answer, so that the deaths before were not the suspect's fault.
+	RunCompleted RunResult = "completed"
+	// RunCrashed means that the engine died.
+	RunCrashed RunResult = "crashed"
+	// RunEnded means that the run ended in another way, or did not begin.
+	RunEnded RunResult = "ended"
+)
+
+// Release records the end of the run. If the row can't be written before ctx ends, the run counts as an engine death after its time
+// limit.
+func (p *Permit) Release(ctx context.Context, result RunResult) error {
 	deaths := p.deaths
-	if died {
+	switch result {
+	case RunCrashed:
 		deaths++
+	case RunCompleted:
+		deaths = 0
 	}
 	row := p.newRow(stateIdle, guardRecord{Deaths: deaths, At: p.guard.clock.Now()})
 	for {
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -46,17 +46,19 @@
 // Guards against a crashing request that is not rejected, and against rejecting harmless requests.
 func TestVerdicts(t *testing.T) {
 	for script, want := range map[string]Verdict{
-		"":                                                           VerdictAllow,
-		"run e1, died e1":                                            VerdictIsolate,
-		"run e1, complete e1, end, died e1":                          VerdictAllow,
-		"run e1, end, wait 2500, died e1":                            VerdictIsolate, // stream broken before the death is detected
-		"run e1, end, wait 3500, died e1":                            VerdictAllow,
-		"run e1, died e1, run e2, died e2":                           VerdictReject,  // second crash in isolation
-		"run e1, run e2, died e1, died e2":                           VerdictReject,  // copies on two engines
-		"run e1, died e1, wait 400, peer e1":                         VerdictIsolate, // the same death reported by a peer
-		"run e1, died e1, wait 400, peer e2":                         VerdictReject,
-		"run e1, died e1, wait 600000":                               VerdictAllow,
-		"run e1, died e1, wait 540000, run e2, died e2, wait 540000": VerdictReject,
+		"":                                                    VerdictAllow,
+		"run e1, died e1":                                     VerdictIsolate,
+		"run e1, complete e1, end, died e1":                   VerdictAllow,
+		"run e1, end, wait 2500, died e1":                     VerdictIsolate, // stream broken before the death is detected
+		"run e1, end, wait 3500, died e1":                     VerdictAllow,
+		"run e1, died e1, run e2, died e2":                    VerdictReject,  // second crash in isolation
+		"run e1, run e2, died e1, died e2":                    VerdictReject,  // copies on two engines
+		"run e1, died e1, wait 400, peer e1":                  VerdictIsolate, // the same death reported by a peer
+		"run e1, died e1, wait 400, peer e2":                  VerdictReject,
+		"run e1, died e1, wait 600000":                        VerdictAllow,
+		"run e1, died e1, wait 400, run e2, wait 400, answer": VerdictAllow,
+		"run e1, died e1, wait 400, run e2, wait 400, answer, wait 400, run e3, died e3": VerdictIsolate,
+		"run e1, died e1, wait 540000, run e2, died e2, wait 540000":                     VerdictReject,
 	} {
 		t.Run(script, func(t *testing.T) {
 			m := clock.NewManual(start)
@@ -75,6 +77,10 @@
 					g.RecordDeath(u)
 				case "peer":
 					g.Merge([]Suspect{{Fingerprint: f, Deaths: []Death{{Upstream: u, At: m.Now()}}}})
+				case "answer":
+					g.RecordCompletion(u, f)
+					g.RecordAnswer(PromptSuspects{Request: f}, m.Now()-100)
+					end()
 				case "wait":
 					n, _ := strconv.Atoi(value)
 					m.Advance(clock.Millis(n))
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -30,10 +30,12 @@
 	switch {
 	case s.expired(now):
 		return VerdictAllow
-	case len(s.Deaths) > 1:
+	case len(s.unclearedDeaths()) > 1:
 		return VerdictReject
+	case len(s.unclearedDeaths()) == 1:
+		return VerdictIsolate
 	}
-	return VerdictIsolate
+	return VerdictAllow
 }
 
 func (s *Suspect) expired(now clock.Millis) bool {
