Test of a death before an answer: the other instance knows of the last death

TestDeathBeforeAnAnswerDoesNotCount passed without the reset of the row as well, since the second instance knew of no death. It knows of one now, and the test fails without the reset.

--- a/quarantine/guard_restore_test.go
+++ b/quarantine/guard_restore_test.go
@@ -81,7 +81,7 @@
 				t.Fatal(err)
 			}
 		}
-		if _, err := acquire(b, 0); err != nil {
+		if _, err := acquire(b, 1); err != nil {
 			t.Errorf("after an answer and a death Acquire() = %v", err)
 		}
 	})
