Replace figurative words by the field's terms

The five words named there have no use left in the code. No behaviour changes; the line of the soak for an outage of the store has other words.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -16,8 +16,8 @@
 	assumedContextTokens = 6000
 	// maxSinglePrefillMillis is the longest prefill that is not split over several engines.
 	maxSinglePrefillMillis = 150.0
-	// crowdedSlotsFraction is the fraction of an engine's slots above which crowdedPenaltyMillis applies.
-	crowdedSlotsFraction = 0.8
+	// busySlotsFraction is the fraction of an engine's slots above which busyPenaltyMillis applies.
+	busySlotsFraction = 0.8
 	// packingBonusMillis is subtracted from the cost of a packed engine for each request on it.
 	packingBonusMillis = 5.0
 	// unpackedPenaltyMillis is the penalty of an engine that is not packed, which keeps it free for long prompts.
@@ -25,16 +25,16 @@
 	// shortTargetFraction is the fraction of the time left to the target that the predicted first event of a short
 	// prompt may use at stageEarly.
 	shortTargetFraction = 0.5
-	// minPatienceFraction is the fraction of FullPatience below which a waiting prompt is turned away, so that the
+	// minCallerTimeoutFraction is the fraction of FullCallerTimeout below which a waiting prompt is rejected, so that the
 	// caller still has time to retry.
-	minPatienceFraction = 0.5
+	minCallerTimeoutFraction = 0.5
 	// maxSlotsFraction is the fraction of an engine's slots that prompts at stageEarly and stagePressed may fill.
 	maxSlotsFraction = 0.95
 	// missedSlotsFraction is the fraction of an engine's slots that prompts at stageMissed may fill.
 	missedSlotsFraction = 0.7
-	// crowdedPenaltyMillis is the penalty of an engine above crowdedSlotsFraction, with a prefill budget below the
+	// busyPenaltyMillis is the penalty of an engine above busySlotsFraction, with a prefill budget below the
 	// prompt's prefill time, or that wants no requests from another instance.
-	crowdedPenaltyMillis = 200.0
+	busyPenaltyMillis = 200.0
 	// crossDomainPenaltyMillis is the penalty of an engine in another failure domain.
 	crossDomainPenaltyMillis = 15.0
 	// dueMarginMillis is kept between the planned end of a prefill and the time at which it is due.
@@ -56,7 +56,7 @@
 		return Plan{}, VerdictReject
 	}
 	if c.engines = withinLimit(engines); len(c.engines) == 0 {
-		return Plan{}, verdictAtLimit(engines, p.Patience, p.FullPatience)
+		return Plan{}, verdictAtLimit(engines, p.CallerTimeout, p.FullCallerTimeout)
 	}
 	switch local := c.local(); {
 	case len(local) < minLocalEngines:
@@ -221,7 +221,7 @@
 	}
 	switch stage {
 	case stageMissed:
-		return predictedMillis <= float64(c.prompt.Patience)
+		return predictedMillis <= float64(c.prompt.CallerTimeout)
 	case stagePressed:
 		return predictedMillis <= float64(c.prompt.Target)
 	}
@@ -236,17 +236,17 @@
 	} else {
 		costMillis += unpackedPenaltyMillis
 	}
-	if float64(e.Load.Requests+1) > crowdedSlotsFraction*float64(c.pool.Slots) {
-		costMillis += crowdedPenaltyMillis
+	if float64(e.Load.Requests+1) > busySlotsFraction*float64(c.pool.Slots) {
+		costMillis += busyPenaltyMillis
 	}
 	if !c.isLocal(e) {
 		costMillis += crossDomainPenaltyMillis
 	}
 	if e.RestsForPeers {
-		costMillis += crowdedPenaltyMillis
+		costMillis += busyPenaltyMillis
 	}
 	if c.prefillBudgetMillis(e) < c.prefillMillis {
-		costMillis += crowdedPenaltyMillis
+		costMillis += busyPenaltyMillis
 	}
 	return costMillis
 }
--- a/assignment/choose_test.go
+++ b/assignment/choose_test.go
@@ -39,14 +39,14 @@
 // shortPrompt returns a short prompt that has just arrived.
 func shortPrompt() *assignment.Prompt {
 	return &assignment.Prompt{
-		Tokens: 5000, AnswerTokens: 1300, Target: 300, FullTarget: 300, TimeLeft: 10_000, Patience: 2000, FullPatience: 2000, MaxPause: 250, Domain: "a",
+		Tokens: 5000, AnswerTokens: 1300, Target: 300, FullTarget: 300, TimeLeft: 10_000, CallerTimeout: 2000, FullCallerTimeout: 2000, MaxPause: 250, Domain: "a",
 	}
 }
 
 // longPrompt returns a long prompt that has just arrived.
 func longPrompt() *assignment.Prompt {
 	return &assignment.Prompt{
-		Tokens: 182_000, AnswerTokens: 700, Target: 4000, FullTarget: 4000, TimeLeft: 15_000, Patience: 15_000, FullPatience: 15_000, MaxPause: 1000, Domain: "a",
+		Tokens: 182_000, AnswerTokens: 700, Target: 4000, FullTarget: 4000, TimeLeft: 15_000, CallerTimeout: 15_000, FullCallerTimeout: 15_000, MaxPause: 1000, Domain: "a",
 	}
 }
 
@@ -181,7 +181,7 @@
 }
 
 // Guards against prompts that wait until their callers abandon them, and against late prompts that delay others: they
-// are turned away while their callers can still retry. Only the largest, which can't meet their targets anyway, wait
+// are rejected while their callers can still retry. Only the largest, which can't meet their targets anyway, wait
 // longer.
 func TestWaitIsBounded(t *testing.T) {
 	list := engines(3)
@@ -199,7 +199,7 @@
 		{hugePrompt(), -4000, 7000, assignment.VerdictYield},
 	} {
 		p := test.prompt
-		p.Target, p.Patience, p.TimeLeft = test.target, test.remain, test.remain+5000
+		p.Target, p.CallerTimeout, p.TimeLeft = test.target, test.remain, test.remain+5000
 		if _, verdict := assignment.Choose(pool(), list, p); verdict != test.want {
 			t.Errorf("%d tokens, %d ms to the target: got %s, want %s", p.Tokens, p.Target, verdict, test.want)
 		}
@@ -267,7 +267,7 @@
 // mediumPrompt returns a medium prompt that has just arrived; several engines prefill it within a fraction of a second.
 func mediumPrompt() *assignment.Prompt {
 	p := longPrompt()
-	p.Tokens, p.Target, p.FullTarget, p.MaxPause, p.Patience, p.FullPatience = 45_000, 1500, 1500, 600, 6000, 6000
+	p.Tokens, p.Target, p.FullTarget, p.MaxPause, p.CallerTimeout, p.FullCallerTimeout = 45_000, 1500, 1500, 600, 6000, 6000
 	return p
 }
 
@@ -379,7 +379,7 @@
 		p.Tokens = poplarwinch.Tokens(rapid.IntRange(1, 900_000).Draw(t, "tokens"))
 		p.Target = clock.Millis(rapid.IntRange(-3000, 4000).Draw(t, "target"))
 		p.TimeLeft = clock.Millis(rapid.IntRange(1, 15_000).Draw(t, "left"))
-		p.Patience = clock.Millis(rapid.IntRange(1, int(p.TimeLeft)).Draw(t, "patience"))
+		p.CallerTimeout = clock.Millis(rapid.IntRange(1, int(p.TimeLeft)).Draw(t, "timeout"))
 		p.MaxPause = rapid.SampledFrom([]clock.Millis{0, 250, 600, 1000}).Draw(t, "max pause")
 		plan, verdict := assignment.Choose(pool(), list, p)
 		if verdict == assignment.VerdictRun {
--- a/assignment/domain.go
+++ b/assignment/domain.go
@@ -47,7 +47,7 @@
 	return slices.DeleteFunc(slices.Clone(c.engines), func(e fleet.Candidate) bool { return !e.LoadKnown && !c.isLocal(&e) })
 }
 
-// choosePlanOrYield chooses among c.engines unless the prompt is turned away at once.
+// choosePlanOrYield chooses among c.engines unless the prompt is rejected at once.
 func (c *choice) choosePlanOrYield() (Plan, Verdict) {
 	if c.shouldYieldBeforePlanning() {
 		return Plan{}, VerdictYield
@@ -55,7 +55,7 @@
 	return c.choosePlan()
 }
 
-// shouldYieldBeforePlanning reports whether a short prompt that is past stageEarly is turned away because the engines
+// shouldYieldBeforePlanning reports whether a short prompt that is past stageEarly is rejected because the engines
 // are saturated.
 func (c *choice) shouldYieldBeforePlanning() bool {
 	return c.isShort() && c.stage() != stageEarly && c.saturated()
--- a/assignment/fleet_simulation_test.go
+++ b/assignment/fleet_simulation_test.go
@@ -32,7 +32,7 @@
 	targetMillis                      float64
 	maxPauseMillis                    float64
 	worth                             float64
-	patienceMillis                    float64
+	callerTimeoutMillis               float64
 	longPhaseFactor, shortPhaseFactor float64
 }
 
@@ -73,8 +73,8 @@
 				worth := k.worth * min(4, 0.3+0.7*tokens/k.tokens)
 				p := &assignment.Prompt{
 					Tokens: poplarwinch.Tokens(tokens), AnswerTokens: poplarwinch.Tokens(events * 38), MaxPause: ms(k.maxPauseMillis),
-					Target: ms(k.targetMillis), FullTarget: ms(k.targetMillis), TimeLeft: ms(max(10_000, k.patienceMillis)),
-					Patience: ms(k.patienceMillis), FullPatience: ms(k.patienceMillis), Domain: poplarwinch.FailureDomain(string(rune('a' + d))),
+					Target: ms(k.targetMillis), FullTarget: ms(k.targetMillis), TimeLeft: ms(max(10_000, k.callerTimeoutMillis)),
+					CallerTimeout: ms(k.callerTimeoutMillis), FullCallerTimeout: ms(k.callerTimeoutMillis), Domain: poplarwinch.FailureDomain(string(rune('a' + d))),
 				}
 				jobs[k.name] = append(jobs[k.name], &job{prompt: p, arrivedMillis: at, worth: worth, events: events})
 			}
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -25,8 +25,8 @@
 	// longTargetFraction is the fraction of the time left to the target that the predicted first event of a long prompt
 	// may use at stageEarly.
 	longTargetFraction = 0.9
-	// missedPatienceFraction is the fraction of the caller's remaining patience that it may use at stageMissed.
-	missedPatienceFraction = 0.5
+	// missedCallerTimeoutFraction is the fraction of the time left until the caller's timeout that it may use at stageMissed.
+	missedCallerTimeoutFraction = 0.5
 	// maxPausableRequests is the largest number of short prompts on an engine that a long one may pause beyond their
 	// limits. A long prompt that meets its target is worth many of them.
 	maxPausableRequests = 2
@@ -86,11 +86,11 @@
 	return best, true
 }
 
-// shouldYieldWithoutPlan reports whether a prompt without a plan is turned away: half of its caller's patience is used
+// shouldYieldWithoutPlan reports whether a prompt without a plan is rejected: half of its caller's timeout has passed
 // up, or it is a long prompt and the engines are saturated or its target is missed. The largest prompts, which can't
 // meet their targets anyway, wait beyond the target.
 func (c *choice) shouldYieldWithoutPlan() bool {
-	if float64(c.prompt.Patience) < minPatienceFraction*float64(c.prompt.FullPatience) {
+	if float64(c.prompt.CallerTimeout) < minCallerTimeoutFraction*float64(c.prompt.FullCallerTimeout) {
 		return true
 	}
 	return !c.isShort() && (c.saturated() || c.stage() == stageMissed && !c.isLargest())
@@ -130,7 +130,7 @@
 	case stageUrgent:
 		return float64(c.prompt.TimeLeft)
 	case stageMissed:
-		return missedPatienceFraction * float64(c.prompt.Patience)
+		return missedCallerTimeoutFraction * float64(c.prompt.CallerTimeout)
 	case stagePressed:
 		return float64(c.prompt.Target)
 	}
--- a/assignment/limit.go
+++ b/assignment/limit.go
@@ -17,14 +17,14 @@
 
 func atLimit(s fleet.Candidate) bool { return s.Wait > 0 }
 
-// verdictAtLimit returns the verdict for a request while the limits of all servers are used up: it is turned away if it would have
+// verdictAtLimit returns the verdict for a request while the limits of all servers are used up: it is rejected if it would have
 // used half of its time when the first one is free again, since the caller may reach others then.
 func verdictAtLimit(servers []fleet.Candidate, timeLeft, fullTime clock.Millis) Verdict {
 	wait := servers[0].Wait
 	for _, s := range servers {
 		wait = min(wait, s.Wait)
 	}
-	if float64(timeLeft-wait) < minPatienceFraction*float64(fullTime) {
+	if float64(timeLeft-wait) < minCallerTimeoutFraction*float64(fullTime) {
 		return VerdictLimited
 	}
 	return VerdictWait
--- a/assignment/notice_test.go
+++ b/assignment/notice_test.go
@@ -92,7 +92,7 @@
 			resting := s.busiest(3)
 			until := map[*limitedInstance]map[poplarwinch.UpstreamID]clock.Millis{}
 			tellUntil := s.clock.Now() + 1000
-			tell := func(i *limitedInstance, id poplarwinch.UpstreamID) {
+			notify := func(i *limitedInstance, id poplarwinch.UpstreamID) {
 				if until[i] == nil {
 					until[i] = map[poplarwinch.UpstreamID]clock.Millis{}
 				}
@@ -102,7 +102,7 @@
 				if !slices.Contains(resting, id) || s.clock.Now() > tellUntil {
 					return fleet.Notice{}
 				}
-				tell(i, id)
+				notify(i, id)
 				return fleet.Notice{Rest: restTime}
 			}
 			after := map[poplarwinch.UpstreamID]int{}
@@ -127,7 +127,7 @@
 				back[i] = map[poplarwinch.UpstreamID]clock.Millis{}
 				for _, id := range resting {
 					server, _ := i.fleet.Server(id)
-					tell(i, id)
+					notify(i, id)
 					i.fleet.Observe(server, fleet.Notice{Rest: restTime}, 0)
 				}
 			}
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -19,10 +19,10 @@
 	FullTarget clock.Millis
 	// TimeLeft is the time left until the request's deadline.
 	TimeLeft clock.Millis
-	// Patience is the time left until the caller abandons the request unless an event has come. FullPatience is its
+	// CallerTimeout is the time left until the caller abandons the request unless an event has come. FullCallerTimeout is its
 	// value at the arrival of the request.
-	Patience     clock.Millis
-	FullPatience clock.Millis
+	CallerTimeout     clock.Millis
+	FullCallerTimeout clock.Millis
 	// MaxPause is the longest pause between events that the caller accepts; zero means no limit.
 	MaxPause clock.Millis
 	// Domain is the failure domain whose engines are preferred.
@@ -68,11 +68,11 @@
 	VerdictRun Verdict = "run"
 	// VerdictWait means that the prompt waits for a change of the fleet.
 	VerdictWait Verdict = "wait"
-	// VerdictYield means that the prompt is turned away because the engines are too busy; the caller may retry later.
+	// VerdictYield means that the prompt is rejected because the engines are too busy; the caller may retry later.
 	VerdictYield Verdict = "yield"
-	// VerdictLimited means that the prompt is turned away because the limits of all servers are used up; the caller may retry later.
+	// VerdictLimited means that the prompt is rejected because the limits of all servers are used up; the caller may retry later.
 	VerdictLimited Verdict = "limited"
-	// VerdictResting means that the prompt is turned away because all servers want no requests for a time; the caller may retry then.
+	// VerdictResting means that the prompt is rejected because all servers want no requests for a time; the caller may retry then.
 	VerdictResting Verdict = "resting"
 	// VerdictReject means that the prompt can't be answered before its deadline.
 	VerdictReject Verdict = "reject"
--- a/assignment/server_limit_test.go
+++ b/assignment/server_limit_test.go
@@ -99,7 +99,7 @@
 	now := s.clock.Now()
 	prompt := &assignment.Prompt{
 		Tokens: 5000, AnswerTokens: 1300, MaxPause: 250, Target: arrived + 300 - now, FullTarget: 300, TimeLeft: arrived + 10_000 - now,
-		Patience: arrived + 2000 - now, FullPatience: 2000, Domain: "a",
+		CallerTimeout: arrived + 2000 - now, FullCallerTimeout: 2000, Domain: "a",
 	}
 	plan, verdict := assignment.Choose(pool(), i.fleet.Candidates("pool"), prompt)
 	switch verdict {
--- a/assignment/simulation_test.go
+++ b/assignment/simulation_test.go
@@ -261,7 +261,7 @@
 		}
 		age := clock.Millis(s.nowMillis - j.arrivedMillis)
 		p := *j.prompt
-		p.Target, p.Patience, p.TimeLeft = p.FullTarget-age, p.FullPatience-age, p.TimeLeft-age
+		p.Target, p.CallerTimeout, p.TimeLeft = p.FullTarget-age, p.FullCallerTimeout-age, p.TimeLeft-age
 		waiting := *j
 		waiting.prompt = &p
 		plan, verdict := s.choose(s, &waiting)
--- a/assignment/stage.go
+++ b/assignment/stage.go
@@ -38,7 +38,7 @@
 		urgentPrefillMillis /= urgentEngines
 	}
 	switch {
-	case float64(p.Patience) < urgentPrefillMillis+urgentMarginMillis:
+	case float64(p.CallerTimeout) < urgentPrefillMillis+urgentMarginMillis:
 		return stageUrgent
 	case float64(p.Target) < bestPrefillMillis+c.singlePassMillis():
 		return stageMissed
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// Guards against an instance that forgets its claims while the table is away before it comes back older.
+// Guards against an instance that forgets its claims while the table is unavailable before it is restored from an older copy.
 func TestRepeatAfterOutageAndRestore(t *testing.T) {
 	withLedgers(t, func(t *testing.T, sim *simulation, a, b *claim.Ledger) {
 		if err := mustBegin(t, sim, a).Done(context.Background(), restoredAnswer); err != nil {
--- a/cmd/soak/series.go
+++ b/cmd/soak/series.go
@@ -179,7 +179,7 @@
 	s.storeFault("the store is silent", s.deployment.store.SetSilent)
 }
 
-// restoreStore lets the store be away for a moment and come back from a copy some seconds old.
+// restoreStore lets the store be unavailable for a moment and be restored from a copy some seconds old.
 func (s *series) restoreStore() {
 	d, now := s.deployment, time.Now()
 	if s.store.After(now) {
@@ -188,7 +188,7 @@
 	away, age := s.between(300*time.Millisecond, 2*time.Second), s.between(2*time.Second, 9*time.Second)
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 2))
 	s.store = now.Add(away + maxRewrite)
-	d.logEvent(event{kind: eventStore, text: fmt.Sprintf("the store is away and comes back from a copy %d ms old", age.Milliseconds()), until: now.Add(away)})
+	d.logEvent(event{kind: eventStore, text: fmt.Sprintf("the store is unavailable and is restored from a copy %d ms old", age.Milliseconds()), until: now.Add(away)})
 	d.store.SetResetting(true)
 	time.AfterFunc(away, func() {
 		d.restore(age, random)
--- a/configuration/restore_test.go
+++ b/configuration/restore_test.go
@@ -118,7 +118,7 @@
 		t.Errorf("the instances end with digest %.8s, want that of the commit that the table has", got)
 	}
 	if cluster.alarms[configuration.AlarmLostCommit] == 0 {
-		t.Error("no alarm tells the operators of the lost commit")
+		t.Error("no alarm reports the lost commit to the operators")
 	}
 }
 
@@ -159,7 +159,7 @@
 		s.start(s.ctx, 4)
 	})
 	if cluster.alarms[configuration.AlarmLostCommit] == 0 {
-		t.Error("no alarm tells the operators of the lost commit")
+		t.Error("no alarm reports the lost commit to the operators")
 	}
 }
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -21,19 +21,19 @@
 	firstEventFactor = 3
 	// firstEventMargin is added to the predicted time multiplied by firstEventFactor.
 	firstEventMargin clock.Millis = 1500
-	// patience is the least time for which callers are assumed to wait for the next event of a stream.
-	patience clock.Millis = 2000
-	// patiencePerTarget is the multiple of the route's target for which callers wait.
-	patiencePerTarget = 4
-	// patiencePerPause is the multiple of the route's longest pause between events for which callers wait.
-	patiencePerPause = 8
-	// extendedPatienceFraction is the fraction of the caller's patience up to which an attempt waits for its first event while its
+	// minCallerTimeout is the least time for which callers are assumed to wait for the next event of a stream.
+	minCallerTimeout clock.Millis = 2000
+	// callerTimeoutPerTarget is the multiple of the route's target for which callers wait.
+	callerTimeoutPerTarget = 4
+	// callerTimeoutPerPause is the multiple of the route's longest pause between events for which callers wait.
+	callerTimeoutPerPause = 8
+	// extendedCallerTimeoutFraction is the fraction of the caller's timeout up to which an attempt waits for its first event while its
 	// engines have other prompts in prefill. The rest is enough for another attempt.
-	extendedPatienceFraction = 0.5
+	extendedCallerTimeoutFraction = 0.5
 	// extensionInterval is the time between two looks at the engines of such an attempt.
 	extensionInterval clock.Millis = 250
-	// patienceFraction is the fraction of the caller's patience after which a silent stream is resumed on another server.
-	patienceFraction = 0.6
+	// callerTimeoutFraction is the fraction of the caller's timeout after which a silent stream is resumed on another server.
+	callerTimeoutFraction = 0.6
 )
 
 // errSilentServer is the cancellation cause of a call whose server sent nothing within the limit.
@@ -95,10 +95,10 @@
 }
 
 // firstEventExtension returns a function that extends the limit for the first event while other prompts are in prefill on the
-// attempt's engines, up to a fraction of the caller's patience: engines prefill the newest first, so that the prompt may be delayed by
+// attempt's engines, up to a fraction of the caller's timeout: engines prefill the newest first, so that the prompt may be delayed by
 // those that came after it.
 func (x *run) firstEventExtension(selected *selection) func() clock.Millis {
-	last := x.d.clock.Now() + clock.Millis(extendedPatienceFraction*float64(x.patience()))
+	last := x.d.clock.Now() + clock.Millis(extendedCallerTimeoutFraction*float64(x.callerTimeout()))
 	engines := selected.engines()
 	return func() clock.Millis {
 		left := last - x.d.clock.Now()
@@ -290,12 +290,12 @@
 	if !x.Route.Resumable || x.splitter.last == "" || x.possibleRuns+1 >= x.Route.MaxAttempts || x.Route.MaxPause == 0 {
 		return 0
 	}
-	return clock.Millis(patienceFraction * float64(x.patience()))
+	return clock.Millis(callerTimeoutFraction * float64(x.callerTimeout()))
 }
 
-// patience returns the time without an event after which the caller is expected to disconnect.
-func (x *run) patience() clock.Millis {
-	return max(patience, patiencePerTarget*x.Route.Target, patiencePerPause*x.Route.MaxPause)
+// callerTimeout returns the time without an event after which the caller is expected to disconnect.
+func (x *run) callerTimeout() clock.Millis {
+	return max(minCallerTimeout, callerTimeoutPerTarget*x.Route.Target, callerTimeoutPerPause*x.Route.MaxPause)
 }
 
 // begin sends the status and headers of the response unless they were sent before.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -214,7 +214,7 @@
 func (b *dribble) Close() error { return nil }
 
 // Guards against a stalled stream that lives on because its server sends a byte or a comment now and then, and against a slow but
-// sound one that is cut although each event comes within its caller's patience.
+// sound one that is cut although each event comes before its caller gives up.
 func TestStalledStream(t *testing.T) {
 	for then, calls := range map[string]int{"d": 2, ": waiting\n\n": 2, "id: 2\ndata: b\n\n": 1} {
 		runInVirtualTime(t, func(t *testing.T, f *fixture) {
@@ -238,7 +238,7 @@
 }
 
 // Guards against a slow but sound prompt that is cut because later ones delay it: while its engine is known to have other prompts in
-// prefill, it may take half of its caller's patience; otherwise a silent engine is given up as before.
+// prefill, it may take half of its caller's timeout; otherwise a silent engine is given up as before.
 func TestDelayedPromptIsNotCut(t *testing.T) {
 	for busy, calls := range map[bool]int{true: 1, false: 2} {
 		runInVirtualTime(t, func(t *testing.T, f *fixture) {
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -9,7 +9,7 @@
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
-// observeNotice tells the fleet what a server says of itself in its answer or rejection. A rejection ends no statement, since another
+// observeNotice reports to the fleet what a server says of itself in its answer or rejection. A rejection ends no statement, since another
 // server may have written it. If a helper is at fault, only the time for which it wants no requests is known to be its own statement.
 func (x *run) observeNotice(answer *Answer, err error, selected *selection) {
 	var failed *CallError
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -202,7 +202,7 @@
 }
 
 // Guards against requests that are held, or sent on, while all servers of their service want none, also those that were waiting already,
-// and against callers that come back too early.
+// and against callers that retry too early.
 func TestAllServersResting(t *testing.T) {
 	rests := map[poplarwinch.UpstreamID]clock.Millis{"s1": 2500, "s2": 1400, "s3": 4000, "e1": 3000, "e2": 2000, "e3": 1200, "e4": 5000}
 	check := func(t *testing.T, f *fixture, o outcome, want clock.Millis, calls int) {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -198,7 +198,7 @@
 	return nil
 }
 
-// overloaded returns the error for a request that is turned away because the servers take no more now.
+// overloaded returns the error for a request that is rejected because the servers take no more now.
 func overloaded(message string) *poplarwinch.Error {
 	return &poplarwinch.Error{
 		Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
@@ -245,7 +245,7 @@
 	return &assignment.Prompt{
 		Tokens: x.PromptTokens, AnswerTokens: x.MaxAnswerTokens, TimeLeft: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
-		Patience: min(x.Deadline, x.Started+x.patience()) - now, FullPatience: min(x.Deadline-x.Started, x.patience()),
+		CallerTimeout: min(x.Deadline, x.Started+x.callerTimeout()) - now, FullCallerTimeout: min(x.Deadline-x.Started, x.callerTimeout()),
 	}
 }
 
@@ -297,11 +297,11 @@
 	}).Info("routing decision")
 }
 
-// prefillDue returns the time by which prefill of the prompt should be done: the target, or the end of the caller's
-// patience if the target is missed anyway.
+// prefillDue returns the time by which prefill of the prompt should be done: the target, or the caller's timeout
+// if the target is missed anyway.
 func (x *run) prefillDue(reason assignment.Reason) clock.Millis {
 	if reason == assignment.ReasonLate {
-		return min(x.Deadline, x.Started+x.patience())
+		return min(x.Deadline, x.Started+x.callerTimeout())
 	}
 	return x.Started + x.Route.Target
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -173,7 +173,7 @@
 }
 
 // recordCrash probes the server of a broken attempt in the background and, if it is unreachable, records a crash during the request.
-// A server whose whole failure domain is out of reach is more likely cut off; the probes of its neighbours tell.
+// A server whose whole failure domain is out of reach is more likely cut off; the probes of its neighbours show it.
 func (x *run) recordCrash(selected *selection) {
 	s, brokeAt := selected.first, x.d.clock.Now()
 	x.d.startProbe(s, func(alive bool) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -91,7 +91,7 @@
 		p.server.quarantine.RecordCompletion(u.ID, p.fingerprint)
 	}
 	if engineMayHaveStopped(err) {
-		// The probe tells whether the engine crashed, which decides how the prompt may run again.
+		// The probe shows whether the engine crashed, which decides how the prompt may run again.
 		p.server.probe(ctx, u)
 	}
 	p.engineCrashed = p.server.quarantine.Deaths(p.fingerprint) > crashesBefore || engineMayHaveStopped(err) && u.State() == upstream.StateDown
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -6,7 +6,7 @@
 // not known.
 const maxExactServers = 64
 
-// Cell is one of the equal parts into which a large failure domain is divided. The instances of a cell tell each other every
+// Cell is one of the equal parts into which a large failure domain is divided. The instances of a cell send each other every
 // change of the load that they put on servers, and place most requests on the cell's own servers, so that what an instance has
 // to know does not grow with the deployment. The zero Cell is the whole failure domain.
 type Cell struct {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,8 +14,8 @@
 	minPrefillLeft clock.Millis = 10
 	// maxOverdue bounds the assumed prefill time of a server whose prefill takes longer than estimated.
 	maxOverdue clock.Millis = 1000
-	// crowdedSlotsFraction is the fraction of a server's slots above which a change of its load is a ReachCrowded one.
-	crowdedSlotsFraction = 0.6
+	// busySlotsFraction is the fraction of a server's slots above which a change of its load is a ReachBusy one.
+	busySlotsFraction = 0.6
 	// maxPrefillStep bounds the prefill time that one report of a peer adds to a server.
 	maxPrefillStep = 20 * clock.Second
 	// reportTimeout is the age above which a peer's report is ignored.
@@ -270,7 +270,7 @@
 		m.notices.rest.add(now)
 		m.startPrefill(t, now)
 		t.distant = !f.isNear(m)
-		t.crowded = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > crowdedSlotsFraction*float64(m.server.Slots)
+		t.busy = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > busySlotsFraction*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -182,7 +182,7 @@
 	w.Begin(fleet.Work{First: "e2", Helpers: []poplarwinch.UpstreamID{"e3"}})
 	w.Begin(fleet.Work{First: "e1"})
 	w.Begin(fleet.Work{First: "e1"})
-	want := []fleet.Reach{fleet.ReachNear, fleet.ReachDistant, fleet.ReachDistant, fleet.ReachNear, fleet.ReachCrowded}
+	want := []fleet.Reach{fleet.ReachNear, fleet.ReachDistant, fleet.ReachDistant, fleet.ReachNear, fleet.ReachBusy}
 	if len(w.notified) != len(want) {
 		t.Fatalf("notified %v, want %v", w.notified, want)
 	}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -118,7 +118,7 @@
 	return r
 }
 
-// NoticeReport is what an instance tells others of a server's notices. The zero NoticeReport says nothing.
+// NoticeReport is what an instance reports to others of a server's notices. The zero NoticeReport says nothing.
 type NoticeReport struct {
 	// Boot is the start of the server's process.
 	Boot    int64
@@ -142,7 +142,7 @@
 		return false
 	}
 	changed := m.notices.observe(n, sentAt, f.clock.Now())
-	reach := ReachCrowded
+	reach := ReachBusy
 	if !f.isNear(m) {
 		reach = ReachDistant
 	}
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -8,7 +8,7 @@
 	"github.com/poplarwinch/poplarwinch/fleet"
 )
 
-// notice returns what the fleet tells others of the server's notices.
+// notice returns what the fleet reports to others of the server's notices.
 func (w *fixture) notice(id poplarwinch.UpstreamID) fleet.NoticeReport {
 	w.time.Advance(1000) // reports of servers without load come once a second
 	for _, s := range w.Report().Servers {
@@ -143,7 +143,7 @@
 	}
 }
 
-// Guards against a server that is used again although it is leaving, because its entry of the list lapsed and came back.
+// Guards against a server that is used again although it is leaving, because its entry of the list lapsed and reappeared.
 func TestNoticesSurviveLapsedEntries(t *testing.T) {
 	w := newFixture()
 	w.Observe(servers()[0], fleet.Notice{Leaving: true, Limit: 1}, 1)
@@ -151,7 +151,7 @@
 	w.time.Advance(30_000)
 	w.Apply(servers())
 	if _, usable := w.Server("e1"); usable {
-		t.Error("the server is usable after its entry came back")
+		t.Error("the server is usable after its entry reappeared")
 	}
 	list := servers()
 	list[0].Boot = 2
@@ -182,7 +182,7 @@
 	}
 }
 
-// Guards against requests that come back to a server all at once after the time for which it wanted none, or never because no answer comes.
+// Guards against requests that are sent to a server all at once after the time for which it wanted none, or never because no answer comes.
 func TestRequestsComeBackOneAfterAnother(t *testing.T) {
 	w := newFixture()
 	e1 := servers()[0]
@@ -224,7 +224,7 @@
 	w.time.Advance(500)
 	send()
 	if w.Accepts("e1") {
-		t.Error("after another such time requests come back all at once")
+		t.Error("after another such time requests are sent all at once")
 	}
 }
 
--- a/fleet/removed.go
+++ b/fleet/removed.go
@@ -6,7 +6,7 @@
 )
 
 // removedRetention is the time for which the notices of a server that is no longer listed are kept. Entries of the list may lapse and
-// come back.
+// reappear.
 const removedRetention = 10 * clock.Minute
 
 // removedServer is a server that is no longer listed.
--- a/fleet/rest.go
+++ b/fleet/rest.go
@@ -30,7 +30,7 @@
 	until clock.Millis
 	// peersUntil is the latest end of such times of peers.
 	peersUntil clock.Millis
-	// returning says that requests come back one after another once the time has passed. allowed of them may be sent now, answers of
+	// returning says that requests are sent again one after another once the time has passed. allowed of them may be sent now, answers of
 	// them were answered, and the latest was sent at sentAt.
 	returning bool
 	allowed   int
@@ -85,7 +85,7 @@
 // left returns the time for which the server still wants no requests from this instance.
 func (r *rest) left(now clock.Millis) clock.Millis { return max(r.until-now, 0) }
 
-// returnWait returns the time until this instance may send another request to a server to which requests come back; zero means now. If the
+// returnWait returns the time until this instance may send another request to a server that gets requests again one after another; zero means now. If the
 // server wanted no requests from others either, instances take turns. The caller holds the lock.
 func (f *Fleet) returnWait(m *serverState, now clock.Millis) clock.Millis {
 	r := &m.notices.rest
--- a/fleet/ticket.go
+++ b/fleet/ticket.go
@@ -31,8 +31,8 @@
 	ended      bool
 	// distant says that some of the load is in another cell.
 	distant bool
-	// crowded says that more than crowdedSlotsFraction of the first server's slots were in use at Begin, or that it has a limit.
-	crowded bool
+	// busy says that more than busySlotsFraction of the first server's slots were in use at Begin, or that it has a limit.
+	busy bool
 }
 
 // FirstEvent records that the prompt has been prefilled.
@@ -90,8 +90,8 @@
 	switch {
 	case t.distant:
 		return ReachDistant
-	case t.crowded:
-		return ReachCrowded
+	case t.busy:
+		return ReachBusy
 	}
 	return ReachNear
 }
--- a/gossip/cell.go
+++ b/gossip/cell.go
@@ -20,7 +20,7 @@
 )
 
 // updateCell determines the cell of this instance from the instances of its failure domain that are known to live. Instances that
-// disagree for a while tell each other less than they could; nothing else depends on it.
+// disagree for a while exchange less than they could; nothing else depends on it.
 func (g *Gossip) updateCell() {
 	g.mutex.Lock()
 	now := g.clock.Now()
@@ -72,7 +72,7 @@
 }
 
 // isNear reports whether the peer is in the cell of this instance. One of the same failure domain that was not heard yet counts as
-// near, until its first datagram tells its cell. The caller holds the lock.
+// near, until its first datagram shows its cell. The caller holds the lock.
 func (g *Gossip) isNear(p *peerState) bool {
 	return p.Domain == g.self.Domain && (p.heardAt == 0 || p.cell == g.cell)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -227,7 +227,7 @@
 	set(&g.due.local, localDelay)
 	few := g.isSmall()
 	switch {
-	case reach == fleet.ReachAll, few && (reach == fleet.ReachDistant || reach == fleet.ReachCrowded):
+	case reach == fleet.ReachAll, few && (reach == fleet.ReachDistant || reach == fleet.ReachBusy):
 		set(&g.due.remote, localDelay)
 	case few:
 		set(&g.due.remote, remoteDelay)
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -29,7 +29,7 @@
 	var members []gossip.Member
 	for n := range instances {
 		var i *instance
-		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachCrowded) }))
+		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachBusy) }))
 		domain := poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%3))
 		i = start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), domain, snapshotAt(3), gossip.WithSuspects(register))
 		list, suspects, members = append(list, i), append(suspects, register), append(members, i.gossip.Self())
@@ -88,7 +88,7 @@
 	var members []gossip.Member
 	for n := range instances {
 		var i *instance
-		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachCrowded) }))
+		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachBusy) }))
 		domain := poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%3))
 		i = start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), domain, snapshotAt(3), gossip.WithSuspects(register))
 		list, suspects, members = append(list, i), append(suspects, register), append(members, i.gossip.Self())
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// takeDue returns the datagrams that are due. An instance that begins to send summaries tells all distant peers at once.
+// takeDue returns the datagrams that are due. An instance that begins to send summaries notifies all distant peers at once.
 func (g *Gossip) takeDue(sendsSummaries bool) dueNow {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/instance/restore_test.go
+++ b/instance/restore_test.go
@@ -27,7 +27,7 @@
 	c.roster.SetFaults(restored)
 }
 
-// Guards against a platform that comes back from an older copy: a confirmed manifest must stay in force and the next one must be
+// Guards against a platform that is restored from an older copy: a confirmed manifest must stay in force and the next one must be
 // accepted and in force everywhere in time, a call must not run twice, and an engine that the list lost must keep serving.
 func TestPlatformRestoredFromOlderCopy(t *testing.T) {
 	t.Parallel()
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -103,7 +103,7 @@
 	return classify(key, sent, err)
 }
 
-// classify converts the error of a write by what it tells about the effect: none for ErrExists and UnavailableError,
+// classify converts the error of a write by what it says about the effect: none for ErrExists and UnavailableError,
 // unknown for UncertainError.
 func classify(key string, sent bool, err error) error {
 	if err == nil {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -56,7 +56,7 @@
 	return w
 }
 
-// A deployment pipeline must be able to tell from the reply whether the commit took effect and what to do next.
+// A deployment pipeline must be able to see from the reply whether the commit took effect and what to do next.
 func TestCommit(t *testing.T) {
 	manifest := []byte(`{"service":"doors"}`)
 	for name, c := range map[string]struct {
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -301,7 +301,7 @@
 	}
 }
 
-// Guards against instances that block a part because nobody tells them that it was answered.
+// Guards against instances that block a part because nobody reports to them that it was answered.
 func TestClearedSuspectsAreReported(t *testing.T) {
 	m := clock.NewManual(start)
 	changes := 0
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -1,7 +1,7 @@
 package replica
 
 // apply merges a batch that was read in a mode and reports whether a row changed. Rows that are missing from a complete batch stay
-// for a grace period if they may come back. The caller holds the lock.
+// for a grace period if they may reappear. The caller holds the lock.
 func (r *Replica) apply(batch Batch, mode readMode) bool {
 	changed := !r.loaded
 	restored := r.loaded && batch.Era > r.era
@@ -71,7 +71,7 @@
 	r.deleted[tombstone.Key] = tombstone
 }
 
-// removeMissing removes the rows that are missing from a complete batch, after a grace period if they may come back.
+// removeMissing removes the rows that are missing from a complete batch, after a grace period if they may reappear.
 // The version at which a row was removed is not known, so its tombstone gets the version of the batch. The caller holds the lock.
 func (r *Replica) removeMissing(seen map[string]bool, mode readMode, restored, recent bool) bool {
 	r.removeHeld(seen)
--- a/replica/era_test.go
+++ b/replica/era_test.go
@@ -178,7 +178,7 @@
 	})
 }
 
-// Guards against peers that keep a row for good which did not come back, because the source's version is the same before and after that
+// Guards against peers that keep a row for good which did not reappear, because the source's version is the same before and after that
 // was found out.
 func TestPeersLearnOfRowsThatDidNotComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -77,11 +77,11 @@
 type readMode string
 
 const (
-	// readWhole reads the whole table after a failure or a loss of history. Rows that are missing may come back.
+	// readWhole reads the whole table after a failure or a loss of history. Rows that are missing may reappear.
 	readWhole readMode = "whole"
 	// readChanges waits for changes.
 	readChanges readMode = "changes"
-	// confirmMissing reads the whole table while changes are followed, to see whether missing rows came back. Rows that were there
+	// confirmMissing reads the whole table while changes are followed, to see whether missing rows reappeared. Rows that were there
 	// after the failure did not expire during it: if they are missing now, they are gone.
 	confirmMissing readMode = "confirm"
 	// fromPeer marks a batch that another instance has read.
--- a/replica/held_rows_test.go
+++ b/replica/held_rows_test.go
@@ -52,7 +52,7 @@
 	})
 }
 
-// Guards against a removed row that comes back from the copy because it was known, when it was removed, from an earlier era only.
+// Guards against a removed row that reappears with the copy because it was known, when it was removed, from an earlier era only.
 func TestRemovedRowsOfEarlierErasAreHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, true)
@@ -110,7 +110,7 @@
 	})
 }
 
-// Guards against a row that peers keep for good although it did not come back: they learn of it together with a later change.
+// Guards against a row that peers keep for good although it did not reappear: they learn of it together with a later change.
 func TestRowsThatDidNotComeBackAreRemovedWithLaterChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		follower, peer := newFixture(t, true), passiveFixture(t)
@@ -139,14 +139,14 @@
 		time.Sleep(6 * time.Second)
 		peer.replica.Recheck()
 		synctest.Wait()
-		follower.expectKeys(t, "b", "c") // a did not come back
+		follower.expectKeys(t, "b", "c") // a did not reappear
 		known, _ := peer.replica.Position()
 		peer.replica.Merge(follower.replica.Since(known))
 		peer.expectKeys(t, "b", "c")
 	})
 }
 
-// Guards against a removed row that comes back from a peer which has missed the removal and keeps the row until it is written again.
+// Guards against a removed row that reappears from a peer which has missed the removal and keeps the row until it is written again.
 func TestRowsKeptByAPeerStayRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, peer := newFixture(t, true), newFixture(t, true)
--- a/replica/option.go
+++ b/replica/option.go
@@ -21,7 +21,7 @@
 func WithOnChange(changed func(rows []Row)) Option { return func(r *Replica) { r.changed = changed } }
 
 // WithMissingRowGrace keeps rows that are missing from a snapshot for a while, because rows that the source dropped during an
-// outage may come back.
+// outage may reappear.
 func WithMissingRowGrace() Option { return func(r *Replica) { r.keepMissing = true } }
 
 // WithSupersedes sets the function that reports whether a row has a later state than another one with the same key, by what they say
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -39,7 +39,7 @@
 	// removedRowRetention is the time for which removed rows are remembered. It exceeds the age of the copies from which a source
 	// is restored.
 	removedRowRetention = 60 * clock.Second
-	// missingRowGrace is the time after a row is first missing from a snapshot in which it may come back before it is removed.
+	// missingRowGrace is the time after a row is first missing from a snapshot in which it may reappear before it is removed.
 	// Rows that expired during an outage of the source are renewed within that time.
 	missingRowGrace clock.Millis = 2200
 )
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -148,7 +148,7 @@
 	})
 }
 
-// Guards against removing servers whose rows expired during an outage of the store and come back after it.
+// Guards against removing servers whose rows expired during an outage of the store and reappear after it.
 func TestMissingRowsReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, true)
@@ -162,7 +162,7 @@
 	})
 }
 
-// Guards against sending requests to servers that no longer exist: a row that doesn't come back after the outage must
+// Guards against sending requests to servers that no longer exist: a row that doesn't reappear after the outage must
 // be removed, and the removal must be visible to other instances.
 func TestMissingRowsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -201,8 +201,8 @@
 }
 
 // Guards against waiting forever on an unresponsive connection: Recheck, called when a peer has a newer version, must end the wait
-// and ask again. It must not read the whole table, from which it could not tell a row that was removed from one that expired while
-// the source was away and comes back: such rows stay for some time.
+// and ask again. It must not read the whole table, in which it could not distinguish a row that was removed from one that expired while
+// the source was unavailable and reappears: such rows stay for some time.
 func TestRecheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, false)
--- a/replica/restorations_test.go
+++ b/replica/restorations_test.go
@@ -230,7 +230,7 @@
 	return w
 }
 
-// check finds configurations that go back and removed rows that come back.
+// check finds configurations that go back and removed rows that reappear.
 func (w *watched) check(rows []replica.Row) {
 	values, keys := map[string]bool{}, map[string]bool{}
 	for _, row := range rows {
--- a/replica/row.go
+++ b/replica/row.go
@@ -15,7 +15,7 @@
 	_       struct{} `cbor:",toarray"`
 	Era     Era
 	Version Version
-	// Unsettled says that the instance keeps rows which the source does not have and which may come back, or holds back rows that it has.
+	// Unsettled says that the instance keeps rows which the source does not have and which may reappear, or holds back rows that it has.
 	Unsettled bool
 }
 
@@ -63,7 +63,7 @@
 	Version Version
 	// Unsettled is that of the position of the instance which passes the batch on.
 	Unsettled bool
-	// Recent is set if the sender has loaded the table so lately that it may not know rows which may come back.
+	// Recent is set if the sender has loaded the table so lately that it may not know rows which may reappear.
 	Recent bool
 	// Complete is set if Rows holds every row of the table, not only changes.
 	Complete bool
--- a/table/recent.go
+++ b/table/recent.go
@@ -23,7 +23,7 @@
 	checkWorkers = 4
 )
 
-// Verdict is what the current row tells about an earlier write.
+// Verdict is what the current row says about an earlier write.
 type Verdict string
 
 // The verdicts.
@@ -42,7 +42,7 @@
 // returns the condition under which the row may be written again.
 type Judge func(current Row, exists bool) (Verdict, Condition)
 
-// Recent holds the rows that an instance wrote lately, and writes them again if the table comes back from an older copy. Each write
+// Recent holds the rows that an instance wrote lately, and writes them again if the table is restored from an older copy. Each write
 // is read once within two check intervals, and the newest one again and again: a copy that has it has all earlier ones too.
 type Recent struct {
 	clock *clock.Clock
--- a/table/table.go
+++ b/table/table.go
@@ -96,7 +96,7 @@
 	return classify(key, sent, err)
 }
 
-// classify converts the error of a write by what it tells about the effect: none for ErrConditionFailed and
+// classify converts the error of a write by what it says about the effect: none for ErrConditionFailed and
 // UnavailableError, unknown for UncertainError.
 func classify(key string, sent bool, err error) error {
 	if err == nil {
