--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -19,11 +19,11 @@
 	// partDelay is the age from which a death counts against a part. Answers that clear a part which many requests have in common, and
 	// reports of the same death for other suspects, are known to all instances by then.
 	partDelay = clock.Second
-	// maxBlocks bounds the groups that are blocked at a time.
-	maxBlocks = 64
-	// minBlocksOfSurvived is the number of groups among which the deaths of a part that engines have survived before are divided, and
+	// maxGroups bounds the groups that are blocked at a time.
+	maxGroups = 64
+	// minGroupsOfSurvived is the number of groups among which the deaths of a part that engines have survived before are divided, and
 	// from which the part itself is blamed for them: it is likelier that it became harmful than that so many others are.
-	minBlocksOfSurvived = 3
+	minGroupsOfSurvived = 3
 )
 
 // block is the decision to reject the requests that have all suspects of a group of parts, or one whole request.
@@ -73,7 +73,7 @@
 	}
 	attributed := attributedDeaths{}
 	b.attribute(fresh, attributed, math.MaxInt)
-	b.attribute(survived, attributed, minBlocksOfSurvived)
+	b.attribute(survived, attributed, minGroupsOfSurvived)
 	return b
 }
 
@@ -104,11 +104,11 @@
 // shared count against a candidate nevertheless.
 func (b *blockSet) attribute(candidates []candidate, attributed attributedDeaths, shared int) {
 	slices.SortFunc(candidates, candidate.compare)
-	for b.groups < maxBlocks {
+	for b.groups < maxGroups {
 		best := -1
 		for i := range candidates {
 			c := &candidates[i]
-			if attributed.groupsOf(c.deaths) < shared {
+			if shared == math.MaxInt || attributed.groupsOf(c.deaths) < shared {
 				c.deaths = slices.DeleteFunc(c.deaths, attributed.has)
 			}
 			if _, enough := blockedFrom(c.deaths); enough && (best < 0 || len(c.deaths) > len(candidates[best].deaths)) {
