Derive blocks when they are asked for, at most each 20 ms

While servers crash, reports from peers change suspects hundreds of times a second, and each change derived the blocks anew.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -19,6 +19,8 @@
 	// partDelay is the age from which a death counts against a part. Answers that clear a part which many requests have in common, and
 	// reports of the same death for other suspects, are known to all instances by then.
 	partDelay = clock.Second
+	// minDeriveInterval is the least time between two derivations of the blocks, since reports change suspects often while servers crash.
+	minDeriveInterval clock.Millis = 20
 	// maxGroups bounds the groups that are blocked at a time.
 	maxGroups = 64
 	// minGroupsOfSurvived is the number of groups among which the deaths of a part that engines have survived before are divided, and
@@ -46,11 +48,10 @@
 	groups int
 	// due is the time at which the blocks are to be derived again, since further deaths count then; zero if no death is that recent.
 	due clock.Millis
+	// derivedAt is the time at which the blocks were derived.
+	derivedAt clock.Millis
 }
 
-// outdated reports whether the blocks are to be derived again.
-func (b *blockSet) outdated(now clock.Millis) bool { return b.due != 0 && now >= b.due }
-
 // findBlocks derives which requests are rejected.
 //
 // A request that crashes an engine makes suspects of all that ran there, so that the deaths of sound suspects are among those of the one
@@ -59,7 +60,7 @@
 // has some of them runs, and its answer or its crash shows which one it is. Suspects that engines have survived before are considered last.
 // survivedAt returns the time at which an engine last survived a suspect; zero if that is not known.
 func findBlocks(suspects map[Fingerprint]Suspect, survivedAt func(Fingerprint) clock.Millis, now clock.Millis) *blockSet {
-	b := &blockSet{byLeader: map[Fingerprint]block{}, members: map[Fingerprint]bool{}}
+	b := &blockSet{byLeader: map[Fingerprint]block{}, members: map[Fingerprint]bool{}, derivedAt: now}
 	var fresh, survived []candidate
 	for _, s := range suspects {
 		c, ok := b.candidate(&s, now)
@@ -79,7 +80,7 @@
 
 // candidate returns the suspect with its deaths that count now, if there are enough to block it.
 func (b *blockSet) candidate(s *Suspect, now clock.Millis) (candidate, bool) {
-	if s.expired(now) {
+	if len(s.Deaths) < blockingDeaths || s.expired(now) {
 		return candidate{}, false
 	}
 	deaths := s.unclearedDeaths()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -140,10 +140,10 @@
 	return len(blocks.members) > 0 && slices.ContainsFunc(p.all(), func(f Fingerprint) bool { return blocks.members[f] })
 }
 
-// currentBlocks returns the blocks at the time now. They are derived again once further deaths count.
+// currentBlocks returns the blocks at the time now.
 func (g *Register) currentBlocks(now clock.Millis) *blockSet {
 	blocks := g.blocks.Load()
-	if !blocks.outdated(now) {
+	if !g.isOutdated(blocks, now) {
 		return blocks
 	}
 	g.mutex.Lock()
@@ -154,13 +154,19 @@
 // updateBlocks does the same for a caller that holds the mutex.
 func (g *Register) updateBlocks(now clock.Millis) *blockSet {
 	blocks := g.blocks.Load()
-	if blocks.outdated(now) {
+	if g.isOutdated(blocks, now) {
+		g.changed.Store(false)
 		blocks = findBlocks(*g.suspects.Load(), g.survivals.at, now)
 		g.blocks.Store(blocks)
 	}
 	return blocks
 }
 
+// isOutdated reports whether the blocks are to be derived again: further deaths count, or suspects have changed since a while.
+func (g *Register) isOutdated(b *blockSet, now clock.Millis) bool {
+	return b.due != 0 && now >= b.due || g.changed.Load() && now-b.derivedAt >= minDeriveInterval
+}
+
 // allowsSingle reports whether a single request with a blocked suspect may run now.
 func (g *Register) allowsSingle(f Fingerprint, b *block, now clock.Millis) bool {
 	g.mutex.Lock()
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -26,8 +26,10 @@
 
 	// suspects is immutable and replaced on each change, so that Check needs no lock.
 	suspects atomic.Pointer[map[Fingerprint]Suspect]
-	// blocks is immutable and replaced on each change, and empty nearly always.
+	// blocks is immutable and empty nearly always. It is derived anew when it is asked for after a change.
 	blocks atomic.Pointer[blockSet]
+	// changed says that suspects have changed since the blocks were derived.
+	changed atomic.Bool
 	// lastDeathMillis is the time in milliseconds of the last engine death that was reported to this instance.
 	lastDeathMillis atomic.Int64
 	mutex           sync.Mutex
@@ -155,7 +157,7 @@
 	}
 	g.evict(next)
 	g.suspects.Store(&next)
-	g.blocks.Store(findBlocks(next, g.survivals.at, now))
+	g.changed.Store(true)
 	return changed
 }
 
