Keep the ruling on the request that tests a block

A wrong block did not end at the own interface before it expired, and seldom on a busy fleet: the one request that may test it was counted when it was admitted and rejected when it was ruled on again, at the selection of its engine or while it waited for a server. The ruling is kept for the run until a server may have run it.

Tests ask Rule in place of Blocked; what they check is unchanged.

--- a/assignment/group.go
+++ b/assignment/group.go
@@ -86,8 +86,8 @@
 	return best, true
 }
 
-// shouldYieldWithoutPlan reports whether a prompt without a plan is rejected: half of its caller's timeout has passed
-// up, or it is a long prompt and the engines are saturated or its target is missed. The largest prompts, which can't
+// shouldYieldWithoutPlan reports whether a prompt without a plan is rejected: half of its caller's timeout has passed,
+// or it is a long prompt and the engines are saturated or its target is missed. The largest prompts, which can't
 // meet their targets anyway, wait beyond the target.
 func (c *choice) shouldYieldWithoutPlan() bool {
 	if float64(c.prompt.CallerTimeout) < minCallerTimeoutFraction*float64(c.prompt.FullCallerTimeout) {
--- a/dispatch/crashing_part_test.go
+++ b/dispatch/crashing_part_test.go
@@ -231,7 +231,7 @@
 			f.fleet.Apply([]fleet.Server{{ID: poplarwinch.UpstreamID(fmt.Sprint("n", n)), Address: "n:80", Domain: "north", Service: "pool", Slots: 16}})
 		}
 		suspects := quarantine.NewPromptSuspects(quarantine.Fingerprint{}, "m", []poplarwinch.PromptPartID{crashingPart})
-		if part, blocked := f.suspects.Blocked(suspects); !blocked || part != 1 {
+		if r := f.suspects.Rule(suspects); !r.Blocked || r.Part != 1 {
 			t.Errorf("the part is not blocked after %d crashes", len(f.calls))
 		}
 		f.fleet.Apply(nil)
@@ -293,3 +293,34 @@
 		}
 	})
 }
+
+// Guards against a block that never ends because the request that may test it has to wait for a server, and is rejected while it does.
+func TestTrialThatWaitsForAServer(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.blame(crashingPart)
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, "id: 1\ndata: x\n\n")
+		}
+		request := func() *dispatch.Request {
+			r := f.request(route.KindStreaming)
+			r.Model, r.SharedParts, r.Route.Target = "m", []poplarwinch.PromptPartID{crashingPart}, 8000
+			return r
+		}
+		if o := f.run(t.Context(), request()); o.err == nil {
+			t.Fatal("the part is not blocked")
+		}
+		time.Sleep(3 * time.Minute)
+		var ends []func()
+		for _, id := range []poplarwinch.UpstreamID{"e1", "e2", "e3", "e4"} {
+			ends = append(ends, f.fill(id))
+		}
+		time.AfterFunc(120*time.Millisecond, func() {
+			for _, end := range ends {
+				end()
+			}
+		})
+		if o := f.run(t.Context(), request()); o.err != nil {
+			t.Errorf("the request that tests the block got %v", o.err)
+		}
+	})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -52,6 +52,8 @@
 	log   log.Interface
 	// suspects are the fingerprints that are blamed if a server crashes.
 	suspects quarantine.PromptSuspects
+	// trial says that the request may run once in spite of a block of its suspects, also if it waits for a server before.
+	trial bool
 	// excluded are the servers on which an attempt of this request failed.
 	excluded map[poplarwinch.UpstreamID]bool
 	// possibleRuns is the number of attempts in which a server may have run the request.
@@ -105,13 +107,16 @@
 
 // blocked returns the error for a request that is rejected because it, or a part of its prompt, crashes servers, and nil for others.
 func (x *run) blocked() error {
-	part, blocked := x.d.suspects.Blocked(x.suspects)
-	if !blocked {
+	if x.trial && x.possibleRuns == 0 {
+		return nil
+	}
+	ruling := x.d.suspects.Rule(x.suspects)
+	if x.trial = ruling.Trial; !ruling.Blocked {
 		return nil
 	}
 	message, remedy := "servers crashed while running this request", "change the request"
-	if part > 0 {
-		message = fmt.Sprintf("servers crash on prompts with part %s", x.SharedParts[part-1])
+	if ruling.Part > 0 {
+		message = fmt.Sprintf("servers crash on prompts with part %s", x.SharedParts[ruling.Part-1])
 		remedy = "change this part of the prompt"
 	}
 	return &poplarwinch.Error{
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -24,7 +24,9 @@
 	fingerprint quarantine.Fingerprint
 	// suspects are the fingerprints that are blamed if an engine crashes.
 	suspects quarantine.PromptSuspects
-	sink     sink
+	// trial says that the prompt may run once in spite of a block of its suspects.
+	trial bool
+	sink  sink
 	// mayHaveRun is set once an engine may have run a part of the prompt. The outcome can no longer be not-run then.
 	mayHaveRun bool
 	// rejectedForMemory is set once an engine rejected the prompt for lack of KV memory. The prompt needs a group of
@@ -153,8 +155,12 @@
 	if p.server.quarantine.Check(p.fingerprint) == quarantine.VerdictReject {
 		return quarantine.Rejected()
 	}
-	if part, blocked := p.server.quarantine.Blocked(p.suspects); blocked {
-		return quarantine.BlockedPart(part)
+	if p.trial && !p.mayHaveRun {
+		return nil
+	}
+	ruling := p.server.quarantine.Rule(p.suspects)
+	if p.trial = ruling.Trial; ruling.Blocked {
+		return quarantine.BlockedPart(ruling.Part)
 	}
 	return nil
 }
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -62,10 +62,10 @@
 	time.Sleep(learningTime)
 	missing, wrong := 0, 0
 	for _, r := range suspects {
-		if _, blocked := r.Blocked(prompt("new", "instructions", "bad")); !blocked {
+		if !r.Rule(prompt("new", "instructions", "bad")).Blocked {
 			missing++
 		}
-		if _, blocked := r.Blocked(prompt("new", "instructions", "good")); blocked {
+		if r.Rule(prompt("new", "instructions", "good")).Blocked {
 			wrong++
 		}
 	}
@@ -134,7 +134,7 @@
 	t.Logf("in the 4 s of five crashes they send %d KB on average, the busiest %d", (sumAfter-sumIdle)/1000/int64(instances), (mostAfter-mostIdle)/1000)
 	missing := 0
 	for _, r := range suspects {
-		if _, blocked := r.Blocked(prompt("new")); !blocked {
+		if !r.Rule(prompt("new")).Blocked {
 			missing++
 		}
 	}
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -123,12 +123,12 @@
 			g := newTest(t, m)
 			play(t, m, g, c.script)
 			for _, r := range strings.Fields(c.blocked) {
-				if _, blocked := g.Blocked(promptOf(r)); !blocked {
+				if !g.Rule(promptOf(r)).Blocked {
 					t.Errorf("%s is not blocked", r)
 				}
 			}
 			for _, r := range strings.Fields(c.allowed) {
-				if _, blocked := g.Blocked(promptOf(r)); blocked {
+				if g.Rule(promptOf(r)).Blocked {
 					t.Errorf("%s is blocked", r)
 				}
 			}
@@ -145,7 +145,7 @@
 	play(t, m, g, crashes)
 	allowed := 0
 	for m.Now() < start+9*clock.Minute {
-		if _, blocked := g.Blocked(promptOf("new:bad")); !blocked {
+		if !g.Rule(promptOf("new:bad")).Blocked {
 			allowed++
 			if m.Now() < start+minHalfOpenDelay {
 				t.Fatalf("allowed again after %d ms", m.Now()-start)
@@ -160,7 +160,7 @@
 		t.Errorf("%d requests allowed, want a few", allowed)
 	}
 	play(t, m, g, "answer r5:bad")
-	if _, blocked := g.Blocked(promptOf("new:bad")); blocked {
+	if g.Rule(promptOf("new:bad")).Blocked {
 		t.Error("blocked after an answer")
 	}
 }
@@ -190,7 +190,7 @@
 				n := int(m.Now()/clock.Second) * 31 % instances
 				for i := range instances {
 					g := list[(n+i)%instances]
-					if _, blocked := g.Blocked(promptOf("new:bad")); blocked {
+					if g.Rule(promptOf("new:bad")).Blocked {
 						continue
 					}
 					if allowedAt == 0 {
@@ -211,7 +211,7 @@
 				t.Errorf("%d instances: the first request is allowed after %d ms", instances, wait)
 			}
 			for n, g := range list {
-				if _, blocked := g.Blocked(promptOf("new:bad")); blocked && !isHarmful {
+				if g.Rule(promptOf("new:bad")).Blocked && !isHarmful {
 					t.Fatalf("%d instances: a harmless part is still blocked at instance %d", instances, n)
 				}
 			}
@@ -262,10 +262,10 @@
 		}
 		m.Advance(clock.Second)
 		for i, g := range list {
-			if _, blocked := g.Blocked(promptOf("new:i:bad")); !blocked {
+			if !g.Rule(promptOf("new:i:bad")).Blocked {
 				t.Errorf("not blocked at instance %d", i)
 			}
-			if _, blocked := g.Blocked(promptOf("new:i")); blocked {
+			if g.Rule(promptOf("new:i")).Blocked {
 				t.Errorf("harmless requests are blocked at instance %d", i)
 			}
 		}
@@ -278,7 +278,7 @@
 		}
 		restarted := newTest(t, m)
 		restarted.Merge(list[3].Report())
-		if _, blocked := restarted.Blocked(promptOf("new:i:bad")); !blocked {
+		if !restarted.Rule(promptOf("new:i:bad")).Blocked {
 			t.Error("not blocked at a restarted instance")
 		}
 	})
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -116,21 +116,35 @@
 	return len(g.mergeOwn(cleared)) > 0
 }
 
-// Blocked reports whether the request is rejected now because it, or a part of its prompt, crashes engines. The part is its position,
-// from 1, or zero for the request itself.
-func (g *Register) Blocked(p PromptSuspects) (part int, blocked bool) {
+// Ruling says whether a request may run now.
+type Ruling struct {
+	// Blocked says that it may not, because it or a part of its prompt crashes engines. Part is the position of the part, from 1; zero for
+	// the request itself.
+	Blocked bool
+	Part    int
+	// Trial says that it is a single request that may run once in spite of a block.
+	Trial bool
+}
+
+// Rule returns the ruling on a request. A trial is counted with the first ruling, so that the caller must keep it.
+func (g *Register) Rule(p PromptSuspects) Ruling {
 	now := g.clock.Now()
 	blocks := g.currentBlocks(now)
 	if len(blocks.byLeader) == 0 {
-		return 0, false
+		return Ruling{}
 	}
+	var r Ruling
 	for i, f := range p.all() {
 		b, ok := blocks.byLeader[f]
-		if ok && now-b.lastDeathAt < quarantinePeriod && p.hasAll(b.others) && !g.allowsSingle(f, &b, now) {
-			return i, true
+		if !ok || now-b.lastDeathAt >= quarantinePeriod || !p.hasAll(b.others) {
+			continue
 		}
+		if !g.allowsSingle(f, &b, now) {
+			return Ruling{Blocked: true, Part: i}
+		}
+		r.Trial = true
 	}
-	return 0, false
+	return r
 }
 
 // IsSuspect reports whether the request has one of the suspects that may be at fault for crashes, also if it isn't rejected because
