Block each suspect that crashes engines, however many there are

It has no such bound now; deaths are subtracted only from the suspects of the same engines, so that its work doesn't grow with the groups times the suspects.

TestManyCrashingRequestsAreBlocked failed before at request 64 of 300.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -21,8 +21,6 @@
 	partDelay = clock.Second
 	// minDeriveInterval is the least time between two derivations of the blocks, since reports change suspects often while servers crash.
 	minDeriveInterval clock.Millis = 20
-	// maxGroups bounds the groups that are blocked at a time.
-	maxGroups = 64
 	// minGroupsOfSurvived is the number of groups among which the deaths of a part that engines have survived before are divided, and
 	// from which the part itself is blamed for them: it is likelier that it became harmful than that so many others are.
 	minGroupsOfSurvived = 3
@@ -42,10 +40,8 @@
 type blockSet struct {
 	// byLeader has each block under one suspect of its group.
 	byLeader map[Fingerprint]block
-	// members are the suspects of all groups.
-	members map[Fingerprint]bool
-	// groups is the number of groups.
-	groups int
+	// suspects are all that may be at fault: those of all groups, and parts with the same deaths as a whole request that is blocked.
+	suspects map[Fingerprint]bool
 	// due is the time at which the blocks are to be derived again, since further deaths count then; zero if no death is that recent.
 	due clock.Millis
 	// derivedAt is the time at which the blocks were derived.
@@ -60,34 +56,34 @@
 // has some of them runs, and its answer or its crash shows which one it is. Suspects that engines have survived before are considered last.
 // survivedAt returns the time at which an engine last survived a suspect; zero if that is not known.
 func findBlocks(suspects map[Fingerprint]Suspect, survivedAt func(Fingerprint) clock.Millis, now clock.Millis) *blockSet {
-	b := &blockSet{byLeader: map[Fingerprint]block{}, members: map[Fingerprint]bool{}, derivedAt: now}
-	var fresh, survived []candidate
+	b := &blockSet{byLeader: map[Fingerprint]block{}, suspects: map[Fingerprint]bool{}, derivedAt: now}
+	var fresh, survived []*candidate
 	for _, s := range suspects {
-		c, ok := b.candidate(&s, now)
+		c := b.candidate(&s, now)
 		switch {
-		case !ok:
+		case c == nil:
 		case survivedAt(s.Fingerprint) == 0:
 			fresh = append(fresh, c)
 		default:
 			survived = append(survived, c)
 		}
 	}
-	attributed := attributedDeaths{}
-	b.attribute(fresh, attributed, math.MaxInt)
-	b.attribute(survived, attributed, minGroupsOfSurvived)
+	a := &attribution{blocks: b, attributed: map[poplarwinch.UpstreamID][]attributedDeath{}}
+	a.run(fresh, math.MaxInt)
+	a.run(survived, minGroupsOfSurvived)
 	return b
 }
 
-// candidate returns the suspect with its deaths that count now, if there are enough to block it.
-func (b *blockSet) candidate(s *Suspect, now clock.Millis) (candidate, bool) {
+// candidate returns the suspect with its deaths that count now, or nil if they are not enough to block it.
+func (b *blockSet) candidate(s *Suspect, now clock.Millis) *candidate {
 	if len(s.Deaths) < blockingDeaths || s.expired(now) {
-		return candidate{}, false
+		return nil
 	}
 	deaths := s.unclearedDeaths()
 	if len(deaths) < blockingDeaths {
-		return candidate{}, false
+		return nil
 	}
-	c := candidate{fingerprint: s.Fingerprint, position: s.Position, lastDeathAt: deaths[len(deaths)-1].At, failedTrials: failedTrials(deaths)}
+	c := &candidate{fingerprint: s.Fingerprint, position: s.Position, lastDeathAt: deaths[len(deaths)-1].At, failedTrials: failedTrials(deaths)}
 	for _, d := range deaths {
 		due := d.At + partDelay
 		if s.Position > 0 && due > now {
@@ -98,62 +94,30 @@
 		}
 		c.deaths = append(c.deaths, d)
 	}
-	return c, len(c.deaths) >= blockingDeaths
-}
-
-// attribute adds the blocks for the deaths of the candidates that are not attributed yet. Deaths that are divided among as many groups as
-// shared count against a candidate nevertheless.
-func (b *blockSet) attribute(candidates []candidate, attributed attributedDeaths, shared int) {
-	slices.SortFunc(candidates, candidate.compare)
-	for b.groups < maxGroups {
-		best := -1
-		for i := range candidates {
-			c := &candidates[i]
-			if shared == math.MaxInt || attributed.groupsOf(c.deaths) < shared {
-				c.deaths = slices.DeleteFunc(c.deaths, attributed.has)
-			}
-			if _, enough := blockedFrom(c.deaths); enough && (best < 0 || len(c.deaths) > len(candidates[best].deaths)) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return
-		}
-		candidates = b.add(candidates, best, attributed)
+	if len(c.deaths) < blockingDeaths {
+		return nil
 	}
+	return c
 }
 
-// add adds the block for a candidate and those with the same deaths, and returns the remaining candidates. If there are whole requests
+// add adds the block of a group of suspects with the same deaths, which are ordered from specific to general. If there are whole requests
 // among them, each of these is blocked by itself, as no request has two of them; the parts are not blocked then, since a request is more
 // specific.
-func (b *blockSet) add(candidates []candidate, leader int, attributed attributedDeaths) []candidate {
-	l := candidates[leader]
-	var remaining []candidate
-	var requests, parts []Fingerprint
-	for i := range candidates {
-		c := &candidates[i]
-		switch {
-		case len(c.deaths) != len(l.deaths) || !c.hasAll(l.deaths):
-			remaining = append(remaining, *c)
-			continue
-		case c.position == 0:
-			requests = append(requests, c.fingerprint)
-		default:
-			parts = append(parts, c.fingerprint)
+func (b *blockSet) add(group []*candidate) {
+	added := block{lastDeathAt: group[0].lastDeathAt, failedTrials: group[0].failedTrials}
+	for _, c := range group {
+		b.suspects[c.fingerprint] = true
+		if c.position == 0 {
+			b.byLeader[c.fingerprint] = added
 		}
-		b.members[c.fingerprint] = true
 	}
-	added := block{lastDeathAt: l.lastDeathAt, failedTrials: l.failedTrials}
-	for _, f := range requests {
-		b.byLeader[f] = added
+	if group[0].position == 0 {
+		return
 	}
-	if len(requests) == 0 {
-		added.others = parts[1:]
-		b.byLeader[parts[0]] = added
+	for _, c := range group[1:] {
+		added.others = append(added.others, c.fingerprint)
 	}
-	b.groups++
-	attributed.add(l.deaths, b.groups)
-	return remaining
+	b.byLeader[group[0].fingerprint] = added
 }
 
 // blockedFrom returns the time of the death that is enough, with those before, to block a suspect. The deaths are ordered by time.
@@ -181,8 +145,11 @@
 	failedTrials int
 }
 
-// hasAll reports whether the deaths are all among the candidate's.
-func (c *candidate) hasAll(deaths []Death) bool {
+// hasSameDeaths reports whether the deaths are exactly those of the candidate.
+func (c *candidate) hasSameDeaths(deaths []Death) bool {
+	if len(c.deaths) != len(deaths) {
+		return false
+	}
 	for _, d := range deaths {
 		if !slices.ContainsFunc(c.deaths, d.sameAs) {
 			return false
@@ -192,7 +159,7 @@
 }
 
 // compare orders candidates from specific to general. The first one of a group is named in the error for its requests.
-func (c candidate) compare(other candidate) int {
+func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
 		cmp.Compare(other.specificity(), c.specificity()),
 		bytes.Compare(c.fingerprint[:], other.fingerprint[:]),
@@ -200,41 +167,100 @@
 }
 
 // specificity is larger for suspects that fewer requests have in common.
-func (c candidate) specificity() int {
+func (c *candidate) specificity() int {
 	if c.position == 0 {
 		return math.MaxInt
 	}
 	return c.position
 }
 
-// attributedDeaths has the deaths that are attributed to a group, by engine.
-type attributedDeaths map[poplarwinch.UpstreamID][]attributedDeath
-
 // attributedDeath is a death with the number of the group to which it is attributed.
 type attributedDeath struct {
 	Death
 	group int
 }
 
-func (a attributedDeaths) add(deaths []Death, group int) {
-	for _, d := range deaths {
-		a[d.Upstream] = append(a[d.Upstream], attributedDeath{Death: d, group: group})
+// attribution attributes deaths to groups of suspects.
+type attribution struct {
+	blocks *blockSet
+	// groups is the number of groups so far.
+	groups int
+	// attributed has the deaths that are attributed to a group, by engine.
+	attributed map[poplarwinch.UpstreamID][]attributedDeath
+}
+
+// run adds the blocks for the deaths of the candidates that are not attributed yet. Deaths that are divided among as many groups as shared
+// count against a candidate nevertheless.
+func (a *attribution) run(candidates []*candidate, shared int) {
+	slices.SortFunc(candidates, (*candidate).compare)
+	byUpstream := map[poplarwinch.UpstreamID][]*candidate{}
+	for _, c := range candidates {
+		for _, d := range c.deaths {
+			byUpstream[d.Upstream] = append(byUpstream[d.Upstream], c)
+		}
+		a.subtract(c, shared)
+	}
+	for {
+		leader := mostDeaths(candidates)
+		if leader == nil {
+			return
+		}
+		deaths := leader.deaths
+		var group []*candidate
+		for _, c := range byUpstream[deaths[0].Upstream] {
+			if c.hasSameDeaths(deaths) && (len(group) == 0 || group[len(group)-1] != c) {
+				group = append(group, c)
+			}
+		}
+		a.add(group, deaths)
+		for _, d := range deaths {
+			for _, c := range byUpstream[d.Upstream] {
+				a.subtract(c, shared)
+			}
+		}
 	}
 }
 
-func (a attributedDeaths) has(d Death) bool {
-	return slices.ContainsFunc(a[d.Upstream], func(o attributedDeath) bool { return o.sameAs(d) })
+// add adds a group of candidates with the same deaths.
+func (a *attribution) add(group []*candidate, deaths []Death) {
+	a.groups++
+	for _, d := range deaths {
+		a.attributed[d.Upstream] = append(a.attributed[d.Upstream], attributedDeath{Death: d, group: a.groups})
+	}
+	a.blocks.add(group)
+	for _, c := range group {
+		c.deaths = nil
+	}
 }
 
-// groupsOf returns the number of groups to which the deaths are attributed.
-func (a attributedDeaths) groupsOf(deaths []Death) int {
+// subtract removes the deaths from a candidate that are attributed to others, unless these are as many groups as shared.
+func (a *attribution) subtract(c *candidate, shared int) {
 	groups := map[int]bool{}
-	for _, d := range deaths {
-		for _, o := range a[d.Upstream] {
+	for _, d := range c.deaths {
+		for _, o := range a.attributed[d.Upstream] {
 			if o.sameAs(d) {
 				groups[o.group] = true
 			}
 		}
 	}
-	return len(groups)
+	if len(groups) == 0 || len(groups) >= shared {
+		return
+	}
+	c.deaths = slices.DeleteFunc(slices.Clone(c.deaths), func(d Death) bool {
+		return slices.ContainsFunc(a.attributed[d.Upstream], func(o attributedDeath) bool { return o.sameAs(d) })
+	})
+}
+
+// mostDeaths returns the candidate with the most deaths among those with enough of them to be blocked, and nil if there is none.
+func mostDeaths(candidates []*candidate) *candidate {
+	var most *candidate
+	for _, c := range candidates {
+		if most != nil && len(c.deaths) <= len(most.deaths) {
+			continue
+		}
+		if _, enough := blockedFrom(c.deaths); enough {
+			most = c
+		}
+	}
+	return most
 }
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -336,3 +336,18 @@
 		t.Errorf("%d survivals are kept, want %d at most", n, 2*maxSurvivals)
 	}
 }
+
+// Guards against a request that goes on crashing engines because many others do so too.
+func TestManyCrashingRequestsAreBlocked(t *testing.T) {
+	const requests = 300
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	for n := range requests {
+		play(t, m, g, fmt.Sprintf("crash a%d r%d, wait 300, crash b%d r%d, wait 300, crash c%d r%d, wait 10", n, n, n, n, n, n))
+	}
+	for n := range requests {
+		if !g.Rule(promptOf(fmt.Sprint("r", n))).Blocked {
+			t.Fatalf("request %d of %d is not blocked", n, requests)
+		}
+	}
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -151,7 +151,7 @@
 // another one that it doesn't have may be at fault as well.
 func (g *Register) IsSuspect(p PromptSuspects) bool {
 	blocks := g.currentBlocks(g.clock.Now())
-	return len(blocks.members) > 0 && slices.ContainsFunc(p.all(), func(f Fingerprint) bool { return blocks.members[f] })
+	return len(blocks.suspects) > 0 && slices.ContainsFunc(p.all(), func(f Fingerprint) bool { return blocks.suspects[f] })
 }
 
 // currentBlocks returns the blocks at the time now.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	now := g.clock.Now()
-	blocks := g.updateBlocks(now).members
+	blocks := g.updateBlocks(now).suspects
 	maps.DeleteFunc(g.pending, func(_ Fingerprint, p pendingReport) bool { return now-p.changedAt >= reportPeriod })
 	var list []reported
 	for f := range blocks {
