Reports keep room for changes, and report groups whole

Peers did not hear of new crashes for 10 minutes where 32 or more suspects were blocked, as after one long prompt that came again: these came first in each report. And a restarted instance rejected sound prompts, as it heard of some parts of a group before the others. At most 8 suspects of a report are blocked and unchanged now, whole groups take turns, and groups that are larger are reported only while they change.

TestBlockedSuspectsLeaveRoomForChanges and TestGroupsAreReportedWhole failed before.

--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -337,6 +337,57 @@
 	}
 }
 
+// Guards against crashes that no peer hears of because reports are full of suspects that have been blocked for long.
+func TestBlockedSuspectsLeaveRoomForChanges(t *testing.T) {
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	for n := range 40 {
+		play(t, m, g, fmt.Sprintf("crash a%d r%d, wait 300, crash b%d r%d, wait 300, crash c%d r%d, wait 10", n, n, n, n, n, n))
+	}
+	play(t, m, g, "wait 7000, crash z new:i:bad")
+	report := g.Report()
+	for _, f := range []Fingerprint{promptOf("new").Request, FingerprintOfPart("m", "bad")} {
+		if !slices.ContainsFunc(report, func(s Suspect) bool { return s.Fingerprint == f }) {
+			t.Errorf("%s is not among the %d suspects of the report", f, len(report))
+		}
+	}
+	if len(report) > reportedSuspects {
+		t.Errorf("the report has %d suspects, want %d at most", len(report), reportedSuspects)
+	}
+}
+
+// Guards against a restarted instance that rejects sound prompts because it hears of some parts of a group first, and against one that
+// never hears of a group.
+func TestGroupsAreReportedWhole(t *testing.T) {
+	const groups = 20
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	for n := range groups {
+		for crash := range 3 {
+			play(t, m, g, fmt.Sprintf("crash e%d-%d r%d-%d:x%d:y%d:z%d, wait 300", n, crash, n, crash, n, n, n))
+		}
+	}
+	play(t, m, g, "wait 7000")
+	learned := map[int]bool{}
+	for range groups {
+		restarted := newTest(t, m)
+		restarted.Merge(g.Report())
+		for n := range groups {
+			if restarted.Rule(promptOf(fmt.Sprintf("new:x%d:y%d:z%d", n, n, n))).Blocked {
+				learned[n] = true
+			}
+			for _, sound := range []string{"new:x%d", "new:y%d", "new:z%d"} {
+				if restarted.Rule(promptOf(fmt.Sprintf(sound, n))).Blocked {
+					t.Fatalf("a restarted instance rejects "+sound, n)
+				}
+			}
+		}
+	}
+	if len(learned) != groups {
+		t.Errorf("%d of %d groups were reported", len(learned), groups)
+	}
+}
+
 // Guards against a request that goes on crashing engines because many others do so too.
 func TestManyCrashingRequestsAreBlocked(t *testing.T) {
 	const requests = 300
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -38,6 +38,10 @@
 	halfOpen        halfOpen
 	// pending has the suspects that changed a short time ago.
 	pending map[Fingerprint]pendingReport
+	// hasUnreported says that changes which this instance found had no place in the latest report.
+	hasUnreported bool
+	// blockReports has the numbers of reports that had a blocked suspect since it changed last.
+	blockReports map[Fingerprint]int
 	// evicted is the number of suspects that were dropped because there were more than limit.
 	evicted atomic.Int64
 }
@@ -48,7 +52,7 @@
 		clock: clock.System(), limit: defaultLimit, violated: invariant.Log,
 		onChange: func() {},
 		runs:     map[poplarwinch.UpstreamID]map[*run]struct{}{}, halfOpen: newHalfOpen(),
-		pending: map[Fingerprint]pendingReport{},
+		pending: map[Fingerprint]pendingReport{}, blockReports: map[Fingerprint]int{},
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,8 +14,9 @@
 	reportPeriod = 5 * clock.Second
 	// reportedSuspects is the largest number of suspects in a report.
 	reportedSuspects = 32
-	// minOwnReports is the number of reports that have to have a change which this instance found itself, as one may be lost.
-	minOwnReports = 2
+	// reportedBlocked is the largest number of suspects in a report that are blocked and did not change lately. Their groups take turns,
+	// and the rest of the report is for changes, however many suspects are blocked.
+	reportedBlocked = 8
 	// reportedDeaths is the largest number of deaths in the report of a suspect that is not blocked.
 	reportedDeaths = 8
 )
@@ -30,50 +31,75 @@
 }
 
 // Report returns what peers should know now: the blocked suspects, and those that changed a short time ago, with their deaths. If
-// there are too many, those come first that were in the fewest reports since, so that all are told of in turn.
+// there are too many of one kind, those come first that were in the fewest reports, so that all are reported in turn.
 func (g *Register) Report() []Suspect {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	suspects := *g.suspects.Load()
-	if len(suspects) == 0 {
+	if len(*g.suspects.Load()) == 0 {
 		return nil
 	}
 	now := g.clock.Now()
-	blocks := g.updateBlocks(now).suspects
+	blocks := g.updateBlocks(now)
 	maps.DeleteFunc(g.pending, func(_ Fingerprint, p pendingReport) bool { return now-p.changedAt >= reportPeriod })
-	var list []reported
-	for f := range blocks {
-		if _, isNew := g.pending[f]; !isNew {
-			list = append(list, reported{suspect: suspects[f], blocked: true})
+	report := g.unchangedBlocks(blocks)
+	return append(report, g.recentChanges(blocks, reportedSuspects-len(report))...)
+}
+
+// unchangedBlocks returns the suspects of blocked groups that did not change lately. A peer that learns only some of a group would reject
+// sound requests, so groups are reported whole, and larger ones than reportedBlocked only while they change. The caller must hold the mutex.
+func (g *Register) unchangedBlocks(blocks *blockSet) []Suspect {
+	maps.DeleteFunc(g.blockReports, func(f Fingerprint, _ int) bool { _, isBlocked := blocks.byLeader[f]; return !isBlocked })
+	var leaders []Fingerprint
+	for f, b := range blocks.byLeader {
+		if _, isNew := g.pending[f]; !isNew && len(b.others) < reportedBlocked {
+			leaders = append(leaders, f)
 		}
 	}
+	slices.SortFunc(leaders, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(g.blockReports[a], g.blockReports[b]), bytes.Compare(a[:], b[:]))
+	})
+	var report []Suspect
+	for _, f := range leaders {
+		group := append([]Fingerprint{f}, blocks.byLeader[f].others...)
+		if len(report)+len(group) > reportedBlocked {
+			break
+		}
+		g.blockReports[f]++
+		for _, member := range group {
+			s := (*g.suspects.Load())[member]
+			s.Deaths = enoughDeaths(s.unclearedDeaths())
+			report = append(report, s)
+		}
+	}
+	return report
+}
+
+// recentChanges returns the suspects that changed a short time ago, at most limit. The caller must hold the mutex.
+func (g *Register) recentChanges(blocks *blockSet, limit int) []Suspect {
+	var changes []change
 	for f, p := range g.pending {
-		_, isBlocked := blocks[f]
-		list = append(list, reported{suspect: suspects[f], blocked: isBlocked, isNew: true, reports: p.reports})
+		changes = append(changes, change{suspect: (*g.suspects.Load())[f], isBlocked: blocks.suspects[f], reports: p.reports})
 	}
-	slices.SortFunc(list, reported.compare)
+	slices.SortFunc(changes, change.compare)
 	var report []Suspect
-	for _, r := range list[:min(len(list), reportedSuspects)] {
-		report = append(report, r.withDeathsToReport())
-		if p, ok := g.pending[r.suspect.Fingerprint]; ok {
-			p.reports++
-			g.pending[r.suspect.Fingerprint] = p
-		}
+	for _, c := range changes[:min(len(changes), limit)] {
+		report = append(report, c.withDeathsToReport())
+		p := g.pending[c.suspect.Fingerprint]
+		p.reports++
+		g.pending[c.suspect.Fingerprint] = p
+	}
+	g.hasUnreported = false
+	for _, p := range g.pending {
+		g.hasUnreported = g.hasUnreported || p.isOwn && p.reports == 0
 	}
 	return report
 }
 
-// HasUnreported reports whether this instance has found changes that were not in enough reports yet, because there are too many for one.
+// HasUnreported reports whether this instance has found changes that had no place in a report yet.
 func (g *Register) HasUnreported() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := g.clock.Now()
-	for _, p := range g.pending {
-		if p.isOwn && p.reports < minOwnReports && now-p.changedAt < reportPeriod {
-			return true
-		}
-	}
-	return false
+	return g.hasUnreported
 }
 
 // Evicted returns the number of suspects that were dropped because there were too many.
@@ -92,40 +118,36 @@
 	return deaths
 }
 
-// reported is a suspect that may be part of a report.
-type reported struct {
-	suspect Suspect
-	blocked bool
-	// isNew says that the suspect changed a short time ago, and reports is the number of reports since.
-	isNew   bool
+// change is a suspect that changed a short time ago.
+type change struct {
+	suspect   Suspect
+	isBlocked bool
+	// reports is the number of reports since then.
 	reports int
 }
 
-// compare orders suspects by their importance to peers.
-func (r reported) compare(other reported) int {
-	if r.blocked != other.blocked {
-		if r.blocked {
+// compare orders changes by their importance to peers.
+func (c change) compare(other change) int {
+	if c.reports == other.reports && c.isBlocked != other.isBlocked {
+		if c.isBlocked {
 			return -1
 		}
 		return 1
 	}
 	return cmp.Or(
-		cmp.Compare(r.reports, other.reports),
-		cmp.Compare(len(other.suspect.Deaths), len(r.suspect.Deaths)),
-		bytes.Compare(r.suspect.Fingerprint[:], other.suspect.Fingerprint[:]),
+		cmp.Compare(c.reports, other.reports),
+		cmp.Compare(len(other.suspect.Deaths), len(c.suspect.Deaths)),
+		bytes.Compare(c.suspect.Fingerprint[:], other.suspect.Fingerprint[:]),
 	)
 }
 
 // withDeathsToReport returns the suspect with the deaths that peers should know.
-func (r reported) withDeathsToReport() Suspect {
-	s := r.suspect
-	switch {
-	case !r.blocked:
-		s.Deaths = s.Deaths[max(0, len(s.Deaths)-reportedDeaths):]
-	case r.isNew:
+func (c change) withDeathsToReport() Suspect {
+	s := c.suspect
+	if c.isBlocked {
 		s.Deaths = s.unclearedDeaths()
-	default:
-		s.Deaths = enoughDeaths(s.unclearedDeaths())
+	} else {
+		s.Deaths = s.Deaths[max(0, len(s.Deaths)-reportedDeaths):]
 	}
 	return s
 }
