--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -394,7 +394,7 @@
 	m := clock.NewManual(start)
 	g := newTest(t, m)
 	for n := range requests {
-		play(t, m, g, fmt.Sprintf("crash a%d r%d, wait 300, crash b%d r%d, wait 300, crash c%d r%d, wait 10", n, n, n, n, n, n))
+		play(t, m, g, fmt.Sprintf("crash a%d r%d/50, wait 60, crash b%d r%d/50, wait 60, crash c%d r%d/50, wait 10", n, n, n, n, n, n))
 	}
 	for n := range requests {
 		if !g.Rule(promptOf(fmt.Sprint("r", n))).Blocked {
