Own interface: bound the notice of suspects, and replace suspected watchers of engines

Engines are probed by the successors of suspected watchers too, as the manifest's row is read: both watchers of an engine that crash at once left it unwatched for 10 s. Tests of blocks are spread over the instances of all failure domains.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -126,7 +126,7 @@
 	domain := i.settings.Instance.FailureDomain
 	i.quarantine = quarantine.New(
 		quarantine.WithClock(i.clock), quarantine.WithViolated(i.alarms.reportInvariant), quarantine.WithOnChange(i.scheduleSuspectNotice),
-		quarantine.WithInstances(i.instances),
+		quarantine.WithInstances(i.allInstances), quarantine.WithLimit(maxSuspects),
 	)
 	i.guard = quarantine.NewGuard(i.clock, i.table.Get, i.table.Put)
 	i.registry = upstream.New(
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -8,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -16,6 +18,7 @@
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"github.com/poplarwinch/poplarwinch/membership"
 	"github.com/poplarwinch/poplarwinch/peer"
+	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/settings"
 	"github.com/poplarwinch/poplarwinch/upstream"
 )
@@ -33,6 +36,11 @@
 	// suspectNoticeInterval is the least time between two notices of suspects that were cleared.
 	suspectNoticeInterval clock.Millis = 100
 
+	// maxNoticeSuspects bounds the suspects of a notice. Peers get the others with the next exchange.
+	maxNoticeSuspects = 512
+	// maxSuspects bounds the suspects that are kept, and so the size of an exchange with a peer that knows others.
+	maxSuspects = 4096
+
 	// manifestKey is the ownership key of reading the manifest's row.
 	manifestKey = "manifest-row"
 )
@@ -91,14 +99,18 @@
 	}, nil
 }
 
+// allInstances returns the number of live instances of all failure domains, assumed to be of the same size as this one.
+func (i *Instance) allInstances() int {
+	return i.instances() * (1 + len(i.members.Snapshot().Contacts))
+}
+
 // instances returns the number of live instances that share the engines of the failure domain, at least 1.
 func (i *Instance) instances() int { return max(1, len(i.members.Snapshot().Live)) }
 
 // readsManifest reports whether this instance is one of the ownersPerKey that read the manifest's row often. Others take over as soon as
 // those are suspected of having failed: until they are known to be dead, a change would be in force nowhere for too long.
 func (i *Instance) readsManifest() bool {
-	view := i.members.Snapshot()
-	return view.Owns(manifestKey, ownersPerKey) || view.OwnsUnlessSuspected(manifestKey, ownersPerKey)
+	return i.members.Snapshot().ShouldOwn(manifestKey, ownersPerKey)
 }
 
 // announceVersion notifies the peers in this failure domain of a new manifest version. The contacts in other domains get
@@ -119,15 +131,22 @@
 // noticeTimeout is over, because the caller of a crashing request may repeat it through any of them.
 func (i *Instance) onUpstreamDied(id poplarwinch.UpstreamID) {
 	suspects := i.quarantine.RecordDeath(id)
-	i.log.WithField("upstream", string(id)).WithField("suspects", len(suspects)).Warn("upstream process ended")
+	i.log.WithField("upstream", string(id)).WithField("suspects", len(suspects)).WithField("evicted-suspects", i.quarantine.Evicted()).
+		Warn("upstream process ended")
 	if u, ok := i.registry.Snapshot().Lookup(id); ok {
 		i.router.Prefixes().Forget(u)
 	}
 	if len(suspects) > 0 {
-		i.notify(peer.Notice{Suspects: suspectsToPeers(suspects)})
+		i.notify(peer.Notice{Suspects: suspectsToPeers(mostSpecific(suspects, maxNoticeSuspects))})
 	}
 }
 
+// mostSpecific returns at most limit suspects, whole requests first: the caller of one may repeat it at once.
+func mostSpecific(suspects []quarantine.Suspect, limit int) []quarantine.Suspect {
+	slices.SortStableFunc(suspects, func(a, b quarantine.Suspect) int { return cmp.Compare(a.Position, b.Position) })
+	return suspects[:min(len(suspects), limit)]
+}
+
 // scheduleSuspectNotice lets the peers be told soon of suspects that were cleared here, so that they don't block a message which was
 // answered.
 func (i *Instance) scheduleSuspectNotice() {
--- a/instance/reservations.go
+++ b/instance/reservations.go
@@ -49,8 +49,9 @@
 	return u.FailureDomain == i.settings.Instance.FailureDomain && i.members.Snapshot().Owns("sweep/"+string(u.ID), ownersPerKey)
 }
 
-// watches reports whether this instance is one of the ownersPerKey that probe an upstream.
+// watches reports whether this instance is one of those that probe an upstream: its ownersPerKey owners, and their successors while these
+// are suspected of having failed.
 func (i *Instance) watches(id poplarwinch.UpstreamID) bool {
 	u, ok := i.registry.Snapshot().Lookup(id)
-	return ok && u.FailureDomain == i.settings.Instance.FailureDomain && i.members.Snapshot().Owns("upstream/"+string(id), ownersPerKey)
+	return ok && u.FailureDomain == i.settings.Instance.FailureDomain && i.members.Snapshot().ShouldOwn("upstream/"+string(id), ownersPerKey)
 }
--- a/membership/members_test.go
+++ b/membership/members_test.go
@@ -256,7 +256,7 @@
 				}
 				took, failure := waitUntil(bound, func() string {
 					for _, x := range n.running() {
-						if v := x.Snapshot(); v.Owns(key, readers) || v.OwnsUnlessSuspected(key, readers) {
+						if x.Snapshot().ShouldOwn(key, readers) {
 							return ""
 						}
 					}
--- a/membership/view.go
+++ b/membership/view.go
@@ -65,11 +65,11 @@
 	return slices.Contains(v.Owners(key, n), v.Self.ID)
 }
 
-// OwnsUnlessSuspected reports whether this instance is one of the n owners of key without the members that are suspected of having failed.
-// A duty that may have two owners more for a while moves on sooner by it than by Owns.
-func (v *View) OwnsUnlessSuspected(key string, n int) bool {
+// ShouldOwn reports whether this instance is one of the n owners of key, or would be one without the members that are suspected of having
+// failed. It is for duties that may have more owners for a while, and that have to be done before an owner is known to be dead.
+func (v *View) ShouldOwn(key string, n int) bool {
 	owners := v.owners(key, n, func(m *Member) bool { return m.State != StateSuspect || m.ID == v.Self.ID })
-	return slices.Contains(owners, v.Self.ID)
+	return v.Owns(key, n) || slices.Contains(owners, v.Self.ID)
 }
 
 // Delegates returns the members of this domain that exchange with the given other domain.
