--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -439,8 +439,7 @@
 					}
 					return answer(ctx)
 				}
-				r := f.request(route.KindStreaming)
-				r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+				r := f.longPrompt()
 				f.run(t.Context(), r)
 				if maxReservations < 2 {
 					t.Errorf("at most %d reservations, want several", maxReservations)
@@ -509,8 +508,7 @@
 			time.Sleep(4500 * time.Millisecond)
 			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
 		}
-		r := f.request(route.KindStreaming)
-		r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+		r := f.longPrompt()
 		f.run(t.Context(), r)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
@@ -559,8 +557,7 @@
 					time.Sleep(9 * time.Second)
 					return complete(http.StatusOK, "id: 1\ndata: a\n\n")
 				}
-				r := f.request(route.KindStreaming)
-				r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+				r := f.longPrompt()
 				f.run(t.Context(), r)
 				f.mutex.Lock()
 				defer f.mutex.Unlock()
@@ -584,8 +581,7 @@
 		runInVirtualTime(t, func(t *testing.T, f *fixture) {
 			f.reservationsUsed = used
 			f.answer = func(ctx context.Context, _ int, _ *dispatch.Call) (*dispatch.Answer, error) { return silence(ctx) }
-			r := f.request(route.KindStreaming)
-			r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+			r := f.longPrompt()
 			r.Route.Resumable, r.Route.MaxAttempts = false, 1
 			began := time.Now()
 			o := f.run(t.Context(), r)
@@ -608,8 +604,7 @@
 			time.Sleep(1010 * time.Millisecond)
 			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
 		}
-		r := f.request(route.KindStreaming)
-		r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+		r := f.longPrompt()
 		f.run(t.Context(), r)
 	})
 }
@@ -636,8 +631,7 @@
 			sentAt = f.dispatcher.Now()
 			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
 		}
-		r := f.request(route.KindStreaming)
-		r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+		r := f.longPrompt()
 		if o := f.run(t.Context(), r); o.err != nil || sentAt-usedAt < 900 {
 			t.Errorf("got %+v, sent %d ms after the limits were used up, want 900 at least", o.err, sentAt-usedAt)
 		}
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -181,6 +181,13 @@
 	return r
 }
 
+// longPrompt returns a prompt that needs memory on several engines.
+func (f *fixture) longPrompt() *dispatch.Request {
+	r := f.request(route.KindStreaming)
+	r.PromptTokens, r.Route.Target, r.Route.MaxPause, r.Deadline = 500_000, 10_000, 1000, r.Started+15_000
+	return r
+}
+
 // outcome is what the caller received.
 type outcome struct {
 	begun  int
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/apex/log"
 
@@ -197,13 +198,22 @@
 		})
 		x.d.metrics.crashRecorded(x.Service)
 		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.SharedParts[:min(len(x.SharedParts), maxLoggedParts)],
+			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.loggedParts(),
 			"part-count": len(x.SharedParts), "known-suspects": x.d.suspects.Size(), "evicted-suspects": x.d.suspects.Evicted(),
 			"ran-ms": brokeAt - selected.sentAt, "answered-ms": selected.answeredFor(brokeAt), "recorded-after-ms": x.d.clock.Now() - brokeAt,
 		}).Warn("server crashed while running the request")
 	})
 }
 
+// loggedParts returns the parts of the prompt for a log line: all, or the first and the last ones.
+func (x *run) loggedParts() []poplarwinch.PromptPartID {
+	n := len(x.SharedParts)
+	if n <= maxLoggedParts {
+		return x.SharedParts
+	}
+	return slices.Concat(x.SharedParts[:maxLoggedParts/2], x.SharedParts[n-maxLoggedParts/2:])
+}
+
 // record logs the end of the request and updates the metrics.
 func (x *run) record(err error) {
 	total := x.d.clock.Now() - x.Started
--- a/fleet/rest.go
+++ b/fleet/rest.go
@@ -85,8 +85,8 @@
 // left returns the time for which the server still wants no requests from this instance.
 func (r *rest) left(now clock.Millis) clock.Millis { return max(r.until-now, 0) }
 
-// returnWait returns the time until this instance may send another request to a server that gets requests again one after another; zero means now. If the
-// server wanted no requests from others either, instances take turns. The caller holds the lock.
+// returnWait returns the time until this instance may send another request to a server that gets requests again one after another; zero
+// means now. If the server wanted no requests from others either, instances take turns. The caller holds the lock.
 func (f *Fleet) returnWait(m *serverState, now clock.Millis) clock.Millis {
 	r := &m.notices.rest
 	if !r.returning {
--- a/gossip/follow.go
+++ b/gossip/follow.go
@@ -29,6 +29,7 @@
 func (g *Gossip) updateFollowing() {
 	g.mutex.Lock()
 	on := g.shouldFollow()
+	g.followersDueAt = g.nextFollowerTimeout()
 	waited := g.clock.Now() - g.startedAt
 	g.mutex.Unlock()
 	for _, r := range g.replicas {
@@ -48,7 +49,7 @@
 	for _, p := range g.peers {
 		// Shortly after the start, peers that have not sent a datagram yet count as alive.
 		expected := p.heardAt == 0 && g.clock.Now()-g.startedAt < bootstrapWait
-		if !g.isNear(p) || !expected && g.untilFollowerTimeout(p) <= 0 {
+		if !g.isNear(p) || !expected && g.clock.Now() >= followerTimeoutOf(p) {
 			continue
 		}
 		all = append(all, p.ID)
@@ -59,24 +60,28 @@
 	return g.amongFollowers(all) || g.amongFollowers(reading)
 }
 
-// untilFollowerTimeout returns the time until the peer no longer counts as a follower if it stays silent; zero or less if it does not
-// count as one. The caller holds the lock.
-func (g *Gossip) untilFollowerTimeout(p *peerState) clock.Millis {
+// followerTimeoutOf returns the time at which the peer no longer counts as a follower if it stays silent; zero if it was not heard, or has
+// left. The caller holds the lock.
+func followerTimeoutOf(p *peerState) clock.Millis {
 	if p.heardAt == 0 {
 		return 0
 	}
-	return p.heardAt + followerTimeout - g.clock.Now()
+	return p.heardAt + followerTimeout
 }
 
-// untilFollowersAreDue returns the time until the first follower of this cell no longer counts as one, at most limit. The caller holds
-// the lock.
-func (g *Gossip) untilFollowersAreDue(limit clock.Millis) clock.Millis {
+// nextFollowerTimeout returns the time at which the first follower of this cell no longer counts as one if it stays silent; zero if there
+// is none. The caller holds the lock.
+func (g *Gossip) nextFollowerTimeout() clock.Millis {
+	now, next := g.clock.Now(), clock.Millis(0)
 	for _, p := range g.peers {
-		if left := g.untilFollowerTimeout(p); p.follows && g.isNear(p) && left > 0 {
-			limit = min(limit, left)
+		if !p.follows || !g.isNear(p) {
+			continue
+		}
+		if at := followerTimeoutOf(p); at > now && (next == 0 || at < next) {
+			next = at
 		}
 	}
-	return limit
+	return next
 }
 
 // amongFollowers reports whether this instance is one of the followers chosen from the list: the first ones by hash of
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -95,6 +95,8 @@
 	// settledAt has the time of the latest fetch of a table to settle what is known of it, by table name.
 	settledAt map[string]clock.Millis
 	fetches   fetchTracker
+	// followersDueAt is the time at which the followers of the cell are to be chosen again at the latest; zero if there is none.
+	followersDueAt clock.Millis
 	// bytesSent is the size of all datagrams sent so far.
 	bytesSent atomic.Int64
 	// bootstrapFailed is set if a peer failed to send a whole table.
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -19,13 +19,9 @@
 // learningTime is the time in which all instances have to learn of a part that crashes servers.
 const learningTime = 3 * time.Second
 
-// Guards against a part of prompts that goes on crashing servers because a large deployment learns of it late, or only in part: five
-// crashes, each seen by another instance, among many more suspects, block it at all instances, and no harmless part at any.
-func TestCrashingPartReachesAllInstances(t *testing.T) {
-	instances := *deploymentSize
-	now := clock.Monotonic()
-	var list []*instance
-	var suspects []*quarantine.Register
+// startWithSuspects starts instances of three failure domains that exchange what crashes servers, and waits until they know each other.
+func startWithSuspects(t *testing.T, instances int, now *clock.Clock) (list []*instance, suspects []*quarantine.Register) {
+	t.Helper()
 	var members []gossip.Member
 	for n := range instances {
 		var i *instance
@@ -47,6 +43,15 @@
 		return true
 	})
 	time.Sleep(2 * time.Second) // the cells are determined once a second
+	return list, suspects
+}
+
+// Guards against a part of prompts that goes on crashing servers because a large deployment learns of it late, or only in part: five
+// crashes, each seen by another instance, among many more suspects, block it at all instances, and no harmless part at any.
+func TestCrashingPartReachesAllInstances(t *testing.T) {
+	instances := *deploymentSize
+	now := clock.Monotonic()
+	_, suspects := startWithSuspects(t, instances, now)
 	prompt := func(name string, parts ...poplarwinch.PromptPartID) quarantine.PromptSuspects {
 		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", parts)
 	}
@@ -83,28 +88,7 @@
 		instances = *deploymentSize
 	}
 	now := clock.Monotonic()
-	var suspects []*quarantine.Register
-	var list []*instance
-	var members []gossip.Member
-	for n := range instances {
-		var i *instance
-		register := quarantine.New(quarantine.WithClock(now), quarantine.WithOnChange(func() { i.gossip.ScheduleUpdate(fleet.ReachBusy) }))
-		domain := poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%3))
-		i = start(t, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)), domain, snapshotAt(3), gossip.WithSuspects(register))
-		list, suspects, members = append(list, i), append(suspects, register), append(members, i.gossip.Self())
-	}
-	for _, i := range list {
-		i.gossip.Add(members)
-		i.gossip.ScheduleUpdate(fleet.ReachAll) // as after the registration
-	}
-	eventually(t, "all know the others", func() bool {
-		for _, i := range list {
-			if i.gossip.Alive() < instances*9/10 {
-				return false
-			}
-		}
-		return true
-	})
+	list, suspects := startWithSuspects(t, instances, now)
 	prompt := func(name string) quarantine.PromptSuspects {
 		var ids []poplarwinch.PromptPartID
 		for p := range parts {
@@ -113,7 +97,6 @@
 		ids[parts-2] = "bad"
 		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", ids)
 	}
-	time.Sleep(2 * time.Second) // the cells are determined once a second
 	sent := func() (most, sum int64) {
 		for _, i := range list {
 			most, sum = max(most, i.gossip.BytesSent()), sum+i.gossip.BytesSent()
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -16,7 +16,12 @@
 func (g *Gossip) untilNextStep() clock.Millis {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.untilFollowersAreDue(g.due.wait(g.clock.Now(), heartbeatInterval))
+	now := g.clock.Now()
+	wait := g.due.wait(now, heartbeatInterval)
+	if g.followersDueAt != 0 {
+		wait = min(wait, max(g.followersDueAt-now, 0))
+	}
+	return wait
 }
 
 // sendDue sends the datagrams that are due.
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -32,7 +32,7 @@
 	others []Fingerprint
 	// lastDeathAt is the time of the latest death of the group.
 	lastDeathAt clock.Millis
-	// failedTrials is the number of requests that were allowed in spite of the block and crashed their engines.
+	// failedTrials is the number of single requests that were allowed in spite of the block and crashed their engines.
 	failedTrials int
 }
 
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -176,7 +176,7 @@
 	return blocks
 }
 
-// isOutdated reports whether the blocks are to be derived again: further deaths count, or suspects have changed since a while.
+// isOutdated reports whether the blocks are to be derived again: further deaths count, or suspects have changed.
 func (g *Register) isOutdated(b *blockSet, now clock.Millis) bool {
 	return b.due != 0 && now >= b.due || g.changed.Load() && now-b.derivedAt >= minDeriveInterval
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -19,8 +19,8 @@
 	return hashFields([]byte(customer), []byte(model), body)
 }
 
-// Call names a request of a caller to a server. It holds what the server runs, and so all that stays the same when the caller sends the
-// request again; it leaves out what may differ then, such as an attempt's id and the time that is left.
+// Call identifies a request of a caller to a server by what the server runs. It leaves out what may differ when the caller sends the request
+// again, such as an attempt's id and the time that is left.
 type Call struct {
 	Customer poplarwinch.CustomerID
 	Method   string
--- a/quarantine/half_open.go
+++ b/quarantine/half_open.go
@@ -37,6 +37,9 @@
 
 // allow reports whether a request with the suspect may run, and counts it if so.
 func (h *halfOpen) allow(f Fingerprint, b *block, now clock.Millis) bool {
+	if now-b.lastDeathAt < minHalfOpenDelay {
+		return false
+	}
 	last, allowed := h.allowedAt[f]
 	if now-b.lastDeathAt < h.delay(b.failedTrials) || allowed && now-last < halfOpenInterval {
 		return false
@@ -55,8 +58,8 @@
 	return delay + clock.Millis(h.share*float64(spread))
 }
 
-// failedTrials returns the number of deaths, ordered by time, that came so long after the one before that a request which was allowed as
-// a trial caused them.
+// failedTrials returns the number of deaths, ordered by time, that came at least minHalfOpenDelay after the one before: all other requests
+// with the suspect were rejected then.
 func failedTrials(deaths []Death) int {
 	count := 0
 	for i := 1; i < len(deaths); i++ {
