Forward the same suspects to both sides of a cell, and in a hurry if they have no place

At 300 instances a whole cell went on running prompts with a part that crashes servers (24 of 300 instances did not block it 3 s after the fifth crash, in one of two plays): instances that forward between cells took the next suspects for each datagram, so that some went to the other cells only and some to the own one only, 32 in 200 ms. Both datagrams have the same suspects now, and datagrams for those that had no place follow after 60 ms, after 25 ms where they were found.

--- a/gossip/due.go
+++ b/gossip/due.go
@@ -16,16 +16,18 @@
 	summaries clock.Millis
 	// tables is the time of the next announcement of tables.
 	tables clock.Millis
+	// suspects is the time of the next datagrams for suspects that had no place in others.
+	suspects clock.Millis
 }
 
 // dueNow says which datagrams are to be sent now.
 type dueNow struct {
-	local, affected, remote, followers, summaries, tables bool
+	local, affected, remote, followers, summaries, tables, suspects bool
 }
 
 // wait returns the time until the first of them, at most limit.
 func (d *dueTimes) wait(now, limit clock.Millis) clock.Millis {
-	for _, due := range []clock.Millis{d.local, d.affected, d.remote, d.followers, d.summaries, d.tables} {
+	for _, due := range []clock.Millis{d.local, d.affected, d.remote, d.followers, d.summaries, d.tables, d.suspects} {
 		if due != 0 {
 			limit = min(limit, max(due-now, 0))
 		}
@@ -38,7 +40,7 @@
 func (d *dueTimes) take(now, remoteInterval clock.Millis, sendsSummaries bool) dueNow {
 	passed := func(due clock.Millis) bool { return due != 0 && due <= now }
 	n := dueNow{
-		local: passed(d.local), affected: passed(d.affected), remote: passed(d.remote), tables: passed(d.tables),
+		local: passed(d.local), affected: passed(d.affected), remote: passed(d.remote), tables: passed(d.tables), suspects: passed(d.suspects),
 		followers: sendsSummaries && passed(d.followers), summaries: sendsSummaries && passed(d.summaries),
 	}
 	if n.local {
@@ -53,6 +55,9 @@
 	if n.tables {
 		d.tables = 0
 	}
+	if n.suspects {
+		d.suspects = 0
+	}
 	if !sendsSummaries {
 		d.followers, d.summaries = 0, 0
 		return n
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -45,7 +45,9 @@
 	// summaryInterval is the time between two summaries from an instance that follows the tables.
 	summaryInterval clock.Millis = 200
 	// suspectInterval is the time between datagrams with suspects, if there are too many for one.
-	suspectInterval clock.Millis = 50
+	suspectInterval clock.Millis = 25
+	// forwardedSuspectInterval is the same for suspects that an instance forwards between cells.
+	forwardedSuspectInterval clock.Millis = 60
 	// fetchDelay is the time for which a replica may be behind a peer's before it is fetched from the peer.
 	fetchDelay clock.Millis = 300
 )
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -39,22 +39,36 @@
 	if due.summaries {
 		g.sendSummaries(connection)
 	}
-	if g.suspects.HasUnreported() {
-		g.scheduleSuspects()
+	if due.suspects {
+		g.sendSuspects(connection)
 	}
+	g.scheduleSuspects()
 }
 
-// scheduleSuspects schedules the next datagrams with suspects that had no place in the last ones.
+// scheduleSuspects schedules datagrams for suspects that had no place in the last ones. Those that peers have found are forwarded in a
+// hurry only by instances that forward summaries.
 func (g *Gossip) scheduleSuspects() {
+	interval := suspectInterval
+	if !g.suspects.HasUnreported(false) {
+		interval = forwardedSuspectInterval
+	}
+	if !g.suspects.HasUnreported(g.sendsSummaries()) {
+		return
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	at := g.clock.Now() + suspectInterval
-	g.due.local = min(g.due.local, at)
-	if g.isSmall() {
-		g.due.remote = min(g.due.remote, at)
+	if g.due.suspects == 0 {
+		g.due.suspects = g.clock.Now() + interval
 	}
 }
 
+// sendSuspects sends a datagram with suspects to the peers of this cell, and from an instance that forwards summaries to those of others; in
+// a small deployment to all.
+func (g *Gossip) sendSuspects(connection *net.UDPConn) {
+	forwards := g.sendsSummaries()
+	g.send(connection, g.message(), func(p *peerState) bool { return g.isSmall() || g.isNear(p) || forwards && g.forwards(p) })
+}
+
 // takeDue returns the datagrams that are due. An instance that begins to send summaries notifies all distant peers at once.
 func (g *Gossip) takeDue(sendsSummaries bool) dueNow {
 	g.mutex.Lock()
@@ -149,8 +163,7 @@
 	m.Summaries = encodeSummaries([]fleet.Summary{g.fleet.Summary()})
 	g.send(connection, m, func(p *peerState) bool { return !g.isNear(p) && g.forwards(p) })
 	if others := g.fleet.Summaries(); len(others) > 0 {
-		m := g.message()
-		m.Summaries = encodeSummaries(others)
+		m.Summaries = encodeSummaries(others) // with the same suspects, so that none is told to one side only
 		g.send(connection, m, g.isNear)
 	}
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -38,8 +38,8 @@
 	halfOpen        halfOpen
 	// pending has the suspects that changed a short time ago.
 	pending map[Fingerprint]pendingReport
-	// hasUnreported says that changes which this instance found had no place in the latest report.
-	hasUnreported bool
+	// unreported says that changes had no place in a report yet, and ownUnreported that some of them were found by this instance.
+	unreported, ownUnreported bool
 	// blockReports has the numbers of reports that had a blocked suspect since it changed last.
 	blockReports map[Fingerprint]int
 	// evicted is the number of suspects that were dropped because there were more than limit.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -88,18 +88,19 @@
 		p.reports++
 		g.pending[c.suspect.Fingerprint] = p
 	}
-	g.hasUnreported = false
+	g.unreported, g.ownUnreported = false, false
 	for _, p := range g.pending {
-		g.hasUnreported = g.hasUnreported || p.isOwn && p.reports == 0
+		g.unreported = g.unreported || p.reports == 0
+		g.ownUnreported = g.ownUnreported || p.isOwn && p.reports == 0
 	}
 	return report
 }
 
-// HasUnreported reports whether this instance has found changes that had no place in a report yet.
-func (g *Register) HasUnreported() bool {
+// HasUnreported reports whether changes had no place in a report yet: those that this instance has found, or also those from peers.
+func (g *Register) HasUnreported(fromPeers bool) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.hasUnreported
+	return g.ownUnreported || fromPeers && g.unreported
 }
 
 // Evicted returns the number of suspects that were dropped because there were too many.
