Late long prompts run only if their prefill is short

At a flip from long to short prompts 32 of 54 engines were held by eight such prompts for 8 s, while short prompts were rejected; most of the late prompts were abandoned by their callers anyway.

Change: the predicted first event of a long prompt that misses its target must come within half of the target; otherwise it waits or is rejected.

--- a/assignment/group.go
+++ b/assignment/group.go
@@ -36,6 +36,9 @@
 	// minPauseLimitRatio is the ratio by which the pause limit of a long prompt must exceed those of the prompts that it
 	// pauses.
 	minPauseLimitRatio = 2
+	// lateTargetFraction is the fraction of FullTarget that the prefill of a long prompt which misses its target may take. A late prompt on
+	// few engines would occupy them for longer than many prompts need that can still meet their targets.
+	lateTargetFraction = 0.5
 	// largestTargetFraction is the fraction of FullTarget above which the prefill by a full group makes a prompt one of
 	// the largest.
 	largestTargetFraction = 0.25
@@ -128,9 +131,9 @@
 func (c *choice) maxFirstEventMillis(stage stage) float64 {
 	switch stage {
 	case stageUrgent:
-		return float64(c.prompt.TimeLeft)
+		return min(float64(c.prompt.TimeLeft), lateTargetFraction*float64(c.prompt.FullTarget))
 	case stageMissed:
-		return missedCallerTimeoutFraction * float64(c.prompt.CallerTimeout)
+		return min(missedCallerTimeoutFraction*float64(c.prompt.CallerTimeout), lateTargetFraction*float64(c.prompt.FullTarget))
 	case stagePressed:
 		return float64(c.prompt.Target)
 	}
