Take parts of prompts for prefilled when their time has passed

Cause: a part of a long prompt counted as prefill on each engine of its group until the first event of the prompt.

Change: an engine whose prefill should have ended 100 ms ago, and that answers none of the prompts, counts as free.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,9 @@
 	busySlotsFraction = 0.6
 	// maxPrefillStep bounds the prefill time that one report of a peer adds to a server.
 	maxPrefillStep = 20 * clock.Second
+	// finishedPartMargin is the time after the estimated end of all prefill of a server after which parts of prompts count as prefilled.
+	// It exceeds the scheduling pass at whose end a part begins.
+	finishedPartMargin clock.Millis = 100
 	// reportTimeout is the age above which a peer's report is ignored.
 	reportTimeout = 3 * clock.Second
 )
@@ -188,7 +191,7 @@
 		if m.isLeaving() {
 			continue
 		}
-		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
+		c := m.candidate(m.knownLoad(now), true, now)
 		c.Wait = f.nearWait(m, now)
 		list = append(list, c)
 	}
@@ -225,7 +228,7 @@
 		if known[m.server.ID] || m.isLeaving() {
 			continue
 		}
-		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now)
+		c := m.candidate(m.knownLoad(now), false, now)
 		c.Wait = f.waitFor(m, now)
 		list = append(list, c)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// Guards against engines that get no prompts although they are idle: their parts of long prompts are prefilled, but other engines of the
+// groups are not done.
+func TestFinishedParts(t *testing.T) {
+	w := newFixture()
+	w.Begin(fleet.Work{First: "e1", Helpers: []poplarwinch.UpstreamID{"e2"}, Prefill: 300, Due: 5000})
+	w.time.Advance(399)
+	if got := w.candidate(t, "e2").Load; got.Prefilling != 1 {
+		t.Errorf("shortly after the estimated end: got %+v, want a part in prefill", got)
+	}
+	w.time.Advance(1)
+	if got := w.candidate(t, "e2").Load; got != (fleet.Load{}) {
+		t.Errorf("helper long after the estimated end: got %+v, want no load", got)
+	}
+	if got := w.candidate(t, "e1").Load; got.Prefilling != 1 || got.Prefill != 100 {
+		t.Errorf("first engine: got %+v, want the time that it is overdue", got)
+	}
+	w.Begin(fleet.Work{First: "e1", Helpers: []poplarwinch.UpstreamID{"e2"}, Prefill: 200, Due: 5000})
+	if got := w.candidate(t, "e2").Load; got.Prefilling != 2 || got.Prefill != 200 {
+		t.Errorf("helper with a further part: got %+v", got)
+	}
+}
+
 // Guards against load of crashed instances: their last report expires.
 func TestSilentPeer(t *testing.T) {
 	w := newFixture()
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -193,6 +193,22 @@
 	return n
 }
 
+// knownLoad returns the load of this instance and its peers on the server, without parts of prompts that it has presumably prefilled.
+func (m *serverState) knownLoad(now clock.Millis) Load {
+	return m.withoutFinishedParts(m.addPeerLoad(m.ownLoad(now), now), now)
+}
+
+// withoutFinishedParts removes the parts of prompts that the server has presumably prefilled: it should have finished all prefill some
+// time ago, and has only parts of prompts that other servers answer. These count as prefilling until the first event of their prompt,
+// which may wait for a part on another server, so that this one would look busy while it is idle.
+func (m *serverState) withoutFinishedParts(l Load, now clock.Millis) Load {
+	if l.Prefilling == 0 || l.Requests > l.Decoding || now-m.prefillUntil < finishedPartMargin {
+		return l
+	}
+	l.Prefilling, l.Prefill, l.Due = 0, 0, 0
+	return l
+}
+
 // addPeerLoad adds the load of peers to the load l on the server and estimates the remaining prefill time.
 func (m *serverState) addPeerLoad(l Load, now clock.Millis) Load {
 	for i := range m.peers {
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -62,7 +62,7 @@
 	s := Summary{Domain: f.domain, Cell: f.cell}
 	for _, list := range f.near {
 		for _, m := range list {
-			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: m.notices.summary(m.server.Boot, now)})
+			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.knownLoad(now), Notice: m.notices.summary(m.server.Boot, now)})
 		}
 	}
 	return s.shorten(maxSummaryServers)
@@ -189,7 +189,7 @@
 
 // current returns the load on the server: what is known of it here, raised to what the summary of the age says.
 func (s *summaryLoad) current(now, age clock.Millis) Load {
-	l := s.server.addPeerLoad(s.server.ownLoad(now), now)
+	l := s.server.knownLoad(now)
 	reported := s.load
 	reported.Due -= age
 	reported.PendingDue -= age
