Servers of evacuated failure domains get no new requests

An operator needs to empty a failure domain without ending what runs there. The fleet keeps the set of evacuated domains and marks their servers, so that a decision reads one field more; ranks and cells stay, since instances learn of an evacuation at different times.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,8 @@
 	// near has those of them that are in the own cell.
 	near map[poplarwinch.ServiceName][]*serverState
 	cell Cell
+	// evacuated has the failure domains under evacuation.
+	evacuated evacuations
 	// removed has the notices of servers that are no longer listed.
 	removed     removedServers
 	peerReports map[poplarwinch.InstanceID]*peerReport
@@ -76,6 +78,7 @@
 			f.attachReports(m)
 		}
 		m.server = s
+		m.evacuated = f.evacuated.has(s.Domain)
 		next[s.ID] = m
 	}
 	f.removed.keep(f.servers, next, now)
@@ -86,12 +89,12 @@
 	f.wakeWaiters()
 }
 
-// Server returns the server with the id if it is listed and not leaving.
+// Server returns the server with the id if it is listed, not leaving and not in a failure domain under evacuation.
 func (f *Fleet) Server(id poplarwinch.UpstreamID) (Server, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m := f.servers[id]
-	if m == nil || m.isLeaving() {
+	if m == nil || m.isUnavailable() {
 		return Server{}, false
 	}
 	return m.server, true
@@ -132,13 +135,13 @@
 	return f.wantsRequests(first, now) && f.waitFor(f.servers[first], now) == 0
 }
 
-// wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
+// wantsRequests reports whether a server is listed, available, and wants requests from this instance. The caller holds the lock.
 func (f *Fleet) wantsRequests(id poplarwinch.UpstreamID, now clock.Millis) bool {
 	m := f.servers[id]
-	return m != nil && !m.isLeaving() && m.notices.rest.left(now) == 0
+	return m != nil && !m.isUnavailable() && m.notices.rest.left(now) == 0
 }
 
-// Candidates returns the servers of a service that are not leaving and whose load is known: those of the own cell and those in
+// Candidates returns the servers of a service that are available and whose load is known: those of the own cell and those in
 // recent summaries. Where a service has few servers, or none whose load is known, it returns all of them.
 func (f *Fleet) Candidates(service poplarwinch.ServiceName) []Candidate {
 	f.mutex.Lock()
@@ -185,7 +188,7 @@
 	usable := f.usable[service]
 	list := make([]Candidate, 0, min(len(usable), 2*maxExactServers))
 	for _, m := range f.near[service] {
-		if m.isLeaving() {
+		if m.isUnavailable() {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), true, now)
@@ -199,7 +202,7 @@
 		}
 		for i := range r.loads[service] {
 			s := &r.loads[service][i]
-			if s.server.isLeaving() {
+			if s.server.isUnavailable() {
 				continue
 			}
 			c := s.server.candidate(s.current(now, age), true, now)
@@ -222,7 +225,7 @@
 		known[list[i].ID] = true
 	}
 	for _, m := range usable {
-		if known[m.server.ID] || m.isLeaving() {
+		if known[m.server.ID] || m.isUnavailable() {
 			continue
 		}
 		c := m.candidate(m.addPeerLoad(m.ownLoad(now), now), false, now)
@@ -352,11 +355,15 @@
 	f.notifyChange(ReachNear)
 }
 
-// Neighbours returns the other servers in the failure domain of s, without those that this instance can't reach.
+// Neighbours returns the other servers in the failure domain of s, without those that this instance can't reach. There are none in a
+// failure domain under evacuation.
 func (f *Fleet) Neighbours(s Server) []Server {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var list []Server
+	if f.evacuated.has(s.Domain) {
+		return nil
+	}
 	for _, m := range f.servers {
 		if m.server.Domain == s.Domain && m.server.ID != s.ID && !m.health.unreachable {
 			list = append(list, m.server)
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -10,6 +10,8 @@
 // serverState is a server with this instance's load on it, the estimated prefill and its health.
 type serverState struct {
 	server Server
+	// evacuated says that the server's failure domain is under evacuation.
+	evacuated bool
 	// hash orders the servers of a failure domain in the same way in all instances.
 	hash uint64
 	// tickets are this instance's requests that the server answers; prefilling are those whose prompt it prefills.
