Check evacuations directly before an attempt, and filter servers by region

A selection may be older than an evacuation: a successor of a silent attempt, or a plan whose memory was being reserved. One check before the send selects again. A service without a server left is rejected at once with a time to retry. Reachability probes pause in an evacuated domain, and an attempt there that breaks off is not taken for a crash, since no probe can show it. Renewals, releases and questions about running work go on. Routes and customers may list allowed regions; both lists bind at every attempt.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -41,7 +41,7 @@
 
 // attempt selects a server and sends the request to it.
 func (x *run) attempt(ctx context.Context) error {
-	selected, err := x.pick(ctx)
+	selected, err := x.pickAvailable(ctx)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/dispatch/available.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/fleet"
+	"github.com/poplarwinch/poplarwinch/reservation"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+// retryAfterUnavailable is the shortest Retry-After hint for a service of which no server may be used because of evacuations or
+// allowed regions; up to half of it is added as jitter. Both change at the pace of an operator.
+const retryAfterUnavailable = 2 * clock.Second
+
+// pickAvailable selects the servers of the next attempt as pick does, and again if an evacuation has begun at one of them since: a
+// successor may have been prepared, or memory reserved, before.
+func (x *run) pickAvailable(ctx context.Context) (*selection, error) {
+	for {
+		selected, err := x.pick(ctx)
+		if err != nil || !x.d.fleet.AnyEvacuated(selected.servers()...) {
+			return selected, err
+		}
+		x.log.WithField("upstream", selected.first.ID).Info("the failure domain of a selected server is evacuated; selecting again")
+		selected.release(x.d)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// servers returns the first server and the helpers.
+func (s *selection) servers() []fleet.Server {
+	list := make([]fleet.Server, 1, 1+len(s.helpers))
+	list[0] = s.first
+	for i := range s.helpers {
+		list = append(list, s.helpers[i].Server)
+	}
+	return list
+}
+
+// reservable returns the candidates for a reservation, or none once an evacuation has begun at one of them.
+func (x *run) reservable(selected *selection) []reservation.Candidate {
+	if x.d.fleet.AnyEvacuated(selected.servers()...) {
+		return nil
+	}
+	return selected.freeCandidates
+}
+
+// allowed returns the candidates in the regions that both the route and the customer allow.
+func (x *run) allowed(candidates []fleet.Candidate) []fleet.Candidate {
+	if len(x.Route.AllowedRegions) == 0 && len(x.CustomerRegions) == 0 {
+		return candidates
+	}
+	var domain poplarwinch.FailureDomain
+	checked, allows := false, false
+	return slices.DeleteFunc(candidates, func(c fleet.Candidate) bool {
+		if !checked || c.Domain != domain {
+			region := x.d.region(c.Domain)
+			checked, domain = true, c.Domain
+			allows = route.AllowsRegion(x.Route.AllowedRegions, region) && route.AllowsRegion(x.CustomerRegions, region)
+		}
+		return !allows
+	})
+}
+
+// noAllowedServer returns the error for a service whose servers are all evacuated or in regions that are not allowed, or nil for others.
+func (x *run) noAllowedServer() error {
+	message := ""
+	switch {
+	case x.d.fleet.IsServiceEvacuated(x.Service):
+		message = "all failure domains of the service are evacuated"
+	case len(x.d.fleet.Candidates(x.Service)) > 0:
+		message = "the service has no available server in an allowed region"
+	default:
+		return nil
+	}
+	return &poplarwinch.Error{
+		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, Message: message, Remedy: "retry later",
+		RetryAfter: retryAfterUnavailable + clock.Millis(rand.Int64N(int64(retryAfterUnavailable/2))),
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	reachable func(ctx context.Context, s fleet.Server) bool
 	newBudget func() *admission.SharedRetryBudget
 	suspects  *quarantine.Register
+	// region returns the region of a failure domain, or an empty name if it is not known.
+	region func(domain poplarwinch.FailureDomain) route.Region
 	// listVersion returns the version of the server list.
 	listVersion func() replica.Version
 	// listLoaded reports whether the server list was loaded.
@@ -68,6 +70,7 @@
 func New(opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(),
+		region:      func(poplarwinch.FailureDomain) route.Region { return "" },
 		listVersion: func() replica.Version { return 0 }, listLoaded: func() bool { return true }, memory: bytebudget.New(defaultMemory),
 	}
 	d.waitingEnds = make(chan struct{})
--- a/dispatch/finalerror.go
+++ b/dispatch/finalerror.go
@@ -37,7 +37,7 @@
 	case x.possibleRuns > 0:
 		return upstreamFailed(result, err)
 	}
-	if resting := allResting(x.d.fleet.Candidates(x.Service)); resting != nil {
+	if resting := allResting(x.candidates()); resting != nil {
 		resting.Cause = err
 		return resting
 	}
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -42,7 +42,9 @@
 	answer func(ctx context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error)
 	// unreachable are the servers that accept no connections.
 	unreachable map[poplarwinch.UpstreamID]bool
-	reserved    map[engine.ReservationID]poplarwinch.Tokens
+	// probed are the servers that were probed so far.
+	probed   []fleet.Server
+	reserved map[engine.ReservationID]poplarwinch.Tokens
 	// refuseReservations makes all engines refuse reservations.
 	refuseReservations bool
 	// onReserve is called once, at the next reservation.
@@ -86,7 +88,7 @@
 		Slots: 16, MemoryTokens: 405_000, StepMillis: 1.31, PrefillRate: 154, PairMillis: 0.162, ChunkTokens: 2048, Stride: 34,
 	}}}).Compile()
 	f.dispatcher = dispatch.New(
-		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"),
+		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"), dispatch.WithRegion(regionOf),
 		dispatch.WithActive(f.active), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
 		dispatch.WithUnusedLimit(9000, f.reservationInUse), dispatch.WithListLoaded(f.listLoaded),
@@ -155,6 +157,7 @@
 func (f *fixture) reachable(_ context.Context, s fleet.Server) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.probed = append(f.probed, s)
 	return !f.unreachable[s.ID]
 }
 
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -34,6 +34,11 @@
 	return func(d *Dispatcher) { d.domain = name }
 }
 
+// WithRegion sets the function that returns the region of a failure domain, or an empty name if it is not known, as without the option.
+func WithRegion(region func(domain poplarwinch.FailureDomain) route.Region) Option {
+	return func(d *Dispatcher) { d.region = region }
+}
+
 // WithActive sets the function that returns the active configuration, or nil while there is none.
 func WithActive(active func() *route.Table) Option { return func(d *Dispatcher) { d.active = active } }
 
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -146,8 +146,10 @@
 	return x.apply(candidates, &plan), nil
 }
 
-// candidates returns the servers of the service; those that have failed the request are to be avoided.
-func (x *run) candidates() []fleet.Candidate { return x.markExcluded(x.d.fleet.Candidates(x.Service)) }
+// candidates returns the allowed servers of the service; those that have failed the request are to be avoided.
+func (x *run) candidates() []fleet.Candidate {
+	return x.markExcluded(x.allowed(x.d.fleet.Candidates(x.Service)))
+}
 
 // markExcluded marks the servers that have failed the request as to be avoided.
 func (x *run) markExcluded(candidates []fleet.Candidate) []fleet.Candidate {
@@ -164,6 +166,9 @@
 	if !x.d.listLoaded() && x.d.clock.Now()-x.Started < maxListWait {
 		return nil
 	}
+	if err := x.noAllowedServer(); err != nil {
+		return err
+	}
 	return &poplarwinch.Error{
 		Kind: poplarwinch.KindUnavailable, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second,
 		Message: "the service has no server", Remedy: "retry later",
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -20,8 +20,12 @@
 	d.background.Go(func() { d.runProbe(s, done) })
 }
 
-// runProbe probes the server, marks it unreachable if the probe fails, and calls done with the result.
+// runProbe probes the server, marks it unreachable if the probe fails, and calls done with the result. Servers of an evacuated failure
+// domain are not probed, and done is not called.
 func (d *Dispatcher) runProbe(s fleet.Server, done func(alive bool)) {
+	if d.fleet.AnyEvacuated(s) {
+		return
+	}
 	alive := d.probe(context.Background(), s)
 	if !alive {
 		d.markUnreachable(s)
@@ -49,9 +53,13 @@
 	}
 }
 
-// runRecoveryProbes probes an unreachable server until it accepts connections or is removed from the server list.
+// runRecoveryProbes probes an unreachable server until it accepts connections or is removed from the server list. It pauses while the
+// server's failure domain is evacuated.
 func (d *Dispatcher) runRecoveryProbes(s fleet.Server) {
 	for d.clock.Sleep(context.Background(), probeInterval) == nil && d.fleet.IsListed(s) {
+		if d.fleet.AnyEvacuated(s) {
+			continue
+		}
 		if d.probe(context.Background(), s) {
 			d.fleet.Reachable(s.ID)
 			d.log.WithField("upstream", s.ID).Info("dependency regained: server accepts connections")
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -19,8 +19,10 @@
 type Request struct {
 	ID       poplarwinch.RequestID
 	Customer poplarwinch.CustomerID
-	Service  poplarwinch.ServiceName
-	Route    *route.Route
+	// CustomerRegions are the regions that the customer allows; empty allows all.
+	CustomerRegions []route.Region
+	Service         poplarwinch.ServiceName
+	Route           *route.Route
 	// Method, URL, Host, Header and Body are forwarded unchanged. Header has no hop-by-hop headers.
 	Method string
 	URL    *url.URL
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -56,7 +56,7 @@
 	defer cancel()
 	group, err := x.d.reservations.Build(limit, reservation.Need{
 		Request: x.ID, Tokens: x.PromptTokens + x.MaxAnswerTokens, Deadline: x.Deadline,
-		Candidates: func() []reservation.Candidate { return selected.freeCandidates },
+		Candidates: func() []reservation.Candidate { return x.reservable(selected) },
 	})
 	if err != nil {
 		if ctx.Err() != nil {
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -59,8 +59,11 @@
 	return ruling{wait: successorInterval}
 }
 
-// isDead reports whether the server accepted no connection in several probes.
+// isDead reports whether the server accepted no connection in several probes. It is not probed while its failure domain is evacuated.
 func (s *silence) isDead(ctx context.Context) bool {
+	if s.x.d.fleet.AnyEvacuated(s.selected.first) {
+		return false
+	}
 	now := s.x.d.clock.Now()
 	if s.failedProbes == 0 && s.probedAt > 0 && now < s.probedAt+silentProbeInterval {
 		return false
@@ -123,7 +126,7 @@
 func (x *run) chooseOther(silent *selection) *selection {
 	x.d.decisionMutex.Lock()
 	defer x.d.decisionMutex.Unlock()
-	others := x.markExcluded(x.d.fleet.CandidatesWithout(silent.ticket, x.Service))
+	others := x.markExcluded(x.allowed(x.d.fleet.CandidatesWithout(silent.ticket, x.Service)))
 	others = slices.DeleteFunc(others, func(c fleet.Candidate) bool { return c.Avoid })
 	if len(others) == 0 {
 		return nil
--- a/route/customer.go
+++ b/route/customer.go
@@ -8,4 +8,6 @@
 	Keys []string
 	// Priority overrides the route's priority; nil keeps that of the route.
 	Priority *int
+	// AllowedRegions are the regions whose servers may get the customer's requests; empty allows all.
+	AllowedRegions []Region
 }
--- a/route/route.go
+++ b/route/route.go
@@ -27,6 +27,8 @@
 	MaxAttempts int
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
+	// AllowedRegions are the regions whose servers may get the route's requests; empty allows all.
+	AllowedRegions []Region
 	// Targets are the services that share the requests of the route.
 	Targets []Target
 }
