--- a/replica/apply.go
+++ b/replica/apply.go
@@ -25,6 +25,9 @@
 	if batch.Complete {
 		changed = r.removeMissing(seen, mode, restored, batch.Recent) || changed
 	}
+	if changed {
+		r.changedByPeer = mode == fromPeer
+	}
 	if changed || restored {
 		r.update()
 	}
--- a/replica/era.go
+++ b/replica/era.go
@@ -174,6 +174,7 @@
 		}
 	}
 	if changed {
+		r.changedByPeer = true
 		r.update()
 	}
 	return changed
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -84,6 +84,8 @@
 	// currentGeneration and hasCarriedOver are what Generation returns.
 	currentGeneration int64
 	hasCarriedOver    bool
+	// changedByPeer says that the latest change came from another instance.
+	changedByPeer bool
 	// missingSince has the time at which a row that is still kept was first missing from a snapshot.
 	missingSince map[string]clock.Millis
 	// removed has the rows that were removed lately, as they were before.
