Keep evacuations for 60 s in a store that came back from an older copy

The store's copy may be of before an evacuation. Its row was dropped 2.2 s after the restoration, as that of a server which does not renew it, although nobody has to write it again. Rows that an option names now stay for 60 s, the greatest age of copies, unless they are removed in the new era. They end by each instance's own clock: peers without the row don't end it, the position does not count as unsettled, so that peers are not asked in vain, and the whole table is read once more, not every second. Instances that start meanwhile adopt the row with the time that is left. Other rows are treated as before.

A row that is withheld since the restoration and is written again with the same value was withheld for the full 5 s at instances that learn it from peers; its later version now ends that.

--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -122,7 +122,7 @@
 		if r == nil {
 			continue
 		}
-		if own, _ := r.Generation(); own < generation || generation == 0 && g.comparesOnce(name, r) {
+		if own, _ := r.Generation(); own < generation || (generation == 0 || r.HasLasting()) && g.comparesOnce(name, r) {
 			g.fetch(from, name, replica.Position{})
 		}
 	}
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -89,6 +89,9 @@
 		}
 		since, missing := r.missingSince[key]
 		switch {
+		case r.keepLasting(row, now):
+			continue
+		case r.outlasts(row):
 		case !r.keepMissing || mode == fromPeer && !recent:
 		case mode == fromPeer && row.Version != carriedOver:
 		case !missing && (mode == readWhole || restored || mode == fromPeer):
--- a/replica/era.go
+++ b/replica/era.go
@@ -77,8 +77,8 @@
 	h, held := r.held[row.Key]
 	old, known := r.rows[row.Key]
 	switch {
-	case held && complete && !row.Held && now-h.since >= removedRowGrace:
-		delete(r.held, row.Key)
+	case held && complete && !row.Held && (now-h.since >= removedRowGrace || row.Version > h.row.Version):
+		delete(r.held, row.Key) // its time is over, or it was written again
 		return false
 	case held && complete && r.identity(*row) == r.identity(h.row):
 		return true
@@ -123,25 +123,27 @@
 		delete(r.missingSince, row.Key)
 		return
 	}
-	row.Missing = false
 	if _, known := r.missingSince[row.Key]; !known {
-		r.missingSince[row.Key] = r.clock.Now()
+		r.missingSince[row.Key] = r.clock.Now() - row.MissingFor
 	}
+	row.Missing, row.MissingFor = false, 0
 }
 
 // installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. They count as missing
-// until a peer that follows it confirms them.
+// until a peer that follows it confirms them, unless they are lasting ones. It also removes lasting rows that were missing for too long.
 func (r *Replica) installHeld() {
 	r.mutex.Lock()
 	now := r.clock.Now()
-	changed := false
+	changed := r.removeLasting()
 	for key, h := range r.held {
 		if now-h.since < removedRowGrace {
 			continue
 		}
 		delete(r.held, key)
 		h.row.Version = carriedOver
-		r.missingSince[key] = now
+		if !r.lasting(h.row) {
+			r.missingSince[key] = now
+		}
 		changed = r.applyRow(h.row) || changed
 	}
 	if changed {
@@ -151,11 +153,11 @@
 	r.notify(changed)
 }
 
-// untilHeldIsDue returns the time until a row that is held back is installed, and a long time if there is none.
+// untilHeldIsDue returns the time until a row that is held back is installed, or a lasting one removed, and a long time if there is none.
 func (r *Replica) untilHeldIsDue() clock.Millis {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	wait := removedRowRetention
+	wait := r.untilLastingIsDue(removedRowRetention)
 	for _, h := range r.held {
 		wait = min(wait, max(h.since+removedRowGrace-r.clock.Now(), 0))
 	}
@@ -167,6 +169,10 @@
 func (r *Replica) applyLaterStates(rows []Row) bool {
 	changed := false
 	for _, row := range rows {
+		if _, known := r.rows[row.Key]; !known && r.adoptLasting(row) {
+			changed = true
+			continue
+		}
 		if known, ok := r.rows[row.Key]; ok && !row.Deleted && !row.Held && r.supersedes(row, known) {
 			row.Version = carriedOver
 			r.rows[row.Key] = row
@@ -192,9 +198,9 @@
 		return before
 	}
 	now := r.clock.Now()
-	at := now + removedRowGrace
-	if len(r.missingSince) > 0 {
-		at = now + missingRowGrace/2
+	at := now + r.untilLastingIsDue(removedRowRetention)
+	if r.unsettledRows() > len(r.held) {
+		at = min(at, now+missingRowGrace/2)
 	}
 	for _, h := range r.held {
 		at = min(at, max(h.since+removedRowGrace, now+1))
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -54,6 +54,8 @@
 	onEra       func(era Era)
 	generation  func(rows []Row) int64
 	identity    func(row Row) string
+	lasting     func(row Row) bool
+	hasLasting  bool
 	keepMissing bool
 	clock       *clock.Clock
 	log         log.Interface
@@ -103,8 +105,8 @@
 	r := &Replica{
 		name: name, clock: clock.Monotonic(), log: log.Log, changed: func([]Row) {},
 		supersedes: func(Row, Row) bool { return false }, onEra: func(Era) {}, generation: func([]Row) int64 { return 0 },
-		identity: func(row Row) string { return string(row.Value) },
-		rows:     map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
+		identity: func(row Row) string { return string(row.Value) }, lasting: func(Row) bool { return false },
+		rows: map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
 		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -131,7 +133,7 @@
 
 // position returns the position up to which changes are known. The caller holds the lock.
 func (r *Replica) position() Position {
-	return Position{Era: r.era, Version: r.version, Unsettled: len(r.missingSince)+len(r.held) > 0}
+	return Position{Era: r.era, Version: r.version, Unsettled: r.unsettledRows() > 0}
 }
 
 // Failing reports whether this instance can't read the source, as of its last attempt. A failure is forgotten some time after
@@ -143,7 +145,7 @@
 }
 
 // Since returns the changes after a position, or all rows if it is zero, unsettled or of another era, or precedes the known changes. Rows
-// that are missing or held back are always part of it.
+// that are missing or held back are always part of it, and so are tombstones of lasting rows, which do not end by being left out.
 func (r *Replica) Since(after Position) Batch {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -151,13 +153,16 @@
 	batch := NewBatch(r.position(), nil, complete)
 	batch.Recent = r.clock.Now()-r.loadedAt < missingRowGrace
 	for _, row := range r.list() {
-		_, row.Missing = r.missingSince[row.Key]
+		var since clock.Millis
+		if since, row.Missing = r.missingSince[row.Key]; row.Missing && r.outlasts(row) {
+			row.MissingFor = r.clock.Now() - since
+		}
 		if complete || row.Missing || row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
 	for _, row := range r.deleted {
-		if !complete && row.Version > after.Version {
+		if !complete && row.Version > after.Version || complete && r.lasting(row) {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
@@ -196,20 +201,24 @@
 	}
 	if r.loaded && batch.Position().Compare(r.position()) <= 0 {
 		changed := r.applyLaterStates(batch.Rows)
+		wake := r.passive && changed
 		r.mutex.Unlock()
 		r.notify(changed)
+		if wake {
+			r.Recheck() // Run waits until the first lasting row is due
+		}
 		return
 	}
 	era, loaded := r.era, r.loaded
 	changed := r.apply(batch, fromPeer)
-	wake := r.passive && len(r.held) > 0
+	wake := r.passive && (len(r.held) > 0 || len(r.missingSince) > r.unsettledRows())
 	r.mutex.Unlock()
 	r.notify(changed)
 	if !loaded || batch.Era != era {
 		r.onEra(batch.Era)
 	}
 	if wake {
-		r.Recheck() // Run waits until the first held row is due
+		r.Recheck() // Run waits until the first held or lasting row is due
 	}
 }
 
--- a/replica/row.go
+++ b/replica/row.go
@@ -1,7 +1,11 @@
 // Package replica maintains a local copy of a table of versioned rows that is kept in a remote source.
 package replica
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/poplarwinch/poplarwinch/clock"
+)
 
 // Version is the source's transaction counter. Every change of a row has a larger version than all earlier changes of the same era.
 type Version int64
@@ -47,6 +51,8 @@
 	Deleted bool `cbor:"deleted,omitempty"`
 	// Missing is set, between instances, if the sender keeps the row although the source does not have it.
 	Missing bool `cbor:"missing,omitempty"`
+	// MissingFor is the time for which the sender has kept a lasting row that is missing.
+	MissingFor clock.Millis `cbor:"missing_for,omitempty"`
 	// Held is set, between instances, if the sender holds the row back although the source has it.
 	Held bool `cbor:"held,omitempty"`
 }
