Evacuate failure domains in the soak, and check what reaches them

The emulator's record has the failure domain of each request and whether it was turned away as misdirected. The soak evacuates one domain at a time for 9 to 16 s; a request there later than 5 s after the store's answer is a violation, 11 s if the store was disturbed. A unit test plants violations and what is excused.

--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -51,6 +51,7 @@
 	list = append(list, checkConfigurations(o, &e)...)
 	list = append(list, checkRepeats(&e)...)
 	list = append(list, checkLeaving(&e)...)
+	list = append(list, checkEvacuations(&e)...)
 	list = append(list, checkCrashingParts(&e)...)
 	list = append(list, checkLimits(&e)...)
 	list = append(list, checkCalls(&e)...)
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -55,6 +55,9 @@
 	faultsEndedAt time.Time
 	// leaving has the times at which servers were marked as leaving.
 	leaving map[string]time.Time
+	// evacuations are those of the run, one at a time, guarded by evacuationMutex.
+	evacuationMutex sync.Mutex
+	evacuations     []evacuation
 	operator
 }
 
@@ -83,6 +86,7 @@
 	for n := range a.Instances {
 		p, err := newInstance(emulator.Instance{
 			Name: fmt.Sprintf("instance-%d", n), Zone: zones[n%len(zones)], IP: fmt.Sprintf("%s.%d", network, 10+n), Seeds: seeds, Store: d.address,
+			Regions: map[string]string{"north": "inland", "middle": "inland", "south": "coast"},
 		}, a.Binary, directory)
 		if err != nil {
 			d.close()
@@ -198,6 +202,9 @@
 			}
 		}
 	})
+	for _, zone := range zones {
+		d.endEvacuation(zone)
+	}
 	d.store.SetUnavailable(false)
 	d.store.SetSilent(false)
 	d.store.SetResetting(false)
--- a/cmd/soak/evidence.go
+++ b/cmd/soak/evidence.go
@@ -49,7 +49,8 @@
 	crashingParts []string
 	partsUntil    time.Time
 	// crashes has the times at which servers crashed.
-	crashes map[string]time.Time
+	crashes     map[string]time.Time
+	evacuations []evacuation
 	// history has the writes and losses of configurations, and starts the times at which the processes of each instance started.
 	history []configurationEvent
 	starts  map[string][]time.Time
@@ -73,9 +74,12 @@
 }
 
 func (d *deployment) evidence() evidence {
+	d.evacuationMutex.Lock()
+	evacuations := append([]evacuation{}, d.evacuations...)
+	d.evacuationMutex.Unlock()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	e := evidence{events: append([]event{}, d.events...), limits: append([]limitEvent{}, d.limits...), leaving: map[string]time.Time{}}
+	e := evidence{events: append([]event{}, d.events...), limits: append([]limitEvent{}, d.limits...), leaving: map[string]time.Time{}, evacuations: evacuations}
 	for id, at := range d.leaving {
 		e.leaving[id] = at
 	}
--- a/cmd/soak/series.go
+++ b/cmd/soak/series.go
@@ -40,7 +40,7 @@
 	kinds := []func(){
 		s.stopInstance, s.killInstance, s.pauseInstance, s.stopInstance, s.killInstance, s.crashServer, s.removeServer, s.changeConfiguration,
 		s.failStore, s.silenceStore, s.dropHistory, s.loseAnswers, s.unframeAnswers, s.limitServers, s.crashByPart, s.hangServer, s.reload,
-		s.restoreStore, s.restoreStore, s.stallServers,
+		s.restoreStore, s.restoreStore, s.stallServers, s.evacuateDomain, s.evacuateDomain,
 	}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) && ctx.Err() == nil {
