Hold requests after a freeze until missed evacuations are known

An instance that is frozen for longer than the 5 s in which an evacuation has to take effect sent requests to evacuated domains when it woke, until a peer's heartbeat (1 s apart) and a fetch told it.

The soak's evacuations last 13 to 20 s: with 9 to 16 s, instances that ignore evacuations passed, since the store is disturbed most of the time and adds 6 s to the bound.

The test of the hold fails without the check before the choice, that after it, or that of reservations.

--- a/cmd/soak/evacuation.go
+++ b/cmd/soak/evacuation.go
@@ -12,9 +12,10 @@
 	// evacuationStretch what an unstable store adds to it. Both are from the users' pages.
 	evacuationTime    = 5 * time.Second
 	evacuationStretch = 6 * time.Second
-	// minEvacuation and maxEvacuation bound the length of an evacuation.
-	minEvacuation = 9 * time.Second
-	maxEvacuation = 16 * time.Second
+	// minEvacuation and maxEvacuation bound the length of an evacuation. They exceed the bound with its stretch, since the store is
+	// disturbed most of the time.
+	minEvacuation = 13 * time.Second
+	maxEvacuation = 20 * time.Second
 )
 
 // evacuation is an evacuation of a failure domain, from the store's answer to the operator's write until the row was removed.
--- a/dispatch/available.go
+++ b/dispatch/available.go
@@ -16,22 +16,25 @@
 // allowed regions; up to half of it is added as jitter. Both change at the pace of an operator.
 const retryAfterUnavailable = 2 * clock.Second
 
-// pickAvailable selects the servers of the next attempt as pick does, and again if an evacuation has begun at one of them since: a
-// successor may have been prepared, or memory reserved, before.
+// pickAvailable selects the servers of the next attempt as pick does, and again if an evacuation has begun at one of them since, or may
+// have been missed: a successor may have been prepared, or memory reserved, before.
 func (x *run) pickAvailable(ctx context.Context) (*selection, error) {
 	for {
+		if err := x.d.clock.Sleep(ctx, x.d.hold()); err != nil {
+			return nil, err
+		}
 		selected, err := x.pick(ctx)
-		if err != nil || !x.d.fleet.AnyEvacuated(selected.servers()...) {
+		if err != nil || x.d.hold() == 0 && !x.d.fleet.AnyEvacuated(selected.servers()...) {
 			return selected, err
 		}
-		x.log.WithField("upstream", selected.first.ID).Info("the failure domain of a selected server is evacuated; selecting again")
+		x.log.WithField("upstream", selected.first.ID).Info("a selected server is or may be in an evacuated failure domain; selecting again")
 		selected.release(x.d)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
 	}
 }
 
+// mayProbe reports whether a server may be probed: its failure domain is not evacuated, as far as this instance has learned lately.
+func (d *Dispatcher) mayProbe(s fleet.Server) bool { return d.hold() == 0 && !d.fleet.AnyEvacuated(s) }
+
 // servers returns the first server and the helpers.
 func (s *selection) servers() []fleet.Server {
 	list := make([]fleet.Server, 1, 1+len(s.helpers))
@@ -42,9 +45,9 @@
 	return list
 }
 
-// reservable returns the candidates for a reservation, or none once an evacuation has begun at one of them.
+// reservable returns the candidates for a reservation, or none once an evacuation has begun at one of them or may have been missed.
 func (x *run) reservable(selected *selection) []reservation.Candidate {
-	if x.d.fleet.AnyEvacuated(selected.servers()...) {
+	if x.d.hold() > 0 || x.d.fleet.AnyEvacuated(selected.servers()...) {
 		return nil
 	}
 	return selected.freeCandidates
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	suspects  *quarantine.Register
 	// region returns the region of a failure domain, or an empty name if it is not known.
 	region func(domain poplarwinch.FailureDomain) route.Region
+	// hold returns the time for which nothing is sent to servers because this instance may have missed an evacuation.
+	hold func() clock.Millis
 	// listVersion returns the version of the server list.
 	listVersion func() replica.Version
 	// listLoaded reports whether the server list was loaded.
@@ -70,6 +72,7 @@
 func New(opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		clock: clock.Monotonic(), log: log.Log, metrics: newMetrics(),
+		hold:        func() clock.Millis { return 0 },
 		region:      func(poplarwinch.FailureDomain) route.Region { return "" },
 		listVersion: func() replica.Version { return 0 }, listLoaded: func() bool { return true }, memory: bytebudget.New(defaultMemory),
 	}
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -281,3 +281,106 @@
 		})
 	}
 }
+
+// Guards against requests, parts of prompts and reservations that an instance sends after a freeze before it knows the evacuations that it
+// has missed: for a request that arrives then, and for one that waited before and gets a server meanwhile.
+func TestNothingIsSentWhileAnEvacuationMayHaveBeenMissed(t *testing.T) {
+	for name, r := range map[string]func(f *fixture) *dispatch.Request{
+		"plain":       func(f *fixture) *dispatch.Request { return f.request(route.KindIdempotent) },
+		"stream":      func(f *fixture) *dispatch.Request { return f.request(route.KindStreaming) },
+		"long prompt": (*fixture).longPrompt,
+	} {
+		for _, waits := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, waits %t", name, waits), func(t *testing.T) {
+				runInVirtualTime(t, func(t *testing.T, f *fixture) {
+					f.threeDomains()
+					end := func() {}
+					switch {
+					case waits && name == "long prompt":
+						end = f.refuse()
+					case waits:
+						end = f.fillPool()
+					}
+					freeze := func() {
+						f.mutex.Lock()
+						f.heldUntil = f.dispatcher.Now() + 600
+						f.mutex.Unlock()
+						end()
+						time.AfterFunc(400*time.Millisecond, func() { f.fleet.SetEvacuated([]poplarwinch.FailureDomain{"north"}) })
+					}
+					time.AfterFunc(10*time.Millisecond, freeze)
+					f.onReserve = func() {
+						if f.dispatcher.Now() < f.heldUntil {
+							t.Error("a reservation was sent too early")
+						}
+					}
+					f.answer = func(_ context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error) {
+						if left := f.hold(); left > 0 {
+							t.Errorf("call %d to %s was sent %d ms too early", n, c.Server.ID, left)
+						}
+						return complete(http.StatusOK, wholeStream)
+					}
+					if !waits {
+						time.Sleep(20 * time.Millisecond)
+					}
+					if o := f.run(t.Context(), r(f)); o.err != nil {
+						t.Errorf("got %+v", o.err)
+					}
+					if name != "plain" || !waits {
+						f.expectNoCallsTo("north", 0)
+					}
+					time.Sleep(time.Second)
+					f.fleet.SetEvacuated(nil)
+				})
+			})
+		}
+	}
+}
+
+// refuse makes all engines refuse reservations until the returned function is called.
+func (f *fixture) refuse() (end func()) {
+	f.refuseReservations = true
+	return func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.refuseReservations = false
+	}
+}
+
+// fillPool occupies all slots of the engines of threeDomains until the returned function is called.
+func (f *fixture) fillPool() (end func()) {
+	var ends []func()
+	for _, c := range f.fleet.Candidates("pool") {
+		ends = append(ends, f.fill(c.ID))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// Guards against a successor of a silent stream in a region that is not allowed.
+func TestSuccessorIsInAnAllowedRegion(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.threeDomains()
+		f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			for _, other := range f.fleet.Candidates("pool") {
+				if other.Domain == c.Server.Domain && other.ID != c.Server.ID {
+					f.fleet.Unreachable(other.ID)
+				}
+			}
+			return resumedStream(ctx, c, silentTime)
+		}
+		r := f.request(route.KindStreaming)
+		r.Route.AllowedRegions = []route.Region{"eu"}
+		if o := f.run(t.Context(), r); o.err != nil || o.body != wholeStream {
+			t.Errorf("got %q and %+v, want the whole stream", o.body, o.err)
+		}
+		for _, c := range f.calls {
+			if !slices.Equal(domainsOf(&c), []poplarwinch.FailureDomain{"north"}) {
+				t.Errorf("a call uses servers in %v", domainsOf(&c))
+			}
+		}
+	})
+}
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -57,6 +57,8 @@
 	retriesPerRequest, sharedRetries float64
 	// table is the active configuration.
 	table *route.Table
+	// heldUntil is the time until which nothing is to be sent.
+	heldUntil clock.Millis
 	// listMissing says that the server list was not loaded yet.
 	listMissing bool
 }
@@ -88,7 +90,7 @@
 		Slots: 16, MemoryTokens: 405_000, StepMillis: 1.31, PrefillRate: 154, PairMillis: 0.162, ChunkTokens: 2048, Stride: 34,
 	}}}).Compile()
 	f.dispatcher = dispatch.New(
-		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"), dispatch.WithRegion(regionOf),
+		dispatch.WithClock(c), dispatch.WithLog(l), dispatch.WithFleet(f.fleet), dispatch.WithDomain("north"), dispatch.WithRegion(regionOf), dispatch.WithHold(f.hold),
 		dispatch.WithActive(f.active), dispatch.WithSend(f.send), dispatch.WithReachable(f.reachable),
 		dispatch.WithSuspects(f.suspects), dispatch.WithReservations(f.builder, 3000),
 		dispatch.WithUnusedLimit(9000, f.reservationInUse), dispatch.WithListLoaded(f.listLoaded),
@@ -142,6 +144,12 @@
 	f.table = t.Compile()
 }
 
+func (f *fixture) hold() clock.Millis {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return max(f.heldUntil-f.dispatcher.Now(), 0)
+}
+
 func (f *fixture) listLoaded() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -39,6 +39,10 @@
 	return func(d *Dispatcher) { d.region = region }
 }
 
+// WithHold sets the function that returns the time for which no request, reservation or probe is to be sent to servers, because this
+// instance may have missed an evacuation; zero means now.
+func WithHold(hold func() clock.Millis) Option { return func(d *Dispatcher) { d.hold = hold } }
+
 // WithActive sets the function that returns the active configuration, or nil while there is none.
 func WithActive(active func() *route.Table) Option { return func(d *Dispatcher) { d.active = active } }
 
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -23,7 +23,7 @@
 // runProbe probes the server, marks it unreachable if the probe fails, and calls done with the result. Servers of an evacuated failure
 // domain are not probed, and done is not called.
 func (d *Dispatcher) runProbe(s fleet.Server, done func(alive bool)) {
-	if d.fleet.AnyEvacuated(s) {
+	if !d.mayProbe(s) {
 		return
 	}
 	alive := d.probe(context.Background(), s)
@@ -57,7 +57,7 @@
 // server's failure domain is evacuated.
 func (d *Dispatcher) runRecoveryProbes(s fleet.Server) {
 	for d.clock.Sleep(context.Background(), probeInterval) == nil && d.fleet.IsListed(s) {
-		if d.fleet.AnyEvacuated(s) {
+		if !d.mayProbe(s) {
 			continue
 		}
 		if d.probe(context.Background(), s) {
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -61,7 +61,7 @@
 
 // isDead reports whether the server accepted no connection in several probes. It is not probed while its failure domain is evacuated.
 func (s *silence) isDead(ctx context.Context) bool {
-	if s.x.d.fleet.AnyEvacuated(s.selected.first) {
+	if !s.x.d.mayProbe(s.selected.first) {
 		return false
 	}
 	now := s.x.d.clock.Now()
