--- a/dispatch/option.go
+++ b/dispatch/option.go
@@ -34,6 +34,15 @@
 	return func(d *Dispatcher) { d.domain = name }
 }
 
+// WithRegion sets the function that returns the region of a failure domain, or an empty name if it is not known, as without the option.
+func WithRegion(region func(domain poplarwinch.FailureDomain) route.Region) Option {
+	return func(d *Dispatcher) { d.region = region }
+}
+
+// WithHold sets the function that returns the time for which no request, reservation or probe is to be sent to servers, because this
+// instance may have missed an evacuation; zero means now.
+func WithHold(hold func() clock.Millis) Option { return func(d *Dispatcher) { d.hold = hold } }
+
 // WithActive sets the function that returns the active configuration, or nil while there is none.
 func WithActive(active func() *route.Table) Option { return func(d *Dispatcher) { d.active = active } }
 
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -25,6 +25,9 @@
 	if batch.Complete {
 		changed = r.removeMissing(seen, mode, restored, batch.Recent) || changed
 	}
+	if changed {
+		r.changedByPeer = mode == fromPeer
+	}
 	if changed || restored {
 		r.update()
 	}
@@ -86,6 +89,9 @@
 		}
 		since, missing := r.missingSince[key]
 		switch {
+		case r.keepLasting(row, now):
+			continue
+		case r.outlasts(row):
 		case !r.keepMissing || mode == fromPeer && !recent:
 		case mode == fromPeer && row.Version != carriedOver:
 		case !missing && (mode == readWhole || restored || mode == fromPeer):
