Spread short prompts over engines of nearly the same cost

Each such collision delays first events by the prefill time of the other prompt, beyond the prediction.

Change: the cost of an engine has a part between zero and the prompt's prefill time that differs between requests; three times that for engines whose load is known by summaries only.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -37,6 +37,9 @@
 	busyPenaltyMillis = 200.0
 	// crossDomainPenaltyMillis is the penalty of an engine in another failure domain.
 	crossDomainPenaltyMillis = 15.0
+	// distantSpread is the multiple of a prompt's prefill time over which it is spread among engines of other cells, of which summaries
+	// come five times a second.
+	distantSpread = 3.0
 	// dueMarginMillis is kept between the planned end of a prefill and the time at which it is due.
 	dueMarginMillis = 20.0
 	// rankPenaltyMillis is the penalty for each rank; it orders engines of a failure domain that are otherwise equal.
@@ -199,7 +202,7 @@
 		if !c.fits(e) || !c.eligible(e, stage, predictedMillis) {
 			continue
 		}
-		if costMillis := predictedMillis + c.penaltyMillis(e); costMillis < bestCostMillis {
+		if costMillis := predictedMillis + c.penaltyMillis(e) + c.spreadMillis(e); costMillis < bestCostMillis {
 			best, bestCostMillis = i, costMillis
 		}
 	}
@@ -228,6 +231,25 @@
 	return predictedMillis <= shortTargetFraction*float64(c.prompt.Target)
 }
 
+// spreadMillis returns a cost between zero and the prefill time of the prompt, or distantSpread times that for engines whose load is
+// known late, which differs between requests and engines. Instances that decide before they know of each other's decisions would
+// otherwise all choose the same engine, which delays the first events of their prompts by this prefill time.
+func (c *choice) spreadMillis(e *fleet.Candidate) float64 {
+	if c.prompt.Seed == 0 {
+		return 0
+	}
+	most := c.prefillMillis
+	if !c.isLocal(e) {
+		most *= distantSpread
+	}
+	const fractionBits = 53
+	h := (e.Hash ^ c.prompt.Seed) * 0x9e3779b97f4a7c15
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	h ^= h >> 32
+	return most * float64(h>>(64-fractionBits)) / (1 << fractionBits)
+}
+
 // penaltyMillis returns the cost of an engine besides its time to the first event.
 func (c *choice) penaltyMillis(e *fleet.Candidate) float64 {
 	costMillis := float64(e.Rank) * rankPenaltyMillis
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -25,6 +25,8 @@
 	FullCallerTimeout clock.Millis
 	// MaxPause is the longest pause between events that the caller accepts; zero means no limit.
 	MaxPause clock.Millis
+	// Seed differs between requests. It spreads requests over engines of nearly the same cost.
+	Seed uint64
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
 }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/assignment"
@@ -248,7 +249,7 @@
 func (x *run) prompt() *assignment.Prompt {
 	now := x.d.clock.Now()
 	return &assignment.Prompt{
-		Tokens: x.PromptTokens, AnswerTokens: x.MaxAnswerTokens, TimeLeft: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
+		Seed: xxhash.Sum64String(string(x.ID)), Tokens: x.PromptTokens, AnswerTokens: x.MaxAnswerTokens, TimeLeft: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
 		CallerTimeout: min(x.Deadline, x.Started+x.callerTimeout()) - now, FullCallerTimeout: min(x.Deadline-x.Started, x.callerTimeout()),
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,6 +109,8 @@
 	Load Load
 	// Rank orders the servers of a failure domain in the same way in all instances.
 	Rank int
+	// Hash is a hash of the server's id.
+	Hash uint64
 	// OtherCell says that the server is in the failure domain of this instance, but in another cell.
 	OtherCell bool
 	// LoadKnown says that the load that all instances put on the server is known. Otherwise Load has only that of this
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -110,7 +110,7 @@
 // candidate returns the server with the load.
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
 	return Candidate{
-		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
+		Server: m.server, Load: l, Rank: m.place.Position, Hash: m.hash, LoadKnown: known, Avoid: m.health.avoided(now),
 		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil,
 	}
 }
