--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -10,8 +10,6 @@
 // serverState is a server with this instance's load on it, the estimated prefill and its health.
 type serverState struct {
 	server Server
-	// evacuated says that the server's failure domain is under evacuation.
-	evacuated bool
 	// hash orders the servers of a failure domain in the same way in all instances.
 	hash uint64
 	// tickets are this instance's requests that the server answers; prefilling are those whose prompt it prefills.
@@ -30,6 +28,8 @@
 	prefillUntil clock.Millis
 	health       health
 	notices      notices
+	// evacuated says that the server's failure domain is under evacuation.
+	evacuated bool
 	// sent is the number of requests that this instance has sent to the server.
 	sent int
 }
