Count new reservations and probes in evacuated domains in the soak

The emulator records the first order of each reservation, and connections that are closed without a request. Both are violations in an evacuated domain, as requests are.

--- a/cmd/soak/evacuation.go
+++ b/cmd/soak/evacuation.go
@@ -61,7 +61,7 @@
 	d.log(eventOther, "end of the evacuation of "+zone)
 }
 
-// checkEvacuations finds requests that reached an evacuated failure domain later than allowed. Requests that were turned away because they
+// checkEvacuations finds requests, new reservations and probes that reached an evacuated failure domain later than allowed. Requests that were turned away because they
 // were sent to another server do not count.
 func checkEvacuations(e *evidence) []violation {
 	var list []violation
@@ -70,15 +70,24 @@
 		if e.storeDisturbed(v.from.Add(-convergenceTime), due) {
 			due = due.Add(evacuationStretch)
 		}
-		count, last := 0, time.Time{}
+		counts, last := map[string]int{}, time.Time{}
+		add := func(what, zone string, at time.Time) {
+			if zone == v.zone && at.After(due) && (v.until.IsZero() || at.Before(v.until)) && !e.startedAfterLoss(at) {
+				counts[what]++
+				last = at
+			}
+		}
 		for _, a := range e.arrivals {
-			if a.Zone == v.zone && !a.Misdirected && a.At.After(due) && (v.until.IsZero() || a.At.Before(v.until)) && !e.startedAfterLoss(a.At) {
-				count, last = count+1, a.At
+			if !a.Misdirected {
+				add("request", a.Zone, a.At)
 			}
 		}
-		if count > 0 {
+		for _, c := range e.contacts {
+			add(string(c.Kind), c.Zone, c.At)
+		}
+		if len(counts) > 0 {
 			list = append(list, violation{"evacuated-domain", fmt.Sprintf(
-				"%d requests reached %s, the last one %d ms after its evacuation", count, v.zone, last.Sub(v.from).Milliseconds(),
+				"%v reached %s, the last one %d ms after its evacuation", counts, v.zone, last.Sub(v.from).Milliseconds(),
 			)})
 		}
 	}
--- a/cmd/soak/evacuation_test.go
+++ b/cmd/soak/evacuation_test.go
@@ -18,6 +18,7 @@
 	for name, c := range map[string]struct {
 		arrivals []emulator.Arrival
 		events   []event
+		contacts []emulator.Contact
 		started  float64
 		found    bool
 	}{
@@ -28,6 +29,9 @@
 		"after the end":                   {arrivals: []emulator.Arrival{arrival(40.1, "north")}},
 		"in another domain":               {arrivals: []emulator.Arrival{arrival(30, "south")}},
 		"turned away":                     {arrivals: []emulator.Arrival{{Server: "pool-9", Zone: "north", At: at(30), Misdirected: true}}},
+		"probe after the bound":           {contacts: []emulator.Contact{{Kind: emulator.ContactProbe, Zone: "north", At: at(25.1)}}, found: true},
+		"probe within it":                 {contacts: []emulator.Contact{{Kind: emulator.ContactProbe, Zone: "north", At: at(24.9)}}},
+		"reservation after the bound":     {contacts: []emulator.Contact{{Kind: emulator.ContactReservation, Zone: "north", At: at(25.1)}}, found: true},
 		"in a second evacuation":          {arrivals: []emulator.Arrival{arrival(56, "south")}, found: true},
 		"with an unstable store":          {arrivals: []emulator.Arrival{arrival(30.9, "north")}, events: []event{storeEvent(21, 22)}},
 		"late even with an unstable one":  {arrivals: []emulator.Arrival{arrival(31.1, "north")}, events: []event{storeEvent(21, 22)}, found: true},
@@ -41,6 +45,7 @@
 			e.evacuations = []evacuation{{zone: "north", from: at(20), until: at(40)}, {zone: "south", from: at(50)}}
 			e.arrivals = append(e.arrivals, c.arrivals...)
 			e.events = append(e.events, c.events...)
+			e.contacts = c.contacts
 			if c.started > 0 {
 				e.starts["two"] = []time.Time{at(c.started)}
 			}
--- a/cmd/soak/evidence.go
+++ b/cmd/soak/evidence.go
@@ -44,6 +44,7 @@
 	leaving    map[string]time.Time
 	runs       []emulator.Run
 	arrivals   []emulator.Arrival
+	contacts   []emulator.Contact
 	unexpected int
 	// crashingParts are the parts that crash servers, until partsUntil.
 	crashingParts []string
@@ -83,7 +84,7 @@
 	for id, at := range d.leaving {
 		e.leaving[id] = at
 	}
-	e.runs, e.arrivals = d.record.Runs(), d.record.Arrivals()
+	e.runs, e.arrivals, e.contacts = d.record.Runs(), d.record.Arrivals(), d.record.Contacts()
 	listed := d.store.Values(emulator.InstancesTable)
 	e.starts = map[string][]time.Time{}
 	for _, p := range d.instances {
