Predict the longer path while the own failure domain is evacuated

Prompts of callers of an evacuated domain run in other domains. The predicted time to the first event has the round trip between domains then, 3 ms by the deployments' one-way latency of up to 1.5 ms. Other decisions are as before.

--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -27,6 +27,9 @@
 	MaxPause clock.Millis
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
+	// Path is the additional time on the network that the prompt and its first event take, because all engines are in other failure
+	// domains; zero in other cases.
+	Path clock.Millis
 }
 
 // Reason says why a plan was chosen.
--- a/dispatch/available.go
+++ b/dispatch/available.go
@@ -16,6 +16,17 @@
 // allowed regions; up to half of it is added as jitter. Both change at the pace of an operator.
 const retryAfterUnavailable = 2 * clock.Second
 
+// domainRoundTrip is the time on the network to another failure domain and back; the deployments' one-way latency is up to 1.5 ms.
+const domainRoundTrip clock.Millis = 3
+
+// path returns the additional time on the network of requests while this instance's failure domain is evacuated.
+func (d *Dispatcher) path() clock.Millis {
+	if d.fleet.IsEvacuated(d.domain) {
+		return domainRoundTrip
+	}
+	return 0
+}
+
 // pickAvailable selects the servers of the next attempt as pick does, and again if an evacuation has begun at one of them since, or may
 // have been missed: a successor may have been prepared, or memory reserved, before.
 func (x *run) pickAvailable(ctx context.Context) (*selection, error) {
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/dispatch"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/route"
@@ -384,3 +385,32 @@
 		}
 	})
 }
+
+// Guards against a predicted time to the first event that leaves out the longer path while the own failure domain is evacuated, and against
+// callers of the evacuated domain that are not served.
+func TestPredictedTimeOfAnEvacuatedDomainsCallers(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.threeDomains()
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, wholeStream)
+		}
+		predict := func() clock.Millis {
+			if o := f.run(t.Context(), f.request(route.KindStreaming)); o.err != nil || o.body != wholeStream {
+				t.Errorf("got %q and %+v", o.body, o.err)
+			}
+			for _, line := range slices.Backward(f.log.Entries) {
+				if line.Message == "routing decision" {
+					return line.Fields["predicted-ms"].(clock.Millis)
+				}
+			}
+			return 0
+		}
+		before := predict()
+		f.fleet.SetEvacuated([]poplarwinch.FailureDomain{"north"})
+		if during := predict(); during != before+3 {
+			t.Errorf("predicted %d ms during the evacuation and %d before, want 3 ms more", during, before)
+		}
+		f.expectNoCallsTo("north", 1)
+		f.fleet.SetEvacuated(nil)
+	})
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -249,6 +249,7 @@
 	now := x.d.clock.Now()
 	return &assignment.Prompt{
 		Tokens: x.PromptTokens, AnswerTokens: x.MaxAnswerTokens, TimeLeft: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
+		Path:   x.d.path(),
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
 		CallerTimeout: min(x.Deadline, x.Started+x.callerTimeout()) - now, FullCallerTimeout: min(x.Deadline-x.Started, x.callerTimeout()),
 	}
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -54,6 +54,13 @@
 	return slices.Sorted(maps.Keys(f.evacuated))
 }
 
+// IsEvacuated reports whether the failure domain is under evacuation.
+func (f *Fleet) IsEvacuated(domain poplarwinch.FailureDomain) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.evacuated.has(domain)
+}
+
 // AnyEvacuated reports whether one of the servers is in a failure domain under evacuation.
 func (f *Fleet) AnyEvacuated(servers ...Server) bool {
 	f.mutex.Lock()
