Play random restorations with lasting rows too

150 seeds with rows that stay for 60 s: each replica ends up with the source's rows within 75 s, and none loses a row that was written more than 5 s before and not removed.

--- a/replica/restorations_test.go
+++ b/replica/restorations_test.go
@@ -25,6 +25,8 @@
 	// maxCopyAge and maxRewrite bound the age of copies and the time after a restoration in which lost rows are written again.
 	maxCopyAge = 9 * time.Second
 	maxRewrite = 2 * time.Second
+	// settledWrite is the age from which a write is known to all replicas that had the row before.
+	settledWrite = 5 * time.Second
 )
 
 var (
@@ -57,6 +59,8 @@
 	// written has what was last written to each row; empty for rows that were removed.
 	written map[string]string
 	removed map[string]bool
+	// writtenAt is the time of that write.
+	writtenAt map[string]time.Time
 	// delay is the longest time for which an answer is on its way.
 	delay  time.Duration
 	random *rand.Rand
@@ -64,7 +68,7 @@
 
 func newRestorable(random *rand.Rand, delay time.Duration) *restorable {
 	return &restorable{
-		content: table{rows: map[string]replica.Row{}}, changed: make(chan struct{}), written: map[string]string{}, removed: map[string]bool{},
+		content: table{rows: map[string]replica.Row{}}, changed: make(chan struct{}), written: map[string]string{}, removed: map[string]bool{}, writtenAt: map[string]time.Time{},
 		delay: delay, random: random,
 	}
 }
@@ -88,7 +92,7 @@
 	if old := s.written[key]; value == "" {
 		s.removed[old] = true
 	}
-	s.written[key] = value
+	s.written[key], s.writtenAt[key] = value, time.Now()
 	s.put(key, value)
 }
 
@@ -211,10 +215,12 @@
 	seen, gone map[string]bool
 	// keys are those of the present rows.
 	keys map[string]bool
+	// lasting reports whether a row is a lasting one.
+	lasting func(row replica.Row) bool
 }
 
-func watch(t *testing.T, name string, source *restorable) *watched {
-	w := &watched{t: t, name: name, source: source, seen: map[string]bool{}, gone: map[string]bool{}}
+func watch(t *testing.T, name string, source *restorable, lasting func(row replica.Row) bool) *watched {
+	w := &watched{t: t, name: name, source: source, seen: map[string]bool{}, gone: map[string]bool{}, lasting: lasting}
 	number := func(row replica.Row) int {
 		n, err := strconv.Atoi(string(row.Value))
 		if err != nil || row.Key != configKey {
@@ -223,7 +229,7 @@
 		return n
 	}
 	w.Replica = replica.New(
-		"table", replica.WithSource(source.read, source.changes), replica.WithClock(clock.System()), replica.WithMissingRowGrace(),
+		"table", replica.WithLasting(lasting), replica.WithSource(source.read, source.changes), replica.WithClock(clock.System()), replica.WithMissingRowGrace(),
 		replica.WithLog(&log.Logger{Handler: discard.New()}), replica.WithOnChange(w.check),
 		replica.WithSupersedes(func(row, other replica.Row) bool { return number(row) > number(other) }),
 	)
@@ -249,6 +255,11 @@
 	}
 	w.source.mutex.Lock()
 	defer w.source.mutex.Unlock()
+	for key := range w.keys {
+		if w.lasting(replica.Row{Key: key}) && !keys[key] && w.source.written[key] != "" && time.Since(w.source.writtenAt[key]) > settledWrite {
+			w.t.Errorf("%s has lost %s, which was written %v before and not removed", w.name, key, time.Since(w.source.writtenAt[key]))
+		}
+	}
 	for value := range w.seen {
 		if w.source.removed[value] && !keys[value[:1]] {
 			w.gone[value] = true
@@ -267,7 +278,7 @@
 	defer w.source.mutex.Unlock()
 	rows := map[string]string{}
 	for _, row := range w.Since(replica.Position{}).Rows {
-		if !row.Held {
+		if !row.Held && !row.Deleted {
 			rows[row.Key] = string(row.Value)
 		}
 	}
@@ -319,19 +330,26 @@
 	for seed := range uint64(150) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { followRestored(t, seed) })
+			synctest.Test(t, func(t *testing.T) { followRestored(t, seed, 15*time.Second, func(replica.Row) bool { return false }) })
+		})
+		t.Run(fmt.Sprintf("seed %d with lasting rows", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				followRestored(t, seed, 75*time.Second, func(row replica.Row) bool { return row.Key < "d" })
+			})
 		})
 	}
 }
 
-func followRestored(t *testing.T, seed uint64) {
+// followRestored plays a seed; calmTime is the time after the last disturbance in which the replicas have to agree with the source.
+func followRestored(t *testing.T, seed uint64, calmTime time.Duration, lasting func(row replica.Row) bool) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	source := newRestorable(rand.New(rand.NewPCG(seed, 2)), []time.Duration{time.Millisecond, 300 * time.Millisecond}[seed%2])
 	source.write(configKey, "0")
 	source.copyContent()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	list := []*watched{watch(t, "first", source), watch(t, "second", source), watch(t, "passive", source)}
+	list := []*watched{watch(t, "first", source, lasting), watch(t, "second", source, lasting), watch(t, "passive", source, lasting)}
 	list[0].follows, list[1].follows = true, true
 	list[2].SetFollowing(false)
 	var running sync.WaitGroup
@@ -362,7 +380,7 @@
 		}
 	}
 	exchanges(disturbed)
-	calm, stop := context.WithTimeout(ctx, 15*time.Second)
+	calm, stop := context.WithTimeout(ctx, calmTime)
 	defer stop()
 	exchanges(calm.Done())
 	synctest.Wait()
