--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -29,6 +29,9 @@
 	Seed uint64
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
+	// Path is the additional time on the network that the prompt and its first event take, because all engines are in other failure
+	// domains; zero in other cases.
+	Path clock.Millis
 }
 
 // Reason says why a plan was chosen.
