Tell engines the urgency of requests where priorities differ

Priorities of routes and customers were decoded and used nowhere. The table now knows which services have differing ones; their requests carry Request-Urgency (0 to 9). Levels that are no valid urgency are numbered in order. A caller's own header of that name is removed. go test ./route ./platform passes; new: TestPriorityOf, TestUrgencyForwarding.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -21,6 +21,8 @@
 	Customer poplarwinch.CustomerID
 	Service  poplarwinch.ServiceName
 	Route    *route.Route
+	// Priority is nil if all requests of the service have the same priority.
+	Priority *route.Priority
 	// Method, URL, Host, Header and Body are forwarded unchanged. Header has no hop-by-hop headers.
 	Method string
 	URL    *url.URL
--- a/route/table.go
+++ b/route/table.go
@@ -24,6 +24,9 @@
 
 	hosts map[string][]*Route
 	keys  map[string]*Customer
+	// priorities has the levels of the services whose requests have differing priorities.
+	priorities         map[poplarwinch.ServiceName]map[int]*Priority
+	customerPriorities map[poplarwinch.CustomerID]int
 }
 
 // Compile builds the indexes of the table and returns it.
@@ -44,6 +47,7 @@
 			t.keys[key] = c
 		}
 	}
+	t.compilePriorities()
 	return t
 }
 
