Exchange the numbers of waiting requests by service and priority class

Reports had one number for all waiting requests, so that no instance knew of more urgent ones elsewhere. They now list at most four services by class (at most four classes) and the rest as one number; instances of other cells take the sum only. Datagrams are as long as before while nothing waits, and grow by 25 bytes for one service and others, 88 at most (TestWaitingInDatagrams). The other tests of fleet (also with -race) and gossip pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,8 +43,8 @@
 	peerReports map[poplarwinch.InstanceID]*peerReport
 	// summaries holds the latest summary of each other cell.
 	summaries map[summaryKey]*receivedSummary
-	// waiting is the number of this instance's requests that wait for a server.
-	waiting int
+	// waiting has the numbers of this instance's requests that wait for a server.
+	waiting map[poplarwinch.ServiceName]ClassCounts
 	// changed is closed and replaced when load or servers change.
 	changed chan struct{}
 }
@@ -54,7 +54,7 @@
 	f := &Fleet{
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
-		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
+		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{}, waiting: map[poplarwinch.ServiceName]ClassCounts{},
 		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -261,7 +261,7 @@
 func TestWaiting(t *testing.T) {
 	w := newFixture()
 	end := w.CountWaiting()
-	w.Merge("peer", fleet.Report{Waiting: 3})
+	w.Merge("peer", fleet.Report{Waiting: []fleet.WaitingCount{{Counts: fleet.ClassCounts{3}}}})
 	if got := w.Waiting(); got != 4 {
 		t.Errorf("got %d, want 4", got)
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -10,8 +10,8 @@
 // Report is the load that one instance has put on servers. It replaces the instance's earlier report.
 type Report struct {
 	Servers []ServerWork
-	// Waiting is the number of the instance's requests that wait for a server.
-	Waiting int
+	// Waiting has the numbers of the instance's requests that wait for a server.
+	Waiting []WaitingCount
 }
 
 // ServerWork is the load that one instance has put on one server.
@@ -53,7 +53,7 @@
 // peerReport is a received report with the time of its arrival.
 type peerReport struct {
 	at      clock.Millis
-	waiting int
+	waiting []WaitingCount
 	servers map[poplarwinch.UpstreamID]ServerWork
 }
 
@@ -69,7 +69,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.clock.Now()
-	r := Report{Waiting: f.waiting}
+	r := Report{Waiting: f.reportedWaiting()}
 	for id, m := range f.servers {
 		w := ServerWork{
 			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable,
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -21,8 +21,8 @@
 	Positions map[string]replica.Position
 	Servers   []serverWork
 	Notices   []serverNotice
-	// Waiting is the number of the sender's requests that are queued for a server.
-	Waiting  int
+	// Waiting has the numbers of the sender's requests that are queued for a server.
+	Waiting  []waitingCount
 	Suspects []suspect
 	// OwnWork is set if Servers and Waiting hold the sender's report.
 	OwnWork bool
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -90,10 +90,11 @@
 		report := fleet.Report{Servers: withNotices(decodeWork(m.Servers), m.Notices)}
 		g.mutex.Lock()
 		peer := g.peers[m.From]
-		competes := g.isSmall() || peer != nil && g.isNear(peer)
+		near := peer != nil && g.isNear(peer)
+		competes := near || g.isSmall()
 		g.mutex.Unlock()
 		if competes {
-			report.Waiting = m.Waiting
+			report.Waiting = competingWaiting(m.Waiting, near)
 		}
 		if m.Domain != g.self.Domain {
 			// A server that is unreachable from another failure domain may be reachable from this one.
