Try waiting requests in order of priority, and reject those that are held too long

Each waiting request polled for itself after its own random delay. Requests of services with differing priorities now join the queue; a loop that runs only while some wait gives them their turns, after one random delay for the instance. A request whose class is less urgent leaves free capacity to as many more urgent ones as wait at other instances of the cell, until these had the time to take it (132 ms at most), or it has aged. Other services wait as before. Requests were also held until late: a long prompt whose memory the engines refuse to reserve for 9.1 s of a patience of 15 s, now 7.5 s (TestBlockedRequestHoldsUpNoOther with and without the change); one without a server list for 2 s, which is the whole patience of short prompts, now half of it. Where priorities differ, waits for limits count against the caller's patience and not the deadline. go test -race ./dispatch passes; new: TestWaitingRequestsRunInOrder, TestCapacityIsLeftToUrgentRequests, TestWaitingRequestsLeave.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,6 +51,7 @@
 
 	// decisionMutex makes selecting servers and recording the load on them atomic.
 	decisionMutex sync.Mutex
+	waiting       *waitingRequests
 	budgets       sync.Map // poplarwinch.ServiceName to *admission.SharedRetryBudget
 	inFlight      atomic.Int64
 	// waitingEnds is closed once requests that wait for a server are rejected.
@@ -71,6 +72,7 @@
 		listVersion: func() replica.Version { return 0 }, listLoaded: func() bool { return true }, memory: bytebudget.New(defaultMemory),
 	}
 	d.waitingEnds = make(chan struct{})
+	d.waiting = newWaitingRequests(d)
 	d.rejectWaiting = sync.OnceFunc(func() { close(d.waitingEnds) })
 	d.ending, d.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -85,6 +85,9 @@
 	}
 	started := x.d.clock.Now()
 	defer func() { x.waited += x.d.clock.Now() - started }()
+	if x.isOrdered() {
+		return x.pickInOrder(ctx)
+	}
 	defer x.d.fleet.CountWaiting()()
 	for {
 		if err := x.blocked(); err != nil {
@@ -161,7 +164,7 @@
 
 // noServer returns the error for a service without servers, or nil while their list may be on the way.
 func (x *run) noServer() error {
-	if !x.d.listLoaded() && x.d.clock.Now()-x.Started < maxListWait {
+	if x.listOnTheWay() {
 		return nil
 	}
 	return &poplarwinch.Error{
@@ -175,7 +178,8 @@
 	if pool, isPool := x.pool(); isPool {
 		return assignment.Choose(&pool, candidates, x.prompt())
 	}
-	return assignment.Server(candidates, x.d.domain, x.Deadline-x.d.clock.Now(), x.Deadline-x.Started)
+	left, full := x.plainPatience()
+	return assignment.Server(candidates, x.d.domain, left, full)
 }
 
 // verdictError returns the error for a request that is rejected now, or nil if it waits.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -50,7 +50,8 @@
 	return list
 }
 
-// reserve reserves the memory of a plan and records its load. Both results are nil if the memory could not be reserved.
+// reserve reserves the memory of a plan and records its load. Both results are nil if the memory could not be reserved and the request
+// waits.
 func (x *run) reserve(ctx context.Context, selected *selection) (*selection, error) {
 	limit, cancel := context.WithTimeout(ctx, reserveTimeout.Duration())
 	defer cancel()
@@ -63,12 +64,12 @@
 			return nil, ctx.Err()
 		}
 		x.log.WithError(err).Info("memory not reserved; waiting")
-		return nil, nil
+		return nil, x.notReserved()
 	}
 	if first := group.Shares[0].Upstream; !x.d.fleet.Accepts(first, selected.engines()...) {
 		x.log.WithField("upstream", first).Info("a server takes no more requests since memory was reserved; waiting")
 		x.d.background.Go(func() { x.d.reservations.Free(group) })
-		return nil, nil
+		return nil, x.notReserved()
 	}
 	selected.group = group
 	x.applyShares(selected, group.Shares)
