Bound the delay of ordered requests, and compare orders of waiting requests

The random delay of an instance was up to 120 ms, but short prompts are rejected from 45 ms on if the engines are nearly full. It is now 30 ms at most, and less urgent requests leave capacity for 42 ms at most instead of 132. The simulation of assignment now also plays an instance that decides in the order of a queue, with drawn deployments: floods of short and long prompts in turn, one large customer, a lost third of the engines, callers that repeat at once. TestHeldUntilRejected shows what assignment holds longer than an eighth of the target.

--- a/assignment/simulation_test.go
+++ b/assignment/simulation_test.go
@@ -33,6 +33,7 @@
 	decided bool
 	// phase distributes the decisions on waiting jobs over the steps.
 	phase int
+	orderedJob
 }
 
 // simulatedEngine works in scheduling passes, in which it prefills prompts between the decoding steps of its streams.
@@ -56,6 +57,8 @@
 	// don't see each other's decisions.
 	snapshot []fleet.Candidate
 	choose   func(s *simulation, j *job) (assignment.Plan, assignment.Verdict)
+	// ordered replaces the decisions of each job for itself by those of an instance in the order of its queue; it may be nil.
+	ordered *orderedDecisions
 }
 
 const (
@@ -237,7 +240,11 @@
 			s.waiting = append(s.waiting, jobs[next])
 			next++
 		}
-		s.decide()
+		if s.ordered != nil {
+			s.ordered.decide(s)
+		} else {
+			s.decide()
+		}
 		for _, e := range s.simulatedEngines {
 			if len(e.jobs) > 0 && e.passEndMillis <= s.nowMillis {
 				s.pass(e)
--- a/dispatch/holdback.go
+++ b/dispatch/holdback.go
@@ -49,7 +49,7 @@
 
 // holdTime returns the time in which peers with waiting requests decide after a change and make it known.
 func holdTime(peers int) clock.Millis {
-	return min(fleet.PropagationDelay*clock.Millis(peers), maxJitter) + 2*fleet.PropagationDelay
+	return min(fleet.PropagationDelay*clock.Millis(peers), maxInstanceJitter) + 2*fleet.PropagationDelay
 }
 
 // freeCapacity returns the number of requests for which the candidates have room: the free slots of engines, or the servers of a plain
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -15,6 +15,10 @@
 // than a millisecond of each other.
 const minPassInterval clock.Millis = 5
 
+// maxInstanceJitter bounds the random delay of an instance after a change of the fleet. New requests that must not overtake others wait for
+// it too: short prompts with a target of 300 ms are rejected from 45 ms on if the engines are nearly full.
+const maxInstanceJitter clock.Millis = 30
+
 // maxRestarts bounds how often a pass begins again, so that it ends although changes of the fleet come at any time.
 const maxRestarts = 2
 
@@ -144,7 +148,7 @@
 // jitter returns a random delay before the waiting requests react to a change of the fleet, which all instances see at the same time. It
 // lets most instances learn of the others' decisions before they decide.
 func (w *waitingRequests) jitter() clock.Millis {
-	maxDelay := min(fleet.PropagationDelay*clock.Millis(w.d.fleet.WaitingPeers()), maxJitter)
+	maxDelay := min(fleet.PropagationDelay*clock.Millis(w.d.fleet.WaitingPeers()), maxInstanceJitter)
 	return clock.Millis(rand.Int64N(int64(maxDelay) + 1))
 }
 
