Reject requests at once that wait for limits behind too many others

A request at the limits of all servers waited until half of its patience had passed, although the requests before it needed all that the limits allowed: the wait counted only the next free request. With 20 requests at a limit of 5 a second, six of them and more were held for 2 s and rejected; now one, whose place a later and more urgent request takes (TestRejectedWhileManyWaitForLimit with and without the change).

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -291,6 +291,9 @@
 	plan, verdict := x.plan(candidates)
 	if verdict != assignment.VerdictRun {
 		d.waiting.noCapacity(item)
+		if verdict == assignment.VerdictWait {
+			return nil, turnFailed, x.tooManyAhead(item, candidates)
+		}
 		return nil, turnFailed, verdictError(verdict, candidates)
 	}
 	if !mayRun() {
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/dispatch"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
@@ -185,3 +187,45 @@
 		}
 	})
 }
+
+// Guards against requests that wait for a limit until half of their patience has passed although those before them need all that it
+// allows, and against urgent ones that are rejected because of others.
+func TestRejectedWhileManyWaitForLimit(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6}})
+		limit := fleet.Notice{Limit: 5}
+		f.fleet.Observe(f.fleet.Candidates("bookings")[0].Server, limit, f.dispatcher.Now())
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			a, err := complete(http.StatusOK, "x")
+			return withNotice(limit, a, err)
+		}
+		request := func(class int) *dispatch.Request {
+			r := f.request(route.KindIdempotent)
+			r.Priority = &route.Priority{Class: class}
+			r.Route.Name, r.Route.Target = fmt.Sprint("class-", class), 1000
+			return r
+		}
+		var runs sync.WaitGroup
+		var served, late atomic.Int64
+		for range 20 {
+			runs.Go(func() {
+				began := time.Now()
+				o := f.run(t.Context(), request(1))
+				if o.err == nil {
+					served.Add(1)
+				} else if time.Since(began) > 100*time.Millisecond || o.err.RetryAfter < clock.Second {
+					late.Add(1)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		if o := f.run(t.Context(), request(0)); o.err != nil {
+			t.Errorf("the urgent request got %+v", o.err)
+		}
+		runs.Wait()
+		// The limit allows 2 at once and 5 a second, and requests are held for 2 s at most. One of them was the urgent one.
+		if served.Load() < 10 || late.Load() > 1 {
+			t.Errorf("%d of 20 were served and %d rejected late, want 10 and the one whose place the urgent one took", served.Load(), late.Load())
+		}
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,6 +114,8 @@
 	Resting bool
 	// RestsForPeers says that the server wants no requests from another instance now.
 	RestsForPeers bool
+	// LimitInterval is the time between two requests that the server takes from all instances; zero means no limit.
+	LimitInterval clock.Millis
 	// Wait is the time until the server's notices allow another request of this instance; zero means now.
 	Wait clock.Millis
 }
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -83,6 +83,14 @@
 	l.nextAt = min(l.nextAt, now+maxLimitPause)
 }
 
+// spacing returns the time between two requests, or zero if there is no limit.
+func (l *limit) spacing() clock.Millis {
+	if l.rate == 0 {
+		return 0
+	}
+	return l.rate.interval()
+}
+
 // openAt returns the time from which the server may get another request.
 func (l *limit) openAt() clock.Millis { return l.nextAt - (limitBurst-1)*l.rate.interval() }
 
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -109,6 +109,6 @@
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
 	return Candidate{
 		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
-		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil,
+		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil, LimitInterval: m.notices.limit.spacing(),
 	}
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -137,6 +137,17 @@
 // CapacityChanged says that items that could not run may be able to.
 func (q *Queue) CapacityChanged() { q.generation++ }
 
+// Ahead returns the number of items of the service that are more urgent than the item, or as urgent and arrived before it.
+func (q *Queue) Ahead(i *Item) int {
+	n := 0
+	for _, other := range q.items {
+		if other.Service == i.Service && (other.Class < i.Class || other.Class == i.Class && other.Arrived < i.Arrived) {
+			n++
+		}
+	}
+	return n
+}
+
 // MayOvertake reports whether a new item may run at once: no item of its service that is as urgent waits for its turn since capacity may
 // have become free.
 func (q *Queue) MayOvertake(i *Item, now clock.Millis) bool {
