Bound the notices of waiting requests to peers

The first waiting request of a class led to a datagram to the cell each time: with one request waiting at a time, up to a third more datagrams. Now at most one each 500 ms; busy instances report the counts with their changes of load (TestNoticesOfWaitingRequests: 2 in a second for 100 requests).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,8 @@
 	summaries map[summaryKey]*receivedSummary
 	// waiting has the numbers of this instance's requests that wait for a server.
 	waiting map[poplarwinch.ServiceName]ClassCounts
+	// waitingNotifiedAt is the time at which peers were last notified that requests wait; zero if they were not.
+	waitingNotifiedAt clock.Millis
 	// changed is closed and replaced when load or servers change.
 	changed chan struct{}
 }
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
@@ -12,6 +13,10 @@
 // further services are reported as those of services without differing priorities.
 const maxReportedServices = 4
 
+// waitingNotifyInterval is the shortest time between two notices to peers that requests have begun to wait. Busy instances report changes of
+// load more often in any case; one for each waiting request would add up to a third to their datagrams.
+const waitingNotifyInterval clock.Millis = 500
+
 // ClassCounts has the number of requests of each priority class.
 type ClassCounts [route.PriorityClasses]int
 
@@ -51,13 +56,17 @@
 func (f *Fleet) CountWaiting() (end func()) { return f.countWaiting("", 0) }
 
 // CountWaitingClass counts a request as waiting for a server until the returned function is called. Peers are notified of the first
-// one of its class.
+// one of its class, at most every waitingNotifyInterval.
 func (f *Fleet) CountWaitingClass(service poplarwinch.ServiceName, class int) (end func()) {
 	end = f.countWaiting(service, class)
 	f.mutex.Lock()
-	first := f.waiting[service][class] == 1
+	now := f.clock.Now()
+	notify := f.waiting[service][class] == 1 && (f.waitingNotifiedAt == 0 || now-f.waitingNotifiedAt >= waitingNotifyInterval)
+	if notify {
+		f.waitingNotifiedAt = now
+	}
 	f.mutex.Unlock()
-	if first {
+	if notify {
 		f.onChange(ReachNear)
 	}
 	return end
--- a/fleet/waiting_test.go
+++ b/fleet/waiting_test.go
@@ -63,3 +63,15 @@
 		t.Errorf("after the end: got %+v", list)
 	}
 }
+
+// Guards against a datagram for each waiting request, and against peers that learn of waiting requests with the next heartbeat only.
+func TestNoticesOfWaitingRequests(t *testing.T) {
+	w := newFixture()
+	for range 100 {
+		w.CountWaitingClass("pool", 0)()
+		w.time.Advance(10)
+	}
+	if n := len(w.notified); n != 2 {
+		t.Errorf("peers were notified %d times within a second, want 2", n)
+	}
+}
