Bound the processor time of passes over waiting requests

A pass makes one decision for each kind of waiting request, and changes of the fleet may come every few milliseconds: on 0.19 of a core, passes with many kinds would take all of it. A pass is now followed by a pause of four times its length, at most the poll interval. go test -race ./dispatch ./queue passes. Not measured on such a machine.

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -15,6 +15,10 @@
 // than a millisecond of each other.
 const minPassInterval clock.Millis = 5
 
+// pausePerPass is the least time between two passes as a multiple of the time that a pass takes. With waiting requests of many kinds a pass
+// makes many decisions, which must leave most of a small machine to requests that run.
+const pausePerPass = 4
+
 // maxInstanceJitter bounds the random delay of an instance after a change of the fleet. New requests that must not overtake others wait for
 // it too: short prompts with a target of 300 ms are rejected from 45 ms on if the engines are nearly full.
 const maxInstanceJitter clock.Millis = 30
@@ -113,8 +117,9 @@
 // loop tries the waiting requests after each change of the fleet, and at least every pollInterval, until none waits.
 func (w *waitingRequests) loop() {
 	for {
-		changed := w.d.fleet.Changed()
+		changed, began := w.d.fleet.Changed(), w.d.clock.Now()
 		wait := w.pass()
+		pause := min(pausePerPass*(w.d.clock.Now()-began), pollInterval)
 		if w.endIfEmpty() {
 			return
 		}
@@ -122,7 +127,7 @@
 		select {
 		case <-changed:
 			w.capacityChanged()
-			_ = w.d.clock.Sleep(context.Background(), max(w.jitter(), minPassInterval))
+			_ = w.d.clock.Sleep(context.Background(), max(w.jitter(), minPassInterval, pause))
 		case <-due:
 			w.capacityChanged()
 		case <-w.wake:
--- a/queue/item.go
+++ b/queue/item.go
@@ -55,14 +55,11 @@
 	slack clock.Millis
 }
 
-// aged reports whether the item has waited so long that it may be tried before more urgent ones.
-func (i *Item) aged(now clock.Millis) bool {
+// Aged reports whether the item has waited so long that it may be tried before more urgent ones.
+func (i *Item) Aged(now clock.Millis) bool {
 	return i.Class > 0 && i.elapsedFraction(now) >= agingFraction
 }
 
-// Aged reports whether the item is not held back any more in favour of more urgent ones at other instances.
-func (i *Item) Aged(now clock.Millis) bool { return i.aged(now) }
-
 // elapsedFraction returns the fraction of the caller's patience that has passed.
 func (i *Item) elapsedFraction(now clock.Millis) float64 {
 	return float64(now-i.Arrived) / float64(max(i.GivesUp-i.Arrived, 1))
--- a/queue/pass.go
+++ b/queue/pass.go
@@ -33,7 +33,7 @@
 	q.passes++
 	p.number = q.passes
 	for _, i := range p.order {
-		if q.compare == nil && i.aged(now) {
+		if q.compare == nil && i.Aged(now) {
 			p.aged = append(p.aged, i)
 		}
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -102,7 +102,7 @@
 		return
 	}
 	a := l.account(i)
-	if l.urgentStarts++; i.aged(now) {
+	if l.urgentStarts++; i.Aged(now) {
 		l.urgentStarts = 0
 	}
 	begin := max(l.virtual[i.Class], a.finish)
@@ -152,7 +152,7 @@
 // have become free.
 func (q *Queue) MayOvertake(i *Item, now clock.Millis) bool {
 	for _, other := range q.items {
-		if other.triedIn < q.generation && other.Service == i.Service && (other.Class <= i.Class || other.aged(now)) {
+		if other.triedIn < q.generation && other.Service == i.Service && (other.Class <= i.Class || other.Aged(now)) {
 			return false
 		}
 	}
