--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,8 +48,10 @@
 	peerReports map[poplarwinch.InstanceID]*peerReport
 	// summaries holds the latest summary of each other cell.
 	summaries map[summaryKey]*receivedSummary
-	// waiting is the number of this instance's requests that wait for a server.
-	waiting int
+	// waiting has the numbers of this instance's requests that wait for a server.
+	waiting map[poplarwinch.ServiceName]ClassCounts
+	// waitingNotifiedAt is the time at which peers were last notified that requests wait; zero if they were not.
+	waitingNotifiedAt clock.Millis
 	// changed is closed and replaced when load or servers change.
 	changed chan struct{}
 }
@@ -59,7 +61,7 @@
 	f := &Fleet{
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
-		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
+		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{}, waiting: map[poplarwinch.ServiceName]ClassCounts{},
 		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -122,6 +124,8 @@
 	Resting bool
 	// RestsForPeers says that the server wants no requests from another instance now.
 	RestsForPeers bool
+	// LimitInterval is the time between two requests that the server takes from all instances; zero means no limit.
+	LimitInterval clock.Millis
 	// Wait is the time until the server's notices allow another request of this instance; zero means now.
 	Wait clock.Millis
 }
