Choose plain servers by least predicted remaining work

The choice by fewest requests doesn't know that servers differ in speed, and instances which decide at once take the first of equally loaded servers. The new package cost learns service times by route, method, model, size and customer, and the pace of each server; assignment.LeastWork chooses at random among the servers with about the earliest predicted end. learned_cost.server_choice: false restores the choice by fewest requests.

--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -55,6 +55,8 @@
 	Prefill clock.Millis
 	// FirstEvent is the predicted time to the first event.
 	FirstEvent clock.Millis
+	// Predicted is the predicted time to the answer of a plain service; zero if nothing was learned.
+	Predicted clock.Millis
 	// Shared says that no single engine has the memory for the prompt, so that it must be reserved on several.
 	Shared bool
 	Reason Reason
--- a/assignment/server.go
+++ b/assignment/server.go
@@ -22,12 +22,9 @@
 // own failure domain. Servers to avoid are used only if there are no others. While the limits of all servers are used up, the request
 // waits, for half of its time at most. The list must not be empty.
 func Server(servers []fleet.Candidate, domain poplarwinch.FailureDomain, timeLeft, fullTime clock.Millis) (Plan, Verdict) {
-	if servers = healthy(servers); len(servers) == 0 {
-		return Plan{}, VerdictResting
-	}
-	usable := withinLimit(servers)
-	if len(usable) == 0 {
-		return Plan{}, verdictAtLimit(servers, timeLeft, fullTime)
+	usable, verdict := usableServers(servers, timeLeft, fullTime)
+	if verdict != VerdictRun {
+		return Plan{}, verdict
 	}
 	best := &usable[0]
 	for i := range usable {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -115,6 +116,7 @@
 	switch {
 	case err == nil:
 		x.d.fleet.Succeeded(selected.first.ID)
+		x.learnEngine(selected)
 		if !selected.serverError {
 			x.recordAnswer(selected)
 		}
@@ -177,6 +179,7 @@
 		return &CallError{Failure: FailureBroken, Cause: err}
 	}
 	defer x.d.discard(body)
+	x.learnPlain(selected, a.Status)
 	if a.Status >= http.StatusInternalServerError {
 		if x.retriesServerError() {
 			return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d", a.Status)}
@@ -240,6 +243,7 @@
 			x.firstEvent = max(x.d.clock.Now()-x.Started, 1)
 		}
 		x.recordEvent(selected)
+		selected.events += bytes.Count(events, separator)
 		selected.ticket.FirstEvent()
 	}
 	if progress || x.splitter.last == "" {
--- /dev/null
+++ b/dispatch/cost_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/poplarwinch/poplarwinch"
+	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/cost"
+	"github.com/poplarwinch/poplarwinch/dispatch"
+	"github.com/poplarwinch/poplarwinch/route"
+)
+
+// withCost makes the dispatcher of the fixture learn.
+func (f *fixture) withCost(uses dispatch.CostUses) *cost.Estimator {
+	e := cost.New(clock.System(), "north")
+	dispatch.WithCost(e, uses)(f.dispatcher)
+	return e
+}
+
+// Guards against learned costs that the choice of a plain server doesn't use, or uses though it is switched off, errors that are taken
+// for fast answers, and a log without the predicted and the actual time.
+func TestLearnedCostOfPlainServers(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			e := f.withCost(dispatch.CostUses{ServerChoice: on})
+			counts := map[poplarwinch.UpstreamID]int{}
+			f.answer = func(_ context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+				counts[c.Server.ID]++
+				if c.Server.ID == "s3" {
+					time.Sleep(5 * time.Millisecond)
+					return complete(http.StatusBadGateway, "")
+				}
+				time.Sleep(map[poplarwinch.UpstreamID]time.Duration{"s1": 90 * time.Millisecond, "s2": 30 * time.Millisecond}[c.Server.ID])
+				return complete(http.StatusOK, "x")
+			}
+			for range 120 {
+				f.run(t.Context(), f.request(route.KindNonIdempotent))
+				time.Sleep(4 * time.Second)
+			}
+			if on && counts["s2"] < 2*counts["s1"] {
+				t.Errorf("requests %v, want most on the faster server", counts)
+			}
+			if !on && counts["s1"] < 60 {
+				t.Errorf("requests %v, want the first of equally loaded servers", counts)
+			}
+			if pace := e.Pace("s3", 0); pace != 1 {
+				t.Errorf("pace %.2f of a server that has answered errors only", pace)
+			}
+			last := f.log.Entries[len(f.log.Entries)-1]
+			predicted, actual := last.Fields["predicted-ms"].(clock.Millis), last.Fields["actual-ms"].(clock.Millis)
+			if f.calls[len(f.calls)-1].Server.ID != "s3" && (predicted < 20 || actual < 30) {
+				t.Errorf("predicted %d ms, actual %d ms", predicted, actual)
+			}
+			var metrics bytes.Buffer
+			f.dispatcher.WriteMetrics(&metrics)
+			if !strings.Contains(metrics.String(), "poplarwinch_prediction_ratio") {
+				t.Error("no metric of the error of predictions")
+			}
+		})
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/admission"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/cost"
 	"github.com/poplarwinch/poplarwinch/engine"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/internal/bytebudget"
@@ -48,6 +49,9 @@
 	metrics          *requestMetrics
 	// memory bounds the buffered responses.
 	memory *bytebudget.Budget
+	// cost learns the cost of requests; nil if nothing is learned.
+	cost     *cost.Estimator
+	costUses CostUses
 
 	// decisionMutex makes selecting servers and recording the load on them atomic.
 	decisionMutex sync.Mutex
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// predictionEnded records the ratio of an actual time to its prediction, if both are known.
+func (m *requestMetrics) predictionEnded(service poplarwinch.ServiceName, predicted, actual clock.Millis) {
+	if predicted > 0 && actual > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`poplarwinch_prediction_ratio{service=%q}`, service)).Update(float64(actual) / float64(predicted))
+	}
+}
+
 // attemptEnded records the result of an attempt.
 func (m *requestMetrics) attemptEnded(service poplarwinch.ServiceName, result string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_attempts_total{service=%q,result=%q}`, service, result)).Inc()
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/assignment"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/cost"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/reservation"
 	"github.com/poplarwinch/poplarwinch/route"
@@ -39,9 +40,13 @@
 	// load is the load of the first server before the attempt, for the log.
 	load   fleet.Load
 	ticket *fleet.Ticket
+	// cost is the remaining work at a plain server; nil for others.
+	cost *cost.Running
 	// sentAt is the time at which the request was sent, and firstEventAt that of its first event; zero if there was none.
 	sentAt       clock.Millis
 	firstEventAt clock.Millis
+	// events is the number of events with content.
+	events int
 	// survived says that the server was recorded as having survived the parts of the prompt.
 	survived bool
 	// serverError says that the server answered with a 5xx status, which doesn't show that it can run the request.
@@ -65,6 +70,7 @@
 // release removes the attempt's load and, in the background, its reservations.
 func (s *selection) release(d *Dispatcher) {
 	s.ticket.End()
+	s.endCost()
 	if s.group == nil {
 		return
 	}
@@ -175,7 +181,7 @@
 	if pool, isPool := x.pool(); isPool {
 		return assignment.Choose(&pool, candidates, x.prompt())
 	}
-	return assignment.Server(candidates, x.d.domain, x.Deadline-x.d.clock.Now(), x.Deadline-x.Started)
+	return x.planServer(candidates)
 }
 
 // verdictError returns the error for a request that is rejected now, or nil if it waits.
@@ -280,6 +286,7 @@
 		}
 	}
 	selected.ticket = x.d.fleet.Begin(w)
+	x.beginCost(selected)
 	x.logDecision(selected, &w)
 }
 
@@ -291,7 +298,7 @@
 	}
 	entry.WithFields(log.Fields{
 		"upstream": w.First, "helpers": len(w.Helpers), "reserved": len(w.Shares), "reason": selected.plan.Reason,
-		"predicted-ms": selected.plan.FirstEvent, "read-ms": w.Prefill, "tokens": x.PromptTokens, "requests": selected.load.Requests,
+		"predicted-ms": selected.predictedMillis(), "read-ms": w.Prefill, "tokens": x.PromptTokens, "requests": selected.load.Requests,
 		"queued-read-ms": selected.load.Prefill, "age-ms": x.d.clock.Now() - x.Started, "attempt": x.sends + 1,
 		"configuration": x.d.version(), "servers-version": x.d.listVersion(),
 	}).Info("routing decision")
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -70,6 +70,11 @@
 	last fleet.Server
 	// successor has the servers that were prepared to take over from the latest attempt, or is nil.
 	successor *selection
+	// firstEventFactor is the correction of the predicted time to the first event in the latest decision; zero means none.
+	firstEventFactor float64
+	// predicted and actual are the predicted and the actual time of the latest complete attempt: to the answer of a plain service, or to
+	// the first event. They are zero if unknown.
+	predicted, actual clock.Millis
 	// waited is the total time spent selecting servers, including waits for capacity.
 	waited clock.Millis
 }
@@ -219,7 +224,7 @@
 	total := x.d.clock.Now() - x.Started
 	fields := log.Fields{
 		"upstream": x.last.ID, "attempts": x.sends, "ran": x.possibleRuns, "first-event-ms": x.firstEvent, "total-ms": total,
-		"waited-ms": x.waited, "tokens": x.PromptTokens,
+		"waited-ms": x.waited, "tokens": x.PromptTokens, "predicted-ms": x.predicted, "actual-ms": x.actual,
 	}
 	result := "completed"
 	if err != nil {
@@ -231,4 +236,5 @@
 	fields["result"] = result
 	x.log.WithFields(fields).Info("request ended")
 	x.d.metrics.requestEnded(x.Service, result, x.firstEvent, total)
+	x.d.metrics.predictionEnded(x.Service, x.predicted, x.actual)
 }
