Correct the predicted first event, and derive Retry-After from what was learned

A formula that is wrong for an engine stays wrong for all its requests, and rejections named 2 s to 3 s, which callers that give up after 2 s don't honour. Tests: first event of 60 ms predicted within 10 % after 60 requests (without: not).

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -185,7 +185,7 @@
 	if e.Load.Decoding > 0 {
 		waitMillis = passMillis / 2
 	}
-	return waitMillis + queuedMillis(e) + prefillMillis + passMillis
+	return c.prompt.correct(waitMillis + queuedMillis(e) + prefillMillis + passMillis)
 }
 
 // planShort chooses the engine for a short prompt. Engines that already serve short prompts are preferred, which leaves
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -25,10 +25,20 @@
 	FullCallerTimeout clock.Millis
 	// MaxPause is the longest pause between events that the caller accepts; zero means no limit.
 	MaxPause clock.Millis
+	// FirstEventFactor is the learned ratio of the actual to the predicted time to the first event; zero means that nothing was learned.
+	FirstEventFactor float64
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
 }
 
+// correct applies the learned correction to a predicted time to the first event.
+func (p *Prompt) correct(millis float64) float64 {
+	if p.FirstEventFactor <= 0 {
+		return millis
+	}
+	return millis * p.FirstEventFactor
+}
+
 // Reason says why a plan was chosen.
 type Reason string
 
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -117,3 +117,12 @@
 		AnswerTokens: poplarwinch.Tokens(selected.events), MaxAnswerTokens: x.MaxAnswerTokens, Total: x.d.clock.Now() - selected.sentAt,
 	})
 }
+
+// correctFirstEvent returns the learned correction of the predicted time to the first event; zero means none.
+func (x *run) correctFirstEvent() float64 {
+	x.firstEventFactor = 0
+	if x.d.cost != nil && x.d.costUses.FirstEvent {
+		x.firstEventFactor = x.d.cost.PredictEngine(x.costRequest()).FirstEventFactor
+	}
+	return x.firstEventFactor
+}
--- a/dispatch/cost_test.go
+++ b/dispatch/cost_test.go
@@ -64,3 +64,26 @@
 		})
 	}
 }
+
+// Guards against a first event of engines that is predicted wrongly for good, and against a correction that is applied though it is
+// switched off.
+func TestLearnedFirstEvent(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			f.withCost(dispatch.CostUses{FirstEvent: on})
+			f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+				time.Sleep(60 * time.Millisecond)
+				return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+			}
+			for range 60 {
+				f.run(t.Context(), f.request(route.KindStreaming))
+				time.Sleep(5 * time.Second)
+			}
+			fields := f.log.Entries[len(f.log.Entries)-1].Fields
+			ratio := float64(fields["actual-ms"].(clock.Millis)) / float64(fields["predicted-ms"].(clock.Millis))
+			if exact := ratio > 0.9 && ratio < 1.1; exact != on {
+				t.Errorf("correction %t: predicted %v ms, actual %v ms", on, fields["predicted-ms"], fields["actual-ms"])
+			}
+		})
+	}
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -23,8 +23,8 @@
 	maxListWait = 2 * clock.Second
 	// maxJitter bounds the random delay of waiting requests after a change of the fleet.
 	maxJitter clock.Millis = 120
-	// retryAfterFull is the shortest Retry-After hint for prompts rejected because the engines are full; up to half of it is
-	// added as jitter.
+	// retryAfterFull is the shortest Retry-After hint for requests rejected because the servers are full, unless the time until they have
+	// room is predicted; up to half of it is added as jitter.
 	retryAfterFull = 2 * clock.Second
 	// retryAfterReject is the Retry-After hint for prompts that can't be answered before their deadline.
 	retryAfterReject = clock.Second
@@ -147,7 +147,7 @@
 	}
 	plan, verdict := x.plan(candidates)
 	if verdict != assignment.VerdictRun {
-		return nil, verdictError(verdict, candidates)
+		return nil, x.verdictError(verdict, candidates)
 	}
 	return x.apply(candidates, &plan), nil
 }
@@ -185,12 +185,12 @@
 }
 
 // verdictError returns the error for a request that is rejected now, or nil if it waits.
-func verdictError(v assignment.Verdict, candidates []fleet.Candidate) error {
+func (x *run) verdictError(v assignment.Verdict, candidates []fleet.Candidate) error {
 	switch v {
 	case assignment.VerdictYield:
-		return overloaded("the engines are full")
+		return x.overloaded("the engines are full", x.untilFree(candidates))
 	case assignment.VerdictLimited:
-		return overloaded(fmt.Sprintf("the limits of all %d servers are used up", len(candidates)))
+		return x.overloaded(fmt.Sprintf("the limits of all %d servers are used up", len(candidates)), untilAllowed(candidates))
 	case assignment.VerdictResting:
 		if resting := allResting(candidates); resting != nil {
 			return resting
@@ -204,11 +204,11 @@
 	return nil
 }
 
-// overloaded returns the error for a request that is rejected because the servers take no more now.
-func overloaded(message string) *poplarwinch.Error {
+// overloaded returns the error for a request that is rejected because the servers take no more now. untilFree is the predicted time
+// until they do, zero if unknown.
+func (x *run) overloaded(message string, untilFree clock.Millis) *poplarwinch.Error {
 	return &poplarwinch.Error{
-		Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun,
-		RetryAfter: retryAfterFull + clock.Millis(rand.Int64N(int64(retryAfterFull/2))), Message: message, Remedy: "retry later",
+		Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: x.retryAfter(untilFree), Message: message, Remedy: "retry later",
 	}
 }
 
@@ -252,6 +252,7 @@
 		Tokens: x.PromptTokens, AnswerTokens: x.MaxAnswerTokens, TimeLeft: x.Deadline - now, MaxPause: x.Route.MaxPause, Domain: x.d.domain,
 		Target: x.Started + x.Route.Target - now, FullTarget: x.Route.Target,
 		CallerTimeout: min(x.Deadline, x.Started+x.callerTimeout()) - now, FullCallerTimeout: min(x.Deadline-x.Started, x.callerTimeout()),
+		FirstEventFactor: x.correctFirstEvent(),
 	}
 }
 
