--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -77,6 +77,7 @@
 	} else {
 		plan, ok = c.planGroup()
 	}
+	plan.FirstEvent = ceilMillis(c.prompt.correct(float64(plan.FirstEvent)))
 	switch {
 	case !ok && c.shouldYieldWithoutPlan():
 		return Plan{}, VerdictYield
@@ -185,7 +186,7 @@
 	if e.Load.Decoding > 0 {
 		waitMillis = passMillis / 2
 	}
-	return c.prompt.correct(waitMillis + queuedMillis(e) + prefillMillis + passMillis)
+	return waitMillis + queuedMillis(e) + prefillMillis + passMillis
 }
 
 // planShort chooses the engine for a short prompt. Engines that already serve short prompts are preferred, which leaves
--- a/assignment/prompt.go
+++ b/assignment/prompt.go
@@ -26,6 +26,8 @@
 	// MaxPause is the longest pause between events that the caller accepts; zero means no limit.
 	MaxPause clock.Millis
 	// FirstEventFactor is the learned ratio of the actual to the predicted time to the first event; zero means that nothing was learned.
+	// It applies to the first event of a plan, not to the comparison of engines and the stages: applied there, it lost 1 % of the worth
+	// in simulations, with a right formula as well as with wrong ones.
 	FirstEventFactor float64
 	// Domain is the failure domain whose engines are preferred.
 	Domain poplarwinch.FailureDomain
--- a/cost/statistic.go
+++ b/cost/statistic.go
@@ -23,7 +23,10 @@
 	highDeviation = 1.2816
 	// minParentWeight and maxParentWeight bound the number of samples for which the estimate of a more general key counts.
 	minParentWeight = 0.3
-	maxParentWeight = 8
+	maxParentWeight = 16
+	// chanceFactor is the multiple of the variance of a key's mean up to which its square distance from the general mean counts as chance.
+	// Of the values tried from 1 to 8, 8 had the lowest error on all drawn streams.
+	chanceFactor = 8
 	// firstEventFactorLimit bounds the correction of the predicted time to the first event.
 	firstEventFactorLimit = 2.0
 	// changeSamples is the number of outliers in a row, all above or all below, from which they are taken for a change. With a tail of 1
@@ -105,7 +108,7 @@
 	}
 	// A mean that is further from the general one than chance explains shows a variance between keys of its own.
 	distance := own.mean - n.mean
-	between := max(n.variance-own.variance, distance*distance-own.variance/weight, own.variance/maxParentWeight)
+	between := max(n.variance-own.variance, distance*distance-chanceFactor*own.variance/weight, own.variance/maxParentWeight)
 	parent := clamp(own.variance/between, minParentWeight, maxParentWeight)
 	share := weight / (weight + parent)
 	return normal{mean: share*own.mean + (1-share)*n.mean, variance: share*own.variance + (1-share)*n.variance}
