--- a/assignment/work.go
+++ b/assignment/work.go
@@ -16,8 +16,8 @@
 	// the error of a server's pace after a few samples.
 	similarEndFraction = 0.1
 	// similarEndRequests is the same as a number of requests on the server, and similarEndLoad as a fraction of the requests there: the
-	// counts are up to 200 ms old, in which a busy server gets and ends many.
-	similarEndRequests = 0.5
+	// counts are up to 200 ms old for servers outside the own cell, which get and end many in that time.
+	similarEndRequests = 0.3
 	similarEndLoad     = 0.6
 )
 
@@ -55,7 +55,7 @@
 	for i := range usable {
 		ends[i] = w.end(&usable[i], domain)
 	}
-	best := w.lowest(ends, w.similar, usable)
+	best := w.lowest(ends, func(s *fleet.Candidate) float64 { return w.similar(s, domain) }, usable)
 	return Plan{First: usable[best].ID, Predicted: ceilMillis(ends[best]), Reason: ReasonLeastWork}, VerdictRun
 }
 
@@ -88,9 +88,12 @@
 }
 
 // similar returns the time by which the end at another server may be later than at the best one s and still count as equal.
-func (w *LearnedWork) similar(s *fleet.Candidate) float64 {
-	requests := similarEndRequests + similarEndLoad*float64(s.Load.Requests)
-	return w.Pace(s) * (similarEndFraction*w.Request + requests*w.Usual/float64(max(s.Slots, 1)))
+func (w *LearnedWork) similar(s *fleet.Candidate, domain poplarwinch.FailureDomain) float64 {
+	requests := similarEndRequests
+	if s.Domain != domain || s.OtherCell {
+		requests += similarEndLoad * float64(s.Load.Requests)
+	}
+	return w.Pace(s) * (similarEndFraction*min(w.Request, w.Usual) + requests*w.Usual/float64(max(s.Slots, 1)))
 }
 
 // lowest returns the index of one of the lowest values: at random among those that exceed the lowest one by at most the tolerance of its
--- a/assignment/work_simulation_test.go
+++ b/assignment/work_simulation_test.go
@@ -17,7 +17,7 @@
 const (
 	// plainSlots is the number of requests that a plain server runs at a time; as many more wait there, and further ones are rejected.
 	plainSlots = 6
-	// cellDelay and distantDelay are the times until instances of the same and of other failure domains know of a request.
+	// cellDelay and distantDelay are the times until instances of a server's failure domain and those of others know of a request.
 	cellDelay    = 6
 	distantDelay = 200
 	// wayMillis is the network time of a request to a server in another failure domain.
@@ -53,6 +53,7 @@
 	clock     *clock.Manual
 	servers   []*plainServer
 	instances []*plainInstance
+	domains   []poplarwinch.FailureDomain
 	policy    plainPolicy
 	// median returns the median service time of a request.
 	median   func(r *cost.Request) float64
@@ -70,6 +71,9 @@
 		median: func(*cost.Request) float64 { return 30 }, chosen: make([]int, len(slow)),
 	}
 	name := func(n int) poplarwinch.FailureDomain { return poplarwinch.FailureDomain(fmt.Sprintf("d%d", n%domains)) }
+	for n := range domains {
+		s.domains = append(s.domains, name(n))
+	}
 	for n, factor := range slow {
 		id := poplarwinch.UpstreamID(fmt.Sprintf("s%d", n))
 		c := fleet.Candidate{Server: fleet.Server{ID: id, Domain: name(n), Service: "bookings", Slots: plainSlots}, LoadKnown: true}
@@ -156,17 +160,18 @@
 func (s *plainSimulation) count(i *plainInstance, n, change int) {
 	own, ownSeen := i.own, i.ownSeen
 	own[n] += change
-	s.at(cellDelay, func() {
-		s.servers[n].seen[i.domain] += change
-		ownSeen[n] += change
-	})
-	s.at(distantDelay, func() {
-		for _, o := range s.instances[:min(3, len(s.instances))] { // one of each failure domain
-			if o.domain != i.domain {
-				s.servers[n].seen[o.domain] += change
-			}
+	for _, domain := range s.domains {
+		delay := cellDelay
+		if domain != s.servers[n].Domain {
+			delay = distantDelay
 		}
-	})
+		s.at(float64(delay), func() {
+			s.servers[n].seen[domain] += change
+			if domain == i.domain {
+				ownSeen[n] += change
+			}
+		})
+	}
 }
 
 // run plays the time with requests of the customers at a rate per second.
@@ -296,7 +301,7 @@
 		{name: "slow server, typical", slow: slowOne, instances: 75, domains: 1, perSecond: 12, better: 0.9},
 		{name: "slow server, three domains", slow: slowOne, instances: 75, domains: 3, perSecond: 12, better: 0.95},
 		{name: "two servers of different speed", slow: []float64{1, 2}, instances: 6, domains: 1, perSecond: 40, better: 0.95},
-		{name: "costs of 1 : 50", slow: equal, instances: 6, domains: 1, perSecond: 60, mixed: true, better: 1.05},
+		{name: "costs of 1 : 50", slow: equal, instances: 6, domains: 1, perSecond: 170, mixed: true, better: 1.05},
 		{name: "slow server, all instances restart", slow: slowOne, instances: 75, domains: 1, perSecond: 12, restart: true, better: 0.95},
 		{name: "equal, all instances restart", slow: equal, instances: 75, domains: 3, perSecond: 12, restart: true, better: 1.05},
 	} {
