Don't learn from requests without a prompt at engines

An engine answers them quickly, and they would have counted as the time of prompts in the predicted time until capacity is free, and the time of prompts as theirs.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -38,7 +38,7 @@
 // planServer chooses a server of a plain service.
 func (x *run) planServer(candidates []fleet.Candidate) (assignment.Plan, assignment.Verdict) {
 	timeLeft, fullTime := x.Deadline-x.d.clock.Now(), x.Deadline-x.Started
-	if x.d.cost == nil || !x.d.costUses.ServerChoice {
+	if x.d.cost == nil || !x.d.costUses.ServerChoice || x.atPool() {
 		return assignment.Server(candidates, x.d.domain, timeLeft, fullTime)
 	}
 	return assignment.LeastWork(candidates, x.d.domain, timeLeft, fullTime, x.learnedWork())
@@ -65,10 +65,18 @@
 	selected.cost = x.d.cost.Begin(x.costRequest(), cost.Server{ID: s.ID, Boot: s.Boot, Domain: s.Domain})
 }
 
-// isPlain reports whether the response of the request has no events.
-func (x *run) isPlain() bool {
-	_, isPool := x.pool()
-	return !isPool && x.Route.Kind != route.KindStreaming
+// isPlain reports whether the request goes to a plain service and its response has no events.
+func (x *run) isPlain() bool { return !x.atPool() && x.Route.Kind != route.KindStreaming }
+
+// atPool reports whether the service is a pool of engines. Its requests without a prompt are neither predicted nor learned, since what is
+// known of the service is the cost of prompts.
+func (x *run) atPool() bool {
+	t := x.d.active()
+	if t == nil {
+		return false
+	}
+	_, ok := t.Pools[x.Service]
+	return ok
 }
 
 // endCost ends the work of an attempt at a plain server, unless learnPlain has done so.
--- a/dispatch/cost_test.go
+++ b/dispatch/cost_test.go
@@ -87,3 +87,21 @@
 		})
 	}
 }
+
+// Guards against requests without a prompt that engines answer quickly and that are taken for the cost of prompts.
+func TestRequestsWithoutPromptAreNotLearned(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		e := f.withCost(dispatch.CostUses{ServerChoice: true})
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, "x")
+		}
+		for range 5 {
+			r := f.request(route.KindIdempotent)
+			r.Service = "pool"
+			f.run(t.Context(), r)
+		}
+		if p := e.Usual("pool"); p.Known() {
+			t.Errorf("got %+v, want nothing learned", p)
+		}
+	})
+}
