--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -126,10 +126,10 @@
 	})
 }
 
-// correctFirstEvent returns the learned correction of the predicted time to the first event; zero means none.
+// correctFirstEvent returns the learned correction of the predicted time to the first event; zero means none. It is looked up once for a
+// request, since a waiting one is decided on many times.
 func (x *run) correctFirstEvent() float64 {
-	x.firstEventFactor = 0
-	if x.d.cost != nil && x.d.costUses.FirstEvent {
+	if x.firstEventFactor == 0 && x.d.cost != nil && x.d.costUses.FirstEvent {
 		x.firstEventFactor = x.d.cost.PredictEngine(x.costRequest()).FirstEventFactor
 	}
 	return x.firstEventFactor
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -70,7 +70,7 @@
 	last fleet.Server
 	// successor has the servers that were prepared to take over from the latest attempt, or is nil.
 	successor *selection
-	// firstEventFactor is the correction of the predicted time to the first event in the latest decision; zero means none.
+	// firstEventFactor is the correction of the predicted time to the first event; zero means none.
 	firstEventFactor float64
 	// predicted and actual are the predicted and the actual time of the latest complete attempt: to the answer of a plain service, or to
 	// the first event. They are zero if unknown.
