Long prompts beyond their target run on the largest group

Cause: the limit for late prompts rejected those that can't meet their target on any group, as on small pools (found by TestAllowedRegions and TestReservations).

Change: their predicted first event may take twice the time that the largest group needs.

--- a/assignment/group.go
+++ b/assignment/group.go
@@ -39,6 +39,9 @@
 	// lateTargetFraction is the fraction of FullTarget that the prefill of a long prompt which misses its target may take. A late prompt on
 	// few engines would occupy them for longer than many prompts need that can still meet their targets.
 	lateTargetFraction = 0.5
+	// latePrefillFactor is the multiple of the prefill time on the largest group that it may take in any case. Prompts that are too long for
+	// their target would never run otherwise.
+	latePrefillFactor = 2.0
 	// largestTargetFraction is the fraction of FullTarget above which the prefill by a full group makes a prompt one of
 	// the largest.
 	largestTargetFraction = 0.25
@@ -131,15 +134,21 @@
 func (c *choice) maxFirstEventMillis(stage stage) float64 {
 	switch stage {
 	case stageUrgent:
-		return min(float64(c.prompt.TimeLeft), lateTargetFraction*float64(c.prompt.FullTarget))
+		return min(float64(c.prompt.TimeLeft), c.lateLimitMillis())
 	case stageMissed:
-		return min(missedCallerTimeoutFraction*float64(c.prompt.CallerTimeout), lateTargetFraction*float64(c.prompt.FullTarget))
+		return min(missedCallerTimeoutFraction*float64(c.prompt.CallerTimeout), c.lateLimitMillis())
 	case stagePressed:
 		return float64(c.prompt.Target)
 	}
 	return longTargetFraction * float64(c.prompt.Target)
 }
 
+// lateLimitMillis returns the longest predicted time to the first event of a long prompt that misses its target.
+func (c *choice) lateLimitMillis() float64 {
+	shortestMillis := c.prefillMillis/float64(min(len(c.engines), maxHelpers+1)) + c.singlePassMillis()
+	return max(lateTargetFraction*float64(c.prompt.FullTarget), latePrefillFactor*shortestMillis)
+}
+
 // groupPlan returns the plan with the first k suitable engines in order, and its time to the first event.
 func (c *choice) groupPlan(order []fleet.Candidate, k int, partMillis float64) (Plan, float64, bool) {
 	var chosen []*fleet.Candidate
--- a/dispatch/retryafter_internal_test.go
+++ b/dispatch/retryafter_internal_test.go
@@ -23,15 +23,18 @@
 	for range 10 {
 		e.LearnEngine(x.costRequest(), cost.EngineOutcome{Total: 4000})
 	}
-	for range 7 {
+	if got := x.untilFree(engines); got != retryAfterFull {
+		t.Errorf("%d ms predicted with nothing waiting, want %d: a caller that comes back sooner is rejected again", got, retryAfterFull)
+	}
+	for range 14 {
 		defer d.fleet.CountWaiting()()
 	}
 	predicted := x.untilFree(engines)
-	if predicted < 1300 || predicted > 1600 {
-		t.Errorf("%d ms predicted, want about 7 of 20 requests of 4 s to end", predicted)
+	if predicted < 2700 || predicted > 3000 {
+		t.Errorf("%d ms predicted, want about 14 of 20 requests of 4 s to end", predicted)
 	}
 	for _, c := range []struct{ untilFree, lowest, highest clock.Millis }{
-		{predicted, 1333, 2000}, {300, 300, 450}, {9000, 1333, 2000}, {1, 50, 75},
+		{predicted, 2700, 4500}, {300, 300, 450}, {9000, 4444, 6667}, {1, 50, 75},
 	} {
 		seen := map[clock.Millis]bool{}
 		for range 300 {
