--- a/assignment/group.go
+++ b/assignment/group.go
@@ -41,7 +41,7 @@
 	lateTargetFraction = 0.5
 	// latePrefillFactor is the multiple of the prefill time on the largest group that it may take in any case. Prompts that are too long for
 	// their target would never run otherwise.
-	latePrefillFactor = 2.0
+	latePrefillFactor = 1.25
 	// largestTargetFraction is the fraction of FullTarget above which the prefill by a full group makes a prompt one of
 	// the largest.
 	largestTargetFraction = 0.25
