--- a/replica/lasting_test.go
+++ b/replica/lasting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,10 +50,10 @@
 		f := newFixture(t, true, replica.WithLasting(lastingKey))
 		f.source.changes <- result{batch: replica.Batch{Version: 20, Rows: []replica.Row{row("c", 19), row("evacuate/x", 20)}}}
 		expectRows(t, f.replica, "at this point", "a b c evacuate/x")
-		reads := 0
+		var reads atomic.Int64
 		f.restore(restored(5, row("a", 1), row("b", 1)))
 		f.source.setRead(func() (replica.Batch, error) {
-			reads++
+			reads.Add(1)
 			return restored(5, row("a", 1), row("b", 1)), nil
 		})
 		expectRows(t, f.replica, "at this point", "a b c evacuate/x")
@@ -61,10 +62,10 @@
 		if p, _ := f.replica.Position(); p.Unsettled {
 			t.Error("the position is unsettled: peers would be asked for the row again and again")
 		}
-		before := reads
+		before := reads.Load()
 		time.Sleep(54 * time.Second)
 		expectRows(t, f.replica, "at this point", "a b evacuate/x")
-		if n := reads - before; n > 1 {
+		if n := reads.Load() - before; n > 1 {
 			t.Errorf("the whole table was read %d times meanwhile", n)
 		}
 		time.Sleep(2 * time.Second)
