Have peers confirm an evacuation that was withheld and then installed

An instance that learns from peers installs a withheld row after 5 s. Such a row is unconfirmed now, which is passed on, and is treated as other rows are.

--- a/replica/apply.go
+++ b/replica/apply.go
@@ -71,6 +71,7 @@
 		r.rememberRemoved(row)
 	}
 	delete(r.rows, tombstone.Key)
+	delete(r.unconfirmed, tombstone.Key)
 	r.deleted[tombstone.Key] = tombstone
 }
 
--- a/replica/era.go
+++ b/replica/era.go
@@ -34,6 +34,7 @@
 	r.version, r.contentVersion, r.historyStart = 0, 0, to.Version
 	clear(r.deleted)
 	clear(r.held)
+	clear(r.unconfirmed)
 }
 
 // ExpectEra makes the replica read the whole table from the source, if it follows it, unless it is in that era already. A wait for changes
@@ -121,16 +122,20 @@
 func (r *Replica) noteMissing(row *Row) {
 	if !row.Missing {
 		delete(r.missingSince, row.Key)
+		delete(r.unconfirmed, row.Key)
 		return
 	}
 	if _, known := r.missingSince[row.Key]; !known {
-		r.missingSince[row.Key] = r.clock.Now() - row.MissingFor
+		r.missingSince[row.Key] = r.clock.Now() - max(row.MissingFor, 0)
+		if row.MissingFor == unconfirmedRow {
+			r.unconfirmed[row.Key] = true
+		}
 	}
 	row.Missing, row.MissingFor = false, 0
 }
 
 // installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. They count as missing
-// until a peer that follows it confirms them, unless they are lasting ones. It also removes lasting rows that were missing for too long.
+// until a peer that follows it confirms them. It also removes lasting rows that were missing for too long.
 func (r *Replica) installHeld() {
 	r.mutex.Lock()
 	now := r.clock.Now()
@@ -141,8 +146,9 @@
 		}
 		delete(r.held, key)
 		h.row.Version = carriedOver
-		if !r.lasting(h.row) {
-			r.missingSince[key] = now
+		r.missingSince[key] = now
+		if r.lasting(h.row) {
+			r.unconfirmed[key] = true
 		}
 		changed = r.applyRow(h.row) || changed
 	}
--- a/replica/lasting.go
+++ b/replica/lasting.go
@@ -15,8 +15,26 @@
 // HasLasting reports whether the table may have lasting rows.
 func (r *Replica) HasLasting() bool { return r.hasLasting }
 
-// outlasts reports whether the row is a lasting one of an earlier era, which the restored source has not written again.
-func (r *Replica) outlasts(row Row) bool { return row.Version == carriedOver && r.lasting(row) }
+// unconfirmedRow is the Row.MissingFor of a row that was installed after it was held back, so that a peer that follows the source has to
+// tell whether the source still has it.
+const unconfirmedRow clock.Millis = -1
+
+// outlasts reports whether the row is a lasting one of an earlier era, which the restored source has not written again. One that was held
+// back does not last: it is in the source's copy, or is gone.
+func (r *Replica) outlasts(row Row) bool {
+	return row.Version == carriedOver && r.lasting(row) && !r.unconfirmed[row.Key]
+}
+
+// missingFor returns the time for which a row has been missing, as other instances get it. The caller holds the lock.
+func (r *Replica) missingFor(row Row, since clock.Millis) clock.Millis {
+	switch {
+	case r.unconfirmed[row.Key]:
+		return unconfirmedRow
+	case r.outlasts(row):
+		return r.clock.Now() - since
+	}
+	return 0
+}
 
 // keepLasting reports whether a row that a complete batch lacks stays, and since when it is missing. The caller holds the lock.
 func (r *Replica) keepLasting(row Row, now clock.Millis) bool {
--- a/replica/lasting_test.go
+++ b/replica/lasting_test.go
@@ -131,3 +131,27 @@
 		expectRows(t, b, "after an older state that arrives late", "a")
 	})
 }
+
+// Guards against an ended evacuation that comes back for good at an instance that learns from peers: it was withheld there, was installed
+// after its time, and is gone from the store at a version that the instance knows already. Seen in 1 of 150 random restorations.
+func TestWithheldLastingRowIsConfirmedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, later := newLasting(t), newLasting(t)
+		r.Merge(replica.Batch{Version: 20, Complete: true, Rows: []replica.Row{row("a", 1), row("evacuate/x", 20)}})
+		r.Merge(replica.Batch{Version: 21, Rows: []replica.Row{{Key: "evacuate/x", Version: 21, Deleted: true}}})
+		held := row("evacuate/x", 4)
+		held.Held = true
+		r.Merge(replica.Batch{Era: 1, Version: 5, Complete: true, Unsettled: true, Rows: []replica.Row{row("a", 1), held}})
+		expectRows(t, r, "while it is withheld", "a")
+		time.Sleep(6 * time.Second)
+		later.Merge(r.Since(replica.Position{}))
+		for _, one := range []*replica.Replica{r, later} {
+			expectRows(t, one, "after its time", "a evacuate/x")
+			if p, _ := one.Position(); !p.Unsettled {
+				t.Error("the position is settled: no peer is asked what became of the row")
+			}
+			one.Merge(replica.Batch{Era: 1, Version: 5, Complete: true, Rows: []replica.Row{row("a", 1)}})
+			expectRows(t, one, "after a peer's state without it", "a")
+		}
+	})
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -90,6 +90,8 @@
 	changedByPeer bool
 	// missingSince has the time at which a row that is still kept was first missing from a snapshot.
 	missingSince map[string]clock.Millis
+	// unconfirmed has the lasting rows that were held back and then installed, until the source's row replaces them.
+	unconfirmed map[string]bool
 	// removed has the rows that were removed lately, as they were before.
 	removed map[string]removedRow
 	// latestEra is the latest era of the source that was heard of.
@@ -107,7 +109,7 @@
 		supersedes: func(Row, Row) bool { return false }, onEra: func(Era) {}, generation: func([]Row) int64 { return 0 },
 		identity: func(row Row) string { return string(row.Value) }, lasting: func(Row) bool { return false },
 		rows: map[string]Row{}, deleted: map[string]Row{}, missingSince: map[string]clock.Millis{}, removed: map[string]removedRow{},
-		held: map[string]heldRow{}, recheck: make(chan struct{}, 1),
+		held: map[string]heldRow{}, unconfirmed: map[string]bool{}, recheck: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -154,8 +156,8 @@
 	batch.Recent = r.clock.Now()-r.loadedAt < missingRowGrace
 	for _, row := range r.list() {
 		var since clock.Millis
-		if since, row.Missing = r.missingSince[row.Key]; row.Missing && r.outlasts(row) {
-			row.MissingFor = r.clock.Now() - since
+		if since, row.Missing = r.missingSince[row.Key]; row.Missing {
+			row.MissingFor = r.missingFor(row, since)
 		}
 		if complete || row.Missing || row.Version > after.Version {
 			batch.Rows = append(batch.Rows, row)
--- a/replica/row.go
+++ b/replica/row.go
@@ -51,7 +51,7 @@
 	Deleted bool `cbor:"deleted,omitempty"`
 	// Missing is set, between instances, if the sender keeps the row although the source does not have it.
 	Missing bool `cbor:"missing,omitempty"`
-	// MissingFor is the time for which the sender has kept a lasting row that is missing.
+	// MissingFor is the time for which the sender has kept a lasting row that is missing, or unconfirmedRow.
 	MissingFor clock.Millis `cbor:"missing_for,omitempty"`
 	// Held is set, between instances, if the sender holds the row back although the source has it.
 	Held bool `cbor:"held,omitempty"`
