--- a/replica/era.go
+++ b/replica/era.go
@@ -34,6 +34,7 @@
 	r.version, r.contentVersion, r.historyStart = 0, 0, to.Version
 	clear(r.deleted)
 	clear(r.held)
+	clear(r.unconfirmed)
 }
 
 // ExpectEra makes the replica read the whole table from the source, if it follows it, unless it is in that era already. A wait for changes
@@ -77,10 +78,10 @@
 	h, held := r.held[row.Key]
 	old, known := r.rows[row.Key]
 	switch {
-	case held && complete && !row.Held && (now-h.since >= removedRowGrace || row.Version > h.row.Version):
+	case held && complete && !row.Held && !row.Missing && (now-h.since >= removedRowGrace || row.Version > h.row.Version):
 		delete(r.held, row.Key) // its time is over, or it was written again
 		return false
-	case held && complete && r.identity(*row) == r.identity(h.row):
+	case held && (complete || row.Missing) && r.identity(*row) == r.identity(h.row):
 		return true
 	case row.Held && known && old.Version != carriedOver:
 		return true
@@ -111,6 +112,7 @@
 		if seen[key] {
 			continue
 		}
+		r.rememberRemoved(r.held[key].row) // another instance may have removed it, and this one only held it back
 		delete(r.held, key)
 		r.deleted[key] = Row{Key: key, Version: r.version, Deleted: true}
 		r.contentVersion = r.version
@@ -121,16 +123,20 @@
 func (r *Replica) noteMissing(row *Row) {
 	if !row.Missing {
 		delete(r.missingSince, row.Key)
+		delete(r.unconfirmed, row.Key)
 		return
 	}
 	if _, known := r.missingSince[row.Key]; !known {
-		r.missingSince[row.Key] = r.clock.Now() - row.MissingFor
+		r.missingSince[row.Key] = r.clock.Now() - max(row.MissingFor, 0)
+		if row.MissingFor == unconfirmedRow {
+			r.unconfirmed[row.Key] = true
+		}
 	}
 	row.Missing, row.MissingFor = false, 0
 }
 
 // installHeld installs the rows that were held back for long enough, at an instance that doesn't follow the source. They count as missing
-// until a peer that follows it confirms them, unless they are lasting ones. It also removes lasting rows that were missing for too long.
+// until a peer that follows it confirms them. It also removes lasting rows that were missing for too long.
 func (r *Replica) installHeld() {
 	r.mutex.Lock()
 	now := r.clock.Now()
@@ -141,8 +147,9 @@
 		}
 		delete(r.held, key)
 		h.row.Version = carriedOver
-		if !r.lasting(h.row) {
-			r.missingSince[key] = now
+		r.missingSince[key] = now
+		if r.lasting(h.row) {
+			r.unconfirmed[key] = true
 		}
 		changed = r.applyRow(h.row) || changed
 	}
--- a/replica/lasting_test.go
+++ b/replica/lasting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,10 +50,10 @@
 		f := newFixture(t, true, replica.WithLasting(lastingKey))
 		f.source.changes <- result{batch: replica.Batch{Version: 20, Rows: []replica.Row{row("c", 19), row("evacuate/x", 20)}}}
 		expectRows(t, f.replica, "at this point", "a b c evacuate/x")
-		reads := 0
+		var reads atomic.Int64
 		f.restore(restored(5, row("a", 1), row("b", 1)))
 		f.source.setRead(func() (replica.Batch, error) {
-			reads++
+			reads.Add(1)
 			return restored(5, row("a", 1), row("b", 1)), nil
 		})
 		expectRows(t, f.replica, "at this point", "a b c evacuate/x")
@@ -61,10 +62,10 @@
 		if p, _ := f.replica.Position(); p.Unsettled {
 			t.Error("the position is unsettled: peers would be asked for the row again and again")
 		}
-		before := reads
+		before := reads.Load()
 		time.Sleep(54 * time.Second)
 		expectRows(t, f.replica, "at this point", "a b evacuate/x")
-		if n := reads - before; n > 1 {
+		if n := reads.Load() - before; n > 1 {
 			t.Errorf("the whole table was read %d times meanwhile", n)
 		}
 		time.Sleep(2 * time.Second)
@@ -130,3 +131,46 @@
 		expectRows(t, b, "after an older state that arrives late", "a")
 	})
 }
+
+// Guards against an ended evacuation that comes back for good at an instance that learns from peers: it was withheld there, was installed
+// after its time, and is gone from the store at a version that the instance knows already. Seen in 1 of 150 random restorations.
+func TestWithheldLastingRowIsConfirmedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, later := newLasting(t), newLasting(t)
+		r.Merge(replica.Batch{Version: 20, Complete: true, Rows: []replica.Row{row("a", 1), row("evacuate/x", 20)}})
+		r.Merge(replica.Batch{Version: 21, Rows: []replica.Row{{Key: "evacuate/x", Version: 21, Deleted: true}}})
+		held := row("evacuate/x", 4)
+		held.Held = true
+		r.Merge(replica.Batch{Era: 1, Version: 5, Complete: true, Unsettled: true, Rows: []replica.Row{row("a", 1), held}})
+		expectRows(t, r, "while it is withheld", "a")
+		time.Sleep(6 * time.Second)
+		later.Merge(r.Since(replica.Position{}))
+		for _, one := range []*replica.Replica{r, later} {
+			expectRows(t, one, "after its time", "a evacuate/x")
+			if p, _ := one.Position(); !p.Unsettled {
+				t.Error("the position is settled: no peer is asked what became of the row")
+			}
+			one.Merge(replica.Batch{Era: 1, Version: 5, Complete: true, Rows: []replica.Row{row("a", 1)}})
+			expectRows(t, one, "after a peer's state without it", "a")
+		}
+	})
+}
+
+// Guards against an ended evacuation that comes back because an instance that missed its end passes it on to one that withholds the row, or
+// withheld it until the store no longer had it, and was itself told of the end by others only. Seen in 1 of 150 random restorations.
+func TestWithheldLastingRowIsNotTakenFromAnInstanceThatMissedItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newLasting(t)
+		held := row("evacuate/x", 4)
+		held.Held = true
+		r.Merge(replica.Batch{Era: 1, Version: 5, Complete: true, Unsettled: true, Rows: []replica.Row{row("a", 1), held}})
+		kept := row("evacuate/x", 0)
+		kept.Missing, kept.MissingFor = true, 1000
+		r.Merge(replica.Batch{Era: 1, Version: 6, Rows: []replica.Row{kept}})
+		expectRows(t, r, "while it is withheld", "a")
+		r.Merge(replica.Batch{Era: 1, Version: 7, Complete: true, Rows: []replica.Row{row("a", 1)}})
+		r.Merge(replica.Batch{Era: 1, Version: 8, Rows: []replica.Row{kept}})
+		r.Merge(replica.Batch{Era: 1, Version: 8, Complete: true, Rows: []replica.Row{row("a", 1), kept}})
+		expectRows(t, r, "after the store no longer has it", "a")
+	})
+}
