Share the rate of cold servers among the instances of their cell

A server that has just started bears few requests a second, and instances did not know of it. The rows of servers, the start of processes, Cold-Ms of answers and the end of an evacuation say now when a server is cold.

The rate is divided into slots that the instances of the server's cell use by turns and that are not saved up. Counting the requests of all, as for Server-Limit, broke the bound when instances were cut off from each other: each took the silence of the others for free capacity. An instance without requests lends its slots to one that wants some, in its reports; they come back by the clock. Requests of all instances are counted as well, which bounds what remains of disagreement. Cold servers are reported as notices with the complement of the process's start, so that datagrams keep their number of elements and other servers take no further bytes.

--- a/assignment/choose.go
+++ b/assignment/choose.go
@@ -39,6 +39,9 @@
 	crossDomainPenaltyMillis = 15.0
 	// dueMarginMillis is kept between the planned end of a prefill and the time at which it is due.
 	dueMarginMillis = 20.0
+	// coldPenaltyMillis is the penalty of a cold engine. It exceeds those of others, so that warm engines come first while they meet the
+	// target.
+	coldPenaltyMillis = 1000.0
 	// rankPenaltyMillis is the penalty for each rank; it orders engines of a failure domain that are otherwise equal.
 	rankPenaltyMillis = 1.0
 )
@@ -245,6 +248,9 @@
 	if e.RestsForPeers {
 		costMillis += busyPenaltyMillis
 	}
+	if e.Cold {
+		costMillis += coldPenaltyMillis
+	}
 	if c.prefillBudgetMillis(e) < c.prefillMillis {
 		costMillis += busyPenaltyMillis
 	}
@@ -252,9 +258,9 @@
 }
 
 // packed reports whether the engine has a stream with a pause limit no longer than the prompt's, so that the prompt does
-// not lower the engine's prefill budget.
+// not lower the engine's prefill budget. Prompts are not packed on cold engines.
 func (c *choice) packed(e *fleet.Candidate) bool {
-	return e.Load.MinPause != 0 && e.Load.MinPause <= c.prompt.MaxPause
+	return !e.Cold && e.Load.MinPause != 0 && e.Load.MinPause <= c.prompt.MaxPause
 }
 
 func (c *choice) shortPlan(e *fleet.Candidate, stage stage) Plan {
--- a/assignment/group.go
+++ b/assignment/group.go
@@ -47,6 +47,7 @@
 	order := slices.Clone(c.engines)
 	slices.SortStableFunc(order, func(a, b fleet.Candidate) int {
 		return cmp.Or(
+			compareCold(&a, &b),
 			cmp.Compare(a.Load.Prefill, b.Load.Prefill),
 			cmp.Compare(a.Load.Requests, b.Load.Requests),
 			c.compareLocality(&a, &b),
--- a/assignment/limit.go
+++ b/assignment/limit.go
@@ -15,6 +15,17 @@
 	return slices.DeleteFunc(slices.Clone(servers), atLimit)
 }
 
+// compareCold orders warm servers before cold ones.
+func compareCold(a, b *fleet.Candidate) int {
+	switch {
+	case a.Cold == b.Cold:
+		return 0
+	case b.Cold:
+		return -1
+	}
+	return 1
+}
+
 func atLimit(s fleet.Candidate) bool { return s.Wait > 0 }
 
 // verdictAtLimit returns the verdict for a request while the limits of all servers are used up: it is rejected if it would have
--- a/assignment/server.go
+++ b/assignment/server.go
@@ -16,6 +16,8 @@
 	crossDomainPenaltyRequests = 2
 	// restPenaltyRequests is the same for a server that wants no requests from another instance.
 	restPenaltyRequests = 2
+	// coldPenaltyRequests is the same for a cold server.
+	coldPenaltyRequests = 4
 )
 
 // Server returns the plan for a request to a plain service: the server with the fewest requests, with preference for the
@@ -38,8 +40,8 @@
 	return Plan{First: best.ID, Reason: ReasonFewest}, VerdictRun
 }
 
-// weightedRequests returns the server's requests, plus penalties if it is in another failure domain or wants no requests from another
-// instance.
+// weightedRequests returns the server's requests, plus penalties if it is in another failure domain, is cold, or wants no requests from
+// another instance.
 func weightedRequests(s *fleet.Candidate, domain poplarwinch.FailureDomain) int {
 	n := s.Load.Requests
 	if s.Domain != domain {
@@ -48,5 +50,8 @@
 	if s.RestsForPeers {
 		n += restPenaltyRequests
 	}
+	if s.Cold {
+		n += coldPenaltyRequests
+	}
 	return n
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -36,6 +36,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_crashes_recorded_total{service=%q}`, service)).Inc()
 }
 
+// heldByCold counts a decision that was held back because servers are cold.
+func (m *requestMetrics) heldByCold(service poplarwinch.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_decisions_held_by_cold_servers_total{service=%q}`, service)).Inc()
+}
+
 // partsUnidentified counts parts of prompts to which a crash can't be attributed.
 func (m *requestMetrics) partsUnidentified(service poplarwinch.ServiceName, count int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_unidentified_parts_total{service=%q}`, service)).Add(count)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -75,6 +75,9 @@
 // runRelease frees the memory after the last renewal: a later renewal would reserve it again.
 func (s *selection) runRelease(d *Dispatcher) {
 	<-s.renewalsDone
+	for _, share := range s.group.Shares {
+		d.fleet.CountOrders([]poplarwinch.UpstreamID{share.Upstream})
+	}
 	d.reservations.Free(s.group)
 }
 
@@ -141,6 +144,7 @@
 	}
 	plan, verdict := x.plan(candidates)
 	if verdict != assignment.VerdictRun {
+		x.observeHeldBack(candidates)
 		return nil, verdictError(verdict, candidates)
 	}
 	return x.apply(candidates, &plan), nil
@@ -261,6 +265,7 @@
 	}
 	if plan.Shared {
 		selected.freeCandidates = freeMemory(candidates, x.d.active().Pools[x.Service], plan)
+		x.d.fleet.CountOrders(selected.engines())
 		return selected
 	}
 	selected.load = byID[plan.First].Load
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -205,5 +205,6 @@
 func (x *run) renew(ctx context.Context, s reservation.Share) error {
 	ctx, cancel := context.WithTimeout(ctx, (x.d.reservationTTL / attemptsPerTTL).Duration())
 	defer cancel()
+	x.d.fleet.CountOrders([]poplarwinch.UpstreamID{s.Upstream})
 	return x.d.reservations.Reserve(ctx, s.Address, engine.Reservation{ID: s.ID, Tokens: s.Tokens})
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/route"
 )
 
 const (
@@ -43,6 +44,20 @@
 	peerReports map[poplarwinch.InstanceID]*peerReport
 	// summaries holds the latest summary of each other cell.
 	summaries map[summaryKey]*receivedSummary
+	// coldRules has the limits for cold servers, by service, and coldBound what must not be exceeded in any second.
+	coldRules map[poplarwinch.ServiceName]route.Cold
+	coldBound ColdBound
+	wallClock *clock.Clock
+	// startedAt is the time at which the fleet was created.
+	startedAt clock.Millis
+	// cellMembers returns the instances of the own cell that were known recently; memberList is its result at membersAt.
+	cellMembers func() []poplarwinch.InstanceID
+	memberList  []poplarwinch.InstanceID
+	membersAt   clock.Millis
+	// lendingDue says that peers are to be told of slots that this instance can lend now.
+	lendingDue bool
+	// onCold is called with the servers that have become cold or ceased to be.
+	onCold func([]ColdChange)
 	// waiting is the number of this instance's requests that wait for a server.
 	waiting int
 	// changed is closed and replaced when load or servers change.
@@ -55,16 +70,21 @@
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
 		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
-		changed: make(chan struct{}),
+		changed:   make(chan struct{}),
+		coldBound: ColdBound{Over: defaultColdOver, Slack: defaultColdSlack}, wallClock: clock.System(), onCold: func([]ColdChange) {},
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.startedAt = f.clock.Now()
 	return f
 }
 
 // Apply installs the list of servers. Load, health and notices are kept for servers that are the same process as before.
-func (f *Fleet) Apply(list []Server) {
+func (f *Fleet) Apply(list []Server) { f.ApplyRows(list, nil) }
+
+// ApplyRows is Apply with what the rows of servers say of their coldness.
+func (f *Fleet) ApplyRows(list []Server, rows map[poplarwinch.UpstreamID]ColdRow) {
 	f.mutex.Lock()
 	now := f.clock.Now()
 	next := make(map[poplarwinch.UpstreamID]*serverState, len(list))
@@ -77,6 +97,11 @@
 		}
 		m.server = s
 		next[s.ID] = m
+		f.applyColdRule(m, now)
+		if row, ok := rows[s.ID]; ok {
+			f.observeColdRow(m, row, now)
+		}
+		f.observeStart(m, now)
 	}
 	f.removed.keep(f.servers, next, now)
 	f.servers = next
@@ -114,6 +139,8 @@
 	Resting bool
 	// RestsForPeers says that the server wants no requests from another instance now.
 	RestsForPeers bool
+	// Cold says that the server is cold, so that other servers are preferred.
+	Cold bool
 	// Wait is the time until the server's notices allow another request of this instance; zero means now.
 	Wait clock.Millis
 }
@@ -129,7 +156,12 @@
 			return false
 		}
 	}
-	return f.wantsRequests(first, now) && f.waitFor(f.servers[first], now) == 0
+	if !f.wantsRequests(first, now) {
+		return false
+	}
+	m := f.servers[first]
+	// The slots of cold servers were used by the orders for reservations, which come before the request.
+	return m.isCold(now) && f.isNear(m) || f.waitFor(m, now) == 0
 }
 
 // wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
@@ -268,13 +300,15 @@
 		m.add(t)
 		m.notices.limit.add(1, now)
 		m.notices.rest.add(now)
+		f.countCold(m, now)
 		m.startPrefill(t, now)
 		t.distant = !f.isNear(m)
-		t.busy = m.notices.limit.rate > 0 || float64(m.own.Requests+m.peerRequests()) > busySlotsFraction*float64(m.server.Slots)
+		t.busy = m.notices.limit.rate > 0 || m.isCold(now) || float64(m.own.Requests+m.peerRequests()) > busySlotsFraction*float64(m.server.Slots)
 	}
 	for _, id := range w.Helpers {
 		if m := f.servers[id]; m != nil {
 			m.startPrefill(t, now)
+			f.countCold(m, now)
 			t.distant = t.distant || !f.isNear(m)
 		}
 	}
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -122,7 +122,7 @@
 	if rest := m.notices.rest.left(now); rest > 0 {
 		return rest
 	}
-	return max(f.limitWait(m, now), f.returnWait(m, now))
+	return max(f.limitWait(m, now), f.returnWait(m, now), f.coldWait(m, now))
 }
 
 // distantWait returns the wait for a server whose requests are not all known here. The caller holds the lock.
@@ -130,6 +130,9 @@
 	if rest := m.notices.rest.left(now); rest > 0 {
 		return rest
 	}
+	if wait := f.coldWait(m, now); wait > 0 {
+		return wait
+	}
 	if limited || m.notices.limit.rate > 0 {
 		return distantLimitWait
 	}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -13,6 +13,8 @@
 	Rest clock.Millis
 	// Limit is the rate of requests that the server accepts from all instances together; zero means no limit.
 	Limit RequestRate
+	// Cold is what the server says of its coldness.
+	Cold Coldness
 }
 
 // NoticeSource says from whom an instance has a notice. What the list of servers says is kept apart.
@@ -61,13 +63,15 @@
 	leaving leaving
 	rest    rest
 	limit   limit
+	// cold is nil for a server that was never cold, which leaves out its size.
+	cold *cold
 	// reportedAt is the time of the latest report to peers.
 	reportedAt clock.Millis
 }
 
 // known reports whether any notice holds.
 func (n *notices) known() bool {
-	return n.leaving.said || n.limit.rate > 0 || n.rest.returning
+	return n.leaving.said || n.limit.rate > 0 || n.rest.returning || n.cold != nil
 }
 
 // observe records the notice in an answer to a request that was sent at a time, and reports whether it changes anything.
@@ -141,7 +145,9 @@
 		f.mutex.Unlock()
 		return false
 	}
-	changed := m.notices.observe(n, sentAt, f.clock.Now())
+	now := f.clock.Now()
+	changed := m.notices.observe(n, sentAt, now)
+	changed = f.observeColdness(m, n.Cold, now, sentAt, now+n.Cold.Left, SourceAnswer, now) || changed
 	reach := ReachBusy
 	if !f.isNear(m) {
 		reach = ReachDistant
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -28,6 +28,8 @@
 	Sent int
 	// Notice is what the instance has seen of the server's notices.
 	Notice NoticeReport
+	// Cold is what the instance reports of a cold server.
+	Cold ColdReport
 }
 
 // Places returns the places of the servers in a report of this instance.
@@ -67,8 +69,18 @@
 // their notices have to be reported.
 func (f *Fleet) Report() Report {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	now := f.clock.Now()
+	changes := f.coldChanges(now)
+	r := f.report(now)
+	f.mutex.Unlock()
+	if len(changes) > 0 {
+		f.onCold(changes)
+	}
+	return r
+}
+
+// report is Report for a caller that holds the lock.
+func (f *Fleet) report(now clock.Millis) Report {
 	r := Report{Waiting: f.waiting}
 	for id, m := range f.servers {
 		w := ServerWork{
@@ -79,7 +91,8 @@
 		}
 		listed := w.Load != (Load{}) || w.Unreachable
 		w.Notice = m.notices.report(m.server.Boot, now, listed)
-		if listed || w.Notice.Known() {
+		w.Cold = f.coldReport(m, now)
+		if listed || w.Notice.Known() || w.Cold != (ColdReport{}) {
 			r.Servers = append(r.Servers, w)
 		}
 	}
@@ -105,12 +118,17 @@
 		woken = f.mergeServerWork(p, w, now) || woken
 	}
 	for id, w := range p.servers {
-		if !listed[id] && w.Load != (Load{}) {
+		if !listed[id] && (w.Load != (Load{}) || w.Cold.Wanted || w.Cold.LentTo != 0) {
 			// Keep the sum for the next report that lists the server.
 			woken = f.mergeServerWork(p, ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill, Sent: w.Sent}, now) || woken
 		}
 	}
+	lendingDue := f.lendingDue
+	f.lendingDue = false
 	f.mutex.Unlock()
+	if lendingDue {
+		f.onChange(ReachNear)
+	}
 	if woken {
 		f.wakeWaiters()
 	}
@@ -138,11 +156,17 @@
 	if w.Sent == 0 {
 		w.Sent = before.Sent
 	}
+	changed, m := false, f.servers[w.ID]
+	if w.Cold.Sent == 0 {
+		w.Cold.Sent, w.Cold.Boot = before.Cold.Sent, before.Cold.Boot
+	}
+	if m != nil {
+		changed = f.mergeCold(m, &w, &before, now)
+	}
 	p.servers[w.ID] = w
-	changed := false
-	if m := f.servers[w.ID]; m != nil {
+	if m != nil {
 		m.countSent(w, before, now)
-		changed = m.mergeNotice(w.Notice, now)
+		changed = m.mergeNotice(w.Notice, now) || changed
 		m.mergeReport(w, before.SubmittedPrefill, now)
 		m.setPeerLoad(p, w.Load)
 	}
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -30,6 +30,11 @@
 	notices      notices
 	// sent is the number of requests that this instance has sent to the server.
 	sent int
+	// coldRate is the target rate of requests while the server is cold, zero if there is none, and slotMillis the time between two slots.
+	coldRate   RequestRate
+	slotMillis float64
+	// startObserved says that the start of the process has been taken into account for its coldness.
+	startObserved bool
 }
 
 func newServerState(s Server) *serverState {
@@ -109,6 +114,7 @@
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
 	return Candidate{
 		Server: m.server, Load: l, Rank: m.place.Position, LoadKnown: known, Avoid: m.health.avoided(now),
+		Cold:    m.isCold(now),
 		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil,
 	}
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -62,7 +62,9 @@
 	s := Summary{Domain: f.domain, Cell: f.cell}
 	for _, list := range f.near {
 		for _, m := range list {
-			s.Servers = append(s.Servers, ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: m.notices.summary(m.server.Boot, now)})
+			w := ServerWork{ID: m.server.ID, Load: m.addPeerLoad(m.ownLoad(now), now), Notice: m.notices.summary(m.server.Boot, now)}
+			w.Notice.Limit.Known = w.Notice.Limit.Known || m.isCold(now) // other cells leave it to this one
+			s.Servers = append(s.Servers, w)
 		}
 	}
 	return s.shorten(maxSummaryServers)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -62,7 +62,7 @@
 }
 
 // serverNotice is what the sender knows of a server with notices; see fleet.ServerWork and fleet.NoticeReport. It is apart from
-// serverWork because few servers have notices.
+// serverWork because few servers have notices. Those with a negative Boot are about cold servers; see encodeCold.
 type serverNotice struct {
 	_            struct{} `cbor:",toarray"`
 	ID           poplarwinch.UpstreamID
@@ -131,7 +131,7 @@
 
 // encodeNotices returns what a report says of servers with notices.
 func encodeNotices(servers []fleet.ServerWork) []serverNotice {
-	var list []serverNotice
+	list := encodeCold(servers)
 	for _, s := range servers {
 		if n := s.Notice; s.Sent > 0 || n.Known() {
 			list = append(list, serverNotice{
@@ -146,6 +146,9 @@
 // withNotices adds what a message says of notices to the work on the same servers.
 func withNotices(servers []fleet.ServerWork, list []serverNotice) []fleet.ServerWork {
 	for _, n := range list {
+		if n.Boot < 0 {
+			continue
+		}
 		i := slices.IndexFunc(servers, func(s fleet.ServerWork) bool { return s.ID == n.ID })
 		if i >= 0 {
 			servers[i].Sent, servers[i].Notice = n.Sent, fleet.NoticeReport{
@@ -154,7 +157,7 @@
 			}
 		}
 	}
-	return servers
+	return withCold(servers, list)
 }
 
 func encodeSummaries(list []fleet.Summary) []summary {
--- a/route/table.go
+++ b/route/table.go
@@ -18,6 +18,8 @@
 	Customers []Customer
 	// Pools has the parameters of the services that are pools of engines.
 	Pools map[poplarwinch.ServiceName]Pool
+	// Cold has the limits for cold servers of the services that have one.
+	Cold map[poplarwinch.ServiceName]Cold
 	// Services are the names of all services.
 	Services []poplarwinch.ServiceName
 	Limits   Limits
