Test cold servers, and emulate them

A peer's first report on a cold server lost the start of its process, so that the coldness that it told of was ignored; the new test of statements found it. The platform's emulator counts the requests to cold servers, says how long they are cold, and records seconds with more than the bound; the soak reports these.

The soak itself was not run.

--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -53,6 +53,7 @@
 	list = append(list, checkLeaving(&e)...)
 	list = append(list, checkCrashingParts(&e)...)
 	list = append(list, checkLimits(&e)...)
+	list = append(list, checkCold(&e)...)
 	list = append(list, checkCalls(&e)...)
 	list = append(list, checkRecovery(o)...)
 	if e.unexpected > 0 {
@@ -203,6 +204,15 @@
 }
 
 // checkLimits finds servers that got more than the limit they named, in spans without a disturbed instance.
+// checkCold reports the cold servers that got more requests in a second than they bear.
+func checkCold(e *evidence) []violation {
+	var list []violation
+	for _, v := range e.cold {
+		list = append(list, violation{"cold-server", v.String()})
+	}
+	return list
+}
+
 func checkLimits(e *evidence) []violation {
 	var list []violation
 	for _, l := range e.limits {
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -108,6 +108,7 @@
 		return
 	}
 	s.SetFaults(d.faultsOf(s))
+	s.SetCold(emulator.ColdStart)
 	d.servers[id] = s
 	d.write(emulator.ServersTable, id, s.Entry(false))
 }
--- a/cmd/soak/evidence.go
+++ b/cmd/soak/evidence.go
@@ -39,11 +39,13 @@
 
 // evidence is what the checks need to know of the deployment.
 type evidence struct {
-	events     []event
-	limits     []limitEvent
-	leaving    map[string]time.Time
-	runs       []emulator.Run
-	arrivals   []emulator.Arrival
+	events   []event
+	limits   []limitEvent
+	leaving  map[string]time.Time
+	runs     []emulator.Run
+	arrivals []emulator.Arrival
+	// cold has the seconds in which cold servers got too many requests.
+	cold       []emulator.ColdViolation
 	unexpected int
 	// crashingParts are the parts that crash servers, until partsUntil.
 	crashingParts []string
@@ -80,6 +82,7 @@
 		e.leaving[id] = at
 	}
 	e.runs, e.arrivals = d.record.Runs(), d.record.Arrivals()
+	e.cold = d.record.ColdViolations()
 	listed := d.store.Values(emulator.InstancesTable)
 	e.starts = map[string][]time.Time{}
 	for _, p := range d.instances {
--- a/fleet/cold_simulation_test.go
+++ b/fleet/cold_simulation_test.go
@@ -170,6 +170,19 @@
 	}
 }
 
+// freeze suspends all instances for a time. What was due meanwhile happens at its end, all at once.
+func (s *coldPlay) freeze(span clock.Millis) {
+	var due []func()
+	for range span {
+		s.clock.Advance(1)
+		due = append(due, s.events[s.clock.Now()]...)
+		delete(s.events, s.clock.Now())
+	}
+	for _, f := range due {
+		f()
+	}
+}
+
 // exchange sends the reports that are due, and one of each instance a second.
 func (s *coldPlay) exchange() {
 	for n, i := range s.instances {
@@ -299,3 +312,44 @@
 		}
 	}
 }
+
+// Guards against a sudden demand while the instances that lent their slots are cut off from those that use them.
+func TestLentSlotsComeBack(t *testing.T) {
+	for _, instances := range []int{6, 32} {
+		for seed := range uint64(5) {
+			s := newColdPlay(seed, instances, 2)
+			s.makeCold(9000, 200)
+			s.run(200, 0)
+			from := s.clock.Now()
+			for n, i := range s.instances {
+				i.weight = max(0, 1-float64(n))
+			}
+			s.run(3000, 75)
+			for _, i := range s.instances {
+				i.weight = 1
+			}
+			cutAll(s)
+			s.run(4000, 75)
+			s.check(t, from, 0)
+		}
+	}
+}
+
+// Guards against requests that gather while instances are frozen, and against servers that become cold again and again, at any moment
+// and under a burst.
+func TestServersBecomeColdAtAnyMoment(t *testing.T) {
+	for seed := range uint64(6) {
+		s := newColdPlay(seed, 20, 4)
+		for range 4 {
+			s.run(clock.Millis(s.random.Int64N(700)), 200)
+			s.makeCold(2500, 0)
+			s.run(1, 0)
+			from := s.clock.Now()
+			s.run(1200, 400)
+			s.freeze(clock.Millis(s.random.Int64N(600)))
+			s.run(500, 400)
+			s.check(t, from, 0)
+			s.run(3000, 20)
+		}
+	}
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -157,7 +157,7 @@
 		w.Sent = before.Sent
 	}
 	changed, m := false, f.servers[w.ID]
-	if w.Cold.Sent == 0 {
+	if w.Cold == (ColdReport{}) {
 		w.Cold.Sent, w.Cold.Boot = before.Cold.Sent, before.Cold.Boot
 	}
 	if m != nil {
