Lend slots of cold servers by service, and keep reports of many cold servers short

Reports had an entry for each cold server. When a whole failure domain returns, each datagram of a cell would have had one for each of its servers, at every change of load. Requests that wait and slots that are lent are reported once for each service now, and a server only shortly after a request or new statement (fleet TestReportsOfManyColdServersAreShort: 2 of 100 servers).

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
@@ -11,10 +12,17 @@
 const (
 	// slotWindow is the time for which a slot can be used. A waiting request looks again every 50 ms, and up to 120 ms after a change.
 	slotWindow clock.Millis = 200
+	// slotSurplus is the number of slots for each request at the target rate. Of slots at that rate, instances with requests lost up to
+	// 7 in 100, because none of their requests waited just then.
+	slotSurplus = 1.1
 	// coldStartupDelay is the time after the start of an instance during which it sends cold servers nothing. Within a heartbeat it
 	// hears the other instances of its cell; before, it would divide the rate among too few. The slots that its earlier process has lent
 	// are returned by then.
 	coldStartupDelay = heardTimeout + lendMargin
+	// sentReportTime is the time for which reports repeat the number of requests to a cold server after the latest of them, since a
+	// datagram may be lost. newsReportTime is the same for what the server said.
+	sentReportTime clock.Millis = 200
+	newsReportTime clock.Millis = 500
 	// wantRetention is the time for which an instance counts as having requests for a cold server after a decision was held back.
 	wantRetention = clock.Second
 	// defaultColdOver and defaultColdSlack bound the requests to a cold server in a second if the settings don't.
@@ -40,11 +48,11 @@
 // perSecond returns the largest number of requests in a second for a target rate.
 func (b ColdBound) perSecond(rate RequestRate) float64 { return float64(rate)*b.Over + b.Slack }
 
-// slotRate returns the rate of slots: the target rate, or less if the bound leaves no room for slots that are used late. In a second
+// slotRate returns the rate of slots: a little more than the target rate, or less if the bound leaves no room for slots that are used late. In a second
 // start the slots of that second and of the slotWindow before, and one more by rounding.
 func (b ColdBound) slotRate(rate RequestRate) RequestRate {
 	late := 1 + float64(slotWindow)/float64(clock.Second)
-	return min(rate, max(RequestRate((b.perSecond(rate)-1)/late), minRequestRate))
+	return min(slotSurplus*rate, max(RequestRate((b.perSecond(rate)-1)/late), minRequestRate))
 }
 
 // spare returns the number of requests beyond the rate that all instances together may send at once as far as this instance knows. It
@@ -74,10 +82,6 @@
 	Boot int64
 	// Sent is the number of requests that the instance has sent to the process while it was cold.
 	Sent int
-	// Wanted says that requests of the instance wait because the server is cold.
-	Wanted bool
-	// LentTo identifies the instance that may use the slots of the reporting one; zero if none may.
-	LentTo uint32
 	// Coldness is what the server said to the instance, and Age the time since then.
 	Coldness
 	Age clock.Millis
@@ -96,13 +100,12 @@
 	arrival float64
 	// sent is the number of requests that this instance has sent while the server was cold.
 	sent int
-	// sentAt is the time of the latest of these, and wantedAt that of the latest decision that was held back; zero if there was none.
-	sentAt   clock.Millis
-	wantedAt clock.Millis
+	// sentAt is the time of the latest of these; zero if there was none.
+	sentAt clock.Millis
+	// newsAt is the time at which an answer to this instance said something new.
+	newsAt clock.Millis
 	// announced says that the log has the beginning, but not the end.
 	announced bool
-	shares    slotShares
-	loan      slotLoan
 }
 
 // ColdChange is a server that has become cold or has ceased to be.
@@ -141,7 +144,7 @@
 // restartSlots makes the next slot of the server the first one. The caller holds the lock.
 func (f *Fleet) restartSlots(m *serverState, now clock.Millis) {
 	c := m.notices.coldness()
-	c.startedAt, c.used, c.shares = max(now, f.startedAt+coldStartupDelay), -1, slotShares{}
+	c.startedAt, c.used = max(now, f.startedAt+coldStartupDelay), -1
 	c.arrival = float64(c.startedAt) + f.coldBound.spare(m.coldRate)*m.slotMillis
 }
 
@@ -186,7 +189,11 @@
 		return false
 	}
 	const rounding clock.Millis = 100
-	return (before > now) != (c.until > now) || max(before-c.until, c.until-before) > rounding && c.until > now
+	changed := (before > now) != (c.until > now) || max(before-c.until, c.until-before) > rounding && c.until > now
+	if changed && source == SourceAnswer {
+		c.newsAt = now
+	}
+	return changed
 }
 
 // observeStart makes a new process cold for the time after its start that its service names. The caller holds the lock.
@@ -210,6 +217,7 @@
 	}
 	m.coldRate = rate
 	if rate > 0 {
+		m.coldService = f.coldServiceOf(m.server.Service)
 		m.slotMillis = float64(clock.Second) / float64(f.coldBound.slotRate(rate))
 		if m.notices.cold != nil {
 			f.restartSlots(m, now)
@@ -249,12 +257,9 @@
 	f.mutex.Lock()
 	now := f.clock.Now()
 	isNew := false
-	for _, m := range f.near[service] {
-		if !m.isCold(now) {
-			continue
-		}
-		c := m.notices.coldness()
-		isNew = isNew || !c.isWanted(now)
+	if slices.ContainsFunc(f.near[service], func(m *serverState) bool { return m.isCold(now) }) {
+		c := f.coldServiceOf(service)
+		isNew = !c.isWanted(now)
 		c.wantedAt = now
 	}
 	f.mutex.Unlock()
@@ -263,10 +268,6 @@
 	}
 }
 
-func (c *cold) isWanted(now clock.Millis) bool {
-	return c.wantedAt != 0 && now-c.wantedAt < wantRetention
-}
-
 // CountOrders counts orders for reservations as requests to those of the servers that are cold.
 func (f *Fleet) CountOrders(ids []poplarwinch.UpstreamID) {
 	f.mutex.Lock()
@@ -286,7 +287,7 @@
 	}
 	c := m.notices.coldness()
 	c.sent++
-	c.sentAt = now
+	c.sentAt, m.coldService.sentAt = now, now
 	c.used, _ = f.nextSlot(m, now)
 	m.countArrivals(1, now)
 }
@@ -310,21 +311,21 @@
 	}
 	_, at := f.nextSlot(m, now)
 	guarded := c.arrival - f.coldBound.spare(m.coldRate)*m.slotMillis
-	wait := clock.Millis(math.Ceil(max(at, guarded, float64(f.lentUntil(m, now))))) - now
+	wait := clock.Millis(math.Ceil(max(at, guarded, float64(f.lentUntil(&m.coldService.loan, now))))) - now
 	return min(max(wait, 0), c.until-now)
 }
 
 // coldReport returns what is reported to peers of the server. The caller holds the lock.
 func (f *Fleet) coldReport(m *serverState, now clock.Millis) ColdReport {
 	c := m.notices.cold
-	if c == nil || !m.isCold(now) && !(c.source == SourceAnswer && now-c.at < reportTimeout) {
+	if c == nil {
 		return ColdReport{}
 	}
-	r := ColdReport{Sent: c.sent}
-	if m.isCold(now) {
-		r.Wanted, r.LentTo = c.isWanted(now), f.lend(m, now)
+	var r ColdReport
+	if c.sentAt != 0 && now-c.sentAt < sentReportTime {
+		r.Sent = c.sent
 	}
-	if c.source == SourceAnswer {
+	if c.source == SourceAnswer && c.newsAt != 0 && now-c.newsAt < newsReportTime {
 		r.Coldness, r.Age = Coldness{Known: true, Left: max(c.until-now, 0)}, now-c.at
 	}
 	if r != (ColdReport{}) {
@@ -344,11 +345,8 @@
 	}
 	at := now - r.Age
 	changed := f.observeColdness(m, r.Coldness, at, at, now+r.Left, SourcePeer, now)
-	if r.LentTo != before.Cold.LentTo {
-		m.notices.coldness().shares.madeAt = 0
-	}
-	if r.Wanted && !before.Cold.Wanted && m.isCold(now) && m.notices.coldness().loan.to == "" && f.isNear(m) && f.hasNoUse(m, now) {
-		f.lendingDue = true
+	if r.Sent == 0 {
+		r.Sent = before.Cold.Sent // not repeated
 	}
 	sent := r.Sent - before.Cold.Sent
 	switch {
@@ -357,11 +355,8 @@
 	case before.Cold.Boot != r.Boot || before.Cold.Sent == 0:
 		sent = min(sent, 1) // this instance may have missed earlier ones, which are long past
 	}
-	if sent > 0 {
-		m.notices.coldness().shares.madeAt = 0
-		if m.isCold(now) {
-			m.countArrivals(sent, now)
-		}
+	if sent > 0 && m.isCold(now) {
+		m.countArrivals(sent, now)
 	}
 	return changed
 }
--- a/fleet/cold_internal_test.go
+++ b/fleet/cold_internal_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch"
@@ -135,3 +136,52 @@
 		}
 	}
 }
+
+// Guards against reports that grow with the number of cold servers: each instance of a cell sends them to all others at each change.
+func TestReportsOfManyColdServersAreShort(t *testing.T) {
+	f, time, _ := newColdFleet(1_000_000, 1)
+	var list []Server
+	rows := map[poplarwinch.UpstreamID]ColdRow{}
+	for n := range 100 {
+		id := poplarwinch.UpstreamID(fmt.Sprintf("s%d", n))
+		list = append(list, Server{ID: id, Domain: "a", Service: "plain", Slots: 4, Boot: 1})
+		rows[id] = ColdRow{Left: 5000, ReadAt: time.Now()}
+	}
+	f.ApplyRows(list, rows)
+	f.WantCold("plain")
+	sent := time.Now()
+	f.Begin(Work{First: "s7"}).End()
+	f.Observe(list[8], Notice{Cold: Coldness{Known: true, Left: 5000}}, sent)
+	f.Observe(list[9], Notice{Cold: Coldness{Known: true, Left: 2000}}, sent)
+	if r := f.Report(); len(r.Servers) != 2 || len(r.Cold) != 1 {
+		t.Errorf("got %+v, want the server that got a request, the one that said something new, and the service", r)
+	}
+	time.Advance(1000)
+	if r := f.Report(); len(r.Servers) != 0 || len(r.Cold) != 0 {
+		t.Errorf("after a second: got %+v, want nothing", r)
+	}
+}
+
+// BenchmarkCandidatesWhileCold shows what the view of the fleet costs where all engines of a cell of 30 instances are cold.
+func BenchmarkCandidatesWhileCold(b *testing.B) {
+	time := clock.NewManual(100_000)
+	var members []poplarwinch.InstanceID
+	for n := range 30 {
+		members = append(members, poplarwinch.InstanceID(fmt.Sprintf("i%d", n)))
+	}
+	f := New(WithClock(time.Clock()), WithDomain("a"), WithInstance("i7"), WithCellMembers(func() []poplarwinch.InstanceID { return members }))
+	f.SetCold(map[poplarwinch.ServiceName]route.Cold{"pool": {Start: 3000, PerSecond: 15}})
+	var list []Server
+	rows := map[poplarwinch.UpstreamID]ColdRow{}
+	for n := range 100 {
+		id := poplarwinch.UpstreamID(fmt.Sprintf("s%d", n))
+		list = append(list, Server{ID: id, Domain: "a", Service: "pool", Slots: 10})
+		rows[id] = ColdRow{Left: 60_000, ReadAt: time.Now()}
+	}
+	f.ApplyRows(list, rows)
+	time.Advance(4000)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Candidates("pool")
+	}
+}
--- a/fleet/cold_simulation_test.go
+++ b/fleet/cold_simulation_test.go
@@ -250,9 +250,9 @@
 			meanwhile func(s *coldPlay)
 			least     float64
 		}{
-			"all in touch": {least: 0.93 * coldPerSecond},
+			"all in touch": {least: coldPerSecond},
 			"told late":    {prepare: func(s *coldPlay) { s.delay = 250 }, least: 0.8 * coldPerSecond},
-			"told twice":   {prepare: func(s *coldPlay) { s.twice = true }, least: 0.93 * coldPerSecond},
+			"told twice":   {prepare: func(s *coldPlay) { s.twice = true }, least: coldPerSecond},
 			"half cut off": {prepare: cutInHalves, least: 0.8 * coldPerSecond},
 			"all cut off":  {prepare: cutAll, least: 0.8 * coldPerSecond},
 			"cut in halves amid": {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,11 +51,10 @@
 	// startedAt is the time at which the fleet was created.
 	startedAt clock.Millis
 	// cellMembers returns the instances of the own cell that were known recently; memberList is its result at membersAt.
-	cellMembers func() []poplarwinch.InstanceID
-	memberList  []poplarwinch.InstanceID
-	membersAt   clock.Millis
-	// lendingDue says that peers are to be told of slots that this instance can lend now.
-	lendingDue bool
+	cellMembers  func() []poplarwinch.InstanceID
+	memberList   []poplarwinch.InstanceID
+	membersAt    clock.Millis
+	coldServices map[poplarwinch.ServiceName]*coldService
 	// onCold is called with the servers that have become cold or ceased to be.
 	onCold func([]ColdChange)
 	// waiting is the number of this instance's requests that wait for a server.
@@ -70,7 +69,7 @@
 		clock: clock.Monotonic(), onChange: func(Reach) {},
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
 		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{},
-		changed:   make(chan struct{}),
+		changed: make(chan struct{}), coldServices: map[poplarwinch.ServiceName]*coldService{},
 		coldBound: ColdBound{Over: defaultColdOver, Slack: defaultColdSlack}, wallClock: clock.System(), onCold: func([]ColdChange) {},
 	}
 	for _, opt := range opts {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -12,6 +12,8 @@
 	Servers []ServerWork
 	// Waiting is the number of the instance's requests that wait for a server.
 	Waiting int
+	// Cold has what the instance reports of services with cold servers.
+	Cold []ColdService
 }
 
 // ServerWork is the load that one instance has put on one server.
@@ -56,6 +58,7 @@
 type peerReport struct {
 	at      clock.Millis
 	waiting int
+	cold    []ColdService
 	servers map[poplarwinch.UpstreamID]ServerWork
 }
 
@@ -81,7 +84,7 @@
 
 // report is Report for a caller that holds the lock.
 func (f *Fleet) report(now clock.Millis) Report {
-	r := Report{Waiting: f.waiting}
+	r := Report{Waiting: f.waiting, Cold: f.reportColdServices(now)}
 	for id, m := range f.servers {
 		w := ServerWork{
 			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable,
@@ -110,7 +113,8 @@
 		p = &peerReport{servers: map[poplarwinch.UpstreamID]ServerWork{}}
 		f.peerReports[from] = p
 	}
-	p.at, p.waiting = now, r.Waiting
+	p.at, p.waiting, p.cold = now, r.Waiting, r.Cold
+	lendingDue := f.mergeColdServices(r.Cold, now)
 	woken := false
 	listed := make(map[poplarwinch.UpstreamID]bool, len(r.Servers))
 	for _, w := range r.Servers {
@@ -118,13 +122,11 @@
 		woken = f.mergeServerWork(p, w, now) || woken
 	}
 	for id, w := range p.servers {
-		if !listed[id] && (w.Load != (Load{}) || w.Cold.Wanted || w.Cold.LentTo != 0) {
+		if !listed[id] && w.Load != (Load{}) {
 			// Keep the sum for the next report that lists the server.
 			woken = f.mergeServerWork(p, ServerWork{ID: id, SubmittedPrefill: w.SubmittedPrefill, Sent: w.Sent}, now) || woken
 		}
 	}
-	lendingDue := f.lendingDue
-	f.lendingDue = false
 	f.mutex.Unlock()
 	if lendingDue {
 		f.onChange(ReachNear)
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -33,6 +33,8 @@
 	// coldRate is the target rate of requests while the server is cold, zero if there is none, and slotMillis the time between two slots.
 	coldRate   RequestRate
 	slotMillis float64
+	// coldService is the use of cold servers of the service; nil if coldRate is zero.
+	coldService *coldService
 	// startObserved says that the start of the process has been taken into account for its coldness.
 	startObserved bool
 }
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -26,7 +26,7 @@
 	slotBorrowed
 )
 
-// slotShares divides the slots of one server among the instances of the cell that were known recently. Slots are spread evenly over the
+// slotShares divides the slots of the servers of one service among the instances of the cell that were known recently. Slots are spread evenly over the
 // time at the rate of the server, and given to the instances by turns. An instance that hears nobody uses only its own slots, which is
 // a share of 1/n of the rate, and those that others have lent to it. Slots are not saved up, so no requests gather however long an
 // instance was idle, frozen or cut off.
@@ -36,19 +36,19 @@
 	uses []slotUse
 }
 
-// sharesOf returns the division of the server's slots. The caller holds the lock.
-func (f *Fleet) sharesOf(m *serverState, now clock.Millis) []slotUse {
-	s := &m.notices.coldness().shares
+// sharesOf returns the division of the slots of the service's servers. The caller holds the lock.
+func (f *Fleet) sharesOf(c *coldService, service poplarwinch.ServiceName, now clock.Millis) []slotUse {
+	s := &c.shares
 	if s.madeAt != 0 && now-s.madeAt < sharesInterval {
 		return s.uses
 	}
-	members, wanted := f.members(now), m.notices.coldness().isWanted(now)
+	members, wanted := f.members(now), c.isWanted(now)
 	s.madeAt, s.uses = now, make([]slotUse, len(members))
 	for i, id := range members {
 		switch {
 		case id == f.instance:
 			s.uses[i] = slotOwn
-		case wanted && f.isBorrower(id, m, now):
+		case wanted && f.isBorrower(id, service, now):
 			s.uses[i] = slotBorrowed
 		}
 	}
@@ -76,16 +76,19 @@
 // lock.
 func (f *Fleet) nextSlot(m *serverState, now clock.Millis) (slot int64, at float64) {
 	c := m.notices.coldness()
-	uses := f.sharesOf(m, now)
+	uses := f.sharesOf(m.coldService, m.server.Service, now)
 	oldest := math.Ceil(float64(now-slotWindow-c.startedAt) / m.slotMillis)
 	slot = max(c.used+1, int64(oldest), 0)
-	for ; ; slot++ {
-		at = float64(c.startedAt) + float64(slot)*m.slotMillis
-		switch uses[(uint64(slot)+m.hash)%uint64(len(uses))] {
-		case slotOwn:
-			return slot, at
-		case slotBorrowed:
-			return slot, at + float64(borrowDelay)
+	i := int((uint64(slot) + m.hash) % uint64(len(uses)))
+	for uses[i] == slotOfOther {
+		slot++
+		if i++; i == len(uses) {
+			i = 0
 		}
 	}
+	at = float64(c.startedAt) + float64(slot)*m.slotMillis
+	if uses[i] == slotBorrowed {
+		at += float64(borrowDelay)
+	}
+	return slot, at
 }
--- a/gossip/cold.go
+++ b/gossip/cold.go
@@ -15,9 +15,7 @@
 	var list []serverNotice
 	for i := range servers {
 		if c := &servers[i].Cold; *c != (fleet.ColdReport{}) {
-			list = append(list, serverNotice{
-				ID: servers[i].ID, Boot: ^c.Boot, Sent: c.Sent, LimitKnown: c.Wanted, LimitAge: clock.Millis(c.LentTo), LeavingKnown: c.Known, LeavingAge: c.Age, Rest: c.Left,
-			})
+			list = append(list, serverNotice{ID: servers[i].ID, Boot: ^c.Boot, Sent: c.Sent, LeavingKnown: c.Known, LeavingAge: c.Age, Rest: c.Left})
 		}
 	}
 	return list
@@ -27,16 +25,37 @@
 func withCold(servers []fleet.ServerWork, list []serverNotice) []fleet.ServerWork {
 	for _, n := range list {
 		i := slices.IndexFunc(servers, func(s fleet.ServerWork) bool { return s.ID == n.ID })
-		if i >= 0 && n.Boot < 0 {
-			servers[i].Cold = fleet.ColdReport{
-				Boot: ^n.Boot, Sent: n.Sent, Wanted: n.LimitKnown, LentTo: uint32(n.LimitAge),
-				Coldness: fleet.Coldness{Known: n.LeavingKnown, Left: n.Rest}, Age: n.LeavingAge,
-			}
+		if i >= 0 && n.Boot < 0 && n.Rest >= 0 {
+			servers[i].Cold = fleet.ColdReport{Boot: ^n.Boot, Sent: n.Sent, Coldness: fleet.Coldness{Known: n.LeavingKnown, Left: n.Rest}, Age: n.LeavingAge}
 		}
 	}
 	return servers
 }
 
+// coldServiceRest marks a notice that is about a service, which ID names.
+const coldServiceRest clock.Millis = -1
+
+// encodeColdServices returns what a report says of services with cold servers, as notices; see encodeCold.
+func encodeColdServices(services []fleet.ColdService) []serverNotice {
+	var list []serverNotice
+	for _, s := range services {
+		list = append(list, serverNotice{
+			ID: poplarwinch.UpstreamID(s.Service), Boot: -1, LimitKnown: s.Wanted, LimitAge: clock.Millis(s.LentTo), Rest: coldServiceRest,
+		})
+	}
+	return list
+}
+
+func decodeColdServices(list []serverNotice) []fleet.ColdService {
+	var services []fleet.ColdService
+	for _, n := range list {
+		if n.Boot < 0 && n.Rest == coldServiceRest {
+			services = append(services, fleet.ColdService{Service: poplarwinch.ServiceName(n.ID), Wanted: n.LimitKnown, LentTo: uint32(n.LimitAge)})
+		}
+	}
+	return services
+}
+
 // CellMembers returns the instances of the own cell that were known in the last 30 s, including this one; see Sharers. For as long after
 // the start, seeds that were not heard count as members, and an instance that has heard nobody counts its cell as full: it may be cut off
 // from instances that it doesn't know of. The result must not be changed.
--- a/gossip/cold_internal_test.go
+++ b/gossip/cold_internal_test.go
@@ -14,14 +14,18 @@
 // without coldness that take further bytes.
 func TestColdServersInDatagrams(t *testing.T) {
 	notice := fleet.NoticeReport{Boot: 7, Limit: fleet.LimitReport{Known: true, Rate: 2, Age: 3}}
-	cold := fleet.ColdReport{Boot: 7, Sent: 5, Wanted: true, LentTo: 1<<32 - 1, Coldness: fleet.Coldness{Known: true, Left: 900}, Age: 4}
+	cold := fleet.ColdReport{Boot: 7, Sent: 5, Coldness: fleet.Coldness{Known: true, Left: 900}, Age: 4}
 	list := []fleet.ServerWork{
 		{ID: "a", Cold: cold}, {ID: "b", Sent: 9, Notice: notice, Cold: cold}, {ID: "c", Sent: 9, Notice: notice}, {ID: "d", Cold: fleet.ColdReport{Sent: 1}}, {ID: "e"},
 	}
-	decoded := withNotices(decodeWork(encodeWork(list)), encodeNotices(list))
-	if !slices.Equal(decoded, list) {
+	services := []fleet.ColdService{{Service: "a", Wanted: true}, {Service: "other", LentTo: 1<<32 - 1}}
+	notices := append(encodeColdServices(services), encodeNotices(list)...)
+	if decoded := withNotices(decodeWork(encodeWork(list)), notices); !slices.Equal(decoded, list) {
 		t.Errorf("got %+v, want %+v", decoded, list)
 	}
+	if decoded := decodeColdServices(notices); !slices.Equal(decoded, services) {
+		t.Errorf("got %+v, want %+v", decoded, services)
+	}
 	if n := len(encodeNotices(list[2:3])); n != 1 {
 		t.Errorf("a limited server takes %d entries", n)
 	}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -87,7 +87,7 @@
 // mergeWork merges the report and the summaries of a message into the fleet.
 func (g *Gossip) mergeWork(m *message) {
 	if m.OwnWork {
-		report := fleet.Report{Servers: withNotices(decodeWork(m.Servers), m.Notices)}
+		report := fleet.Report{Servers: withNotices(decodeWork(m.Servers), m.Notices), Cold: decodeColdServices(m.Notices)}
 		g.mutex.Lock()
 		peer := g.peers[m.From]
 		competes := g.isSmall() || peer != nil && g.isNear(peer)
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -121,7 +121,7 @@
 	}
 	g.mutex.Unlock()
 	m := g.message()
-	m.OwnWork, m.Servers, m.Notices, m.Waiting = true, encodeWork(report.Servers), encodeNotices(report.Servers), report.Waiting
+	m.OwnWork, m.Servers, m.Notices, m.Waiting = true, encodeWork(report.Servers), append(encodeColdServices(report.Cold), encodeNotices(report.Servers)...), report.Waiting
 	due := func(p *peerState) bool {
 		switch {
 		case p.needsUpdate:
