Keep the limit of a server that is cold as well

Accepts let the request after a reservation through at a cold server without asking for the server's limit or its time of rest. Changes of notices log the cold time.

--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -31,7 +31,7 @@
 func (x *run) tellFleet(s fleet.Server, n fleet.Notice, sentAt clock.Millis) {
 	if x.d.fleet.Observe(s, n, sentAt) {
 		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "leaving": n.Leaving, "rest-ms": n.Rest, "requests-per-second": n.Limit,
+			"upstream": s.ID, "leaving": n.Leaving, "rest-ms": n.Rest, "requests-per-second": n.Limit, "cold-ms": n.Cold.Left,
 		}).Info("server notice changed")
 	}
 }
--- a/fleet/cold_internal_test.go
+++ b/fleet/cold_internal_test.go
@@ -127,10 +127,13 @@
 	} {
 		f, time, s := newColdFleet(1_000_000, 1)
 		f.ApplyRows([]Server{s}, map[poplarwinch.UpstreamID]ColdRow{"s": {Left: 5000, ReadAt: time.Now()}})
-		if !f.Accepts("s") {
+		if c := f.Candidates("plain")[0]; c.Wait > 0 {
 			t.Fatalf("%s: no slot at the beginning", name)
 		}
 		use(f)
+		if !f.Accepts("s") {
+			t.Errorf("%s: the request that follows orders is not accepted", name)
+		}
 		if c := f.Candidates("plain")[0]; c.Wait == 0 {
 			t.Errorf("%s: another request is allowed at once", name)
 		}
@@ -185,3 +188,14 @@
 		f.Candidates("pool")
 	}
 }
+
+// Guards against requests after a reservation that exceed the limit of a server because it is cold as well.
+func TestColdServerKeepsItsLimit(t *testing.T) {
+	f, time, s := newColdFleet(1_000_000, 1)
+	f.Observe(s, Notice{Limit: 1, Cold: Coldness{Known: true, Left: 5000}}, time.Now())
+	f.Begin(Work{First: "s"})
+	f.Begin(Work{First: "s"})
+	if f.Accepts("s") {
+		t.Error("a third request is accepted at once, with a limit of 1/s")
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -159,8 +159,11 @@
 		return false
 	}
 	m := f.servers[first]
-	// The slots of cold servers were used by the orders for reservations, which come before the request.
-	return m.isCold(now) && f.isNear(m) || f.waitFor(m, now) == 0
+	if m.isCold(now) && f.isNear(m) {
+		// Its slot was used by the orders for reservations, which come before the request.
+		return f.limitWait(m, now) == 0 && f.returnWait(m, now) == 0
+	}
+	return f.waitFor(m, now) == 0
 }
 
 // wantsRequests reports whether a server is listed, not leaving, and wants requests from this instance. The caller holds the lock.
