--- a/fleet/report.go
+++ b/fleet/report.go
@@ -12,6 +12,8 @@
 	Servers []ServerWork
 	// Waiting has the numbers of the instance's requests that wait for a server.
 	Waiting []WaitingCount
+	// Cold has what the instance reports of services with cold servers.
+	Cold []ColdService
 }
 
 // ServerWork is the load that one instance has put on one server.
@@ -28,6 +30,8 @@
 	Sent int
 	// Notice is what the instance has seen of the server's notices.
 	Notice NoticeReport
+	// Cold is what the instance reports of a cold server.
+	Cold ColdReport
 }
 
 // Places returns the places of the servers in a report of this instance.
@@ -54,6 +58,7 @@
 type peerReport struct {
 	at      clock.Millis
 	waiting []WaitingCount
+	cold    []ColdService
 	servers map[poplarwinch.UpstreamID]ServerWork
 }
 
@@ -67,9 +72,19 @@
 // their notices have to be reported.
 func (f *Fleet) Report() Report {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	now := f.clock.Now()
-	r := Report{Waiting: f.reportedWaiting()}
+	changes := f.coldChanges(now)
+	r := f.report(now)
+	f.mutex.Unlock()
+	if len(changes) > 0 {
+		f.onCold(changes)
+	}
+	return r
+}
+
+// report is Report for a caller that holds the lock.
+func (f *Fleet) report(now clock.Millis) Report {
+	r := Report{Waiting: f.reportedWaiting(), Cold: f.reportColdServices(now)}
 	for id, m := range f.servers {
 		w := ServerWork{
 			ID: id, Place: m.place, Load: m.ownLoad(now), SubmittedPrefill: m.submittedPrefill, Unreachable: m.health.unreachable,
@@ -79,7 +94,8 @@
 		}
 		listed := w.Load != (Load{}) || w.Unreachable
 		w.Notice = m.notices.report(m.server.Boot, now, listed)
-		if listed || w.Notice.Known() {
+		w.Cold = f.coldReport(m, now)
+		if listed || w.Notice.Known() || w.Cold != (ColdReport{}) {
 			r.Servers = append(r.Servers, w)
 		}
 	}
@@ -97,7 +113,8 @@
 		p = &peerReport{servers: map[poplarwinch.UpstreamID]ServerWork{}}
 		f.peerReports[from] = p
 	}
-	p.at, p.waiting = now, r.Waiting
+	p.at, p.waiting, p.cold = now, r.Waiting, r.Cold
+	lendingDue := f.mergeColdServices(r.Cold, now)
 	woken := false
 	listed := make(map[poplarwinch.UpstreamID]bool, len(r.Servers))
 	for _, w := range r.Servers {
@@ -111,6 +128,9 @@
 		}
 	}
 	f.mutex.Unlock()
+	if lendingDue {
+		f.onChange(ReachNear)
+	}
 	if woken {
 		f.wakeWaiters()
 	}
@@ -138,11 +158,17 @@
 	if w.Sent == 0 {
 		w.Sent = before.Sent
 	}
+	changed, m := false, f.servers[w.ID]
+	if w.Cold == (ColdReport{}) {
+		w.Cold.Sent, w.Cold.Boot = before.Cold.Sent, before.Cold.Boot
+	}
+	if m != nil {
+		changed = f.mergeCold(m, &w, &before, now)
+	}
 	p.servers[w.ID] = w
-	changed := false
-	if m := f.servers[w.ID]; m != nil {
+	if m != nil {
 		m.countSent(w, before, now)
-		changed = m.mergeNotice(w.Notice, now)
+		changed = m.mergeNotice(w.Notice, now) || changed
 		m.mergeReport(w, before.SubmittedPrefill, now)
 		m.setPeerLoad(p, w.Load)
 	}
--- a/fleet/serverstate.go
+++ b/fleet/serverstate.go
@@ -32,6 +32,13 @@
 	evacuated bool
 	// sent is the number of requests that this instance has sent to the server.
 	sent int
+	// coldRate is the target rate of requests while the server is cold, zero if there is none, and slotMillis the time between two slots.
+	coldRate   RequestRate
+	slotMillis float64
+	// coldService is the use of cold servers of the service; nil if coldRate is zero.
+	coldService *coldService
+	// startObserved says that the start of the process has been taken into account for its coldness.
+	startObserved bool
 }
 
 func newServerState(s Server) *serverState {
@@ -110,7 +117,7 @@
 // candidate returns the server with the load.
 func (m *serverState) candidate(l Load, known bool, now clock.Millis) Candidate {
 	return Candidate{
-		Server: m.server, Load: l, Rank: m.place.Position, Hash: m.hash, LoadKnown: known, Avoid: m.health.avoided(now),
+		Server: m.server, Load: l, Rank: m.place.Position, Hash: m.hash, LoadKnown: known, Avoid: m.health.avoided(now), Cold: m.isCold(now),
 		Resting: m.notices.rest.left(now) > 0, RestsForPeers: now < m.notices.rest.peersUntil, LimitInterval: m.notices.limit.spacing(),
 	}
 }
