--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: demo chaos soak platform-soak test lint race bench build tools gopls fmt
+.PHONY: demo chaos soak platform-soak crowd test lint race bench build tools gopls fmt
 
 demo: build
 	scripts/demo $(DEPLOYMENT)
@@ -24,6 +24,10 @@
 platform-soak: build
 	bin/soak --seed $(SEED) --seconds $(SECONDS)
 
+# Clients outside the limits against both programs, one test at a time; see docs/design/client-limits.md.
+crowd: build
+	go test -tags crowd -v -p 1 -parallel 1 -count=1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)') ./internal/hostileclients
+
 test:
 	go test $(if $(SKIP),-skip '$(SKIP)') $(PACKAGES)
 
