--- a/internal/earlyresponse/earlyresponse.go
+++ b/internal/earlyresponse/earlyresponse.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/poplarwinch/poplarwinch/internal/clientlimit"
 )
 
 // Begin prepares a response that is written before the rest of the request body has arrived, and closes the connection after it. The
@@ -15,6 +17,7 @@
 	w.Header().Set("Connection", "close")
 	_ = control.EnableFullDuplex() // keeps net/http from reading the body before it writes the response
 	return func() {
+		clientlimit.Refused(r.Context())
 		if control.Flush() != nil || r.Header.Get("Expect") != "" {
 			return // the caller is gone, or sends no body after this response
 		}
