Serve: bound callers' connections, headers and buffered answers by the memory and descriptors of the machine

Clients outside the limits took 58 to 748 MiB of a machine of 48 MB, and up to 400 descriptors (tests in internal/hostileclients). Buffered answers had no common bound, and bodies were charged as announced, so that others waited up to their time limit.

The new section "limits" has memory-mib (else GOMEMLIMIT, else the machine's memory) and max-fds (else the process's limit). Connections and headers get 0.1 of the memory, answers 0.04, and bodies 0.2 if the memory was set; descriptors are divided as on the platform. max-header-kib (16) and idle-timeout-ms (2 min, as before) are new in section "caller". Uploads that are incomplete for a second give way when the memory for bodies is used up. TestDefaults has the two new fields.

--- a/entry/body.go
+++ b/entry/body.go
@@ -22,6 +22,8 @@
 	// minBodyRate is the lowest accepted upload rate in bytes per second. Without it slow uploads would occupy the body
 	// memory until the deadline of their request.
 	minBodyRate int64 = 128 << 10
+	// reclaimPause is the time that a request has to return its memory after its connection was closed.
+	reclaimPause = 5 * time.Millisecond
 	// unknownLengthDivisor limits a body of unknown length to 1/unknownLengthDivisor of the body memory.
 	unknownLengthDivisor int64 = 4
 )
@@ -31,6 +33,8 @@
 	memory  *semaphore.Weighted
 	total   int64
 	maxBody int64
+	// reclaim ends the oldest incomplete upload and reports whether there was one; it may be nil.
+	reclaim func() bool
 }
 
 func newBodyBudget(total, maxBody poplarwinch.Bytes) *bodyBudget {
@@ -52,7 +56,7 @@
 		limit = min(limit, max(1, b.total/unknownLengthDivisor/bodyCopies))
 	}
 	reserved := limit * bodyCopies
-	if err := b.memory.Acquire(ctx, reserved); err != nil {
+	if err := b.acquire(ctx, reserved); err != nil {
 		return nil, nil, &poplarwinch.Error{
 			Kind: poplarwinch.KindOverloaded, Outcome: poplarwinch.OutcomeNotRun, RetryAfter: clock.Second, Cause: err,
 			Message: "the memory for request bodies was exhausted until the time limit", Remedy: "retry later",
@@ -66,6 +70,23 @@
 	return body, func() { b.memory.Release(reserved) }, nil
 }
 
+// acquire takes memory. It ends incomplete uploads while there is none left, and waits for other requests then.
+func (b *bodyBudget) acquire(ctx context.Context, n int64) error {
+	for b.reclaim != nil && !b.memory.TryAcquire(n) {
+		if !b.reclaim() {
+			return b.memory.Acquire(ctx, n)
+		}
+		time.Sleep(reclaimPause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	if b.reclaim == nil {
+		return b.memory.Acquire(ctx, n)
+	}
+	return nil
+}
+
 func (b *bodyBudget) receive(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
 	readDeadline := time.Now().Add((bodyReadGrace + clock.Millis(limit*1000/minBodyRate)).Duration())
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/clientlimit"
 	"github.com/poplarwinch/poplarwinch/internal/earlyresponse"
 	"github.com/poplarwinch/poplarwinch/manifest"
 )
@@ -43,6 +44,8 @@
 	bodyRead bool
 	// headerSent is set once the response headers have been written. An error can no longer replace the answer then.
 	headerSent bool
+	// answerBytes is the size of the buffered answer, and answerTaken the part that counts for the memory of answers.
+	answerBytes, answerTaken int64
 	// events writes the answer if the caller asked for a stream; it is nil otherwise.
 	events *eventWriter
 	// The fields below are logged at the end of the request.
@@ -63,6 +66,7 @@
 			return
 		}
 		defer s.endRequest()
+		defer x.releaseAnswer()
 		x.finish(x.serveSafely(serve))
 	}
 }
@@ -136,6 +140,7 @@
 
 // readBody reads the whole request body. The returned release function gives its memory back to the budget.
 func (x *exchange) readBody(ctx context.Context) (body []byte, release func(), err error) {
+	defer clientlimit.Uploading(x.request.Context())()
 	body, release, err = x.server.bodies.read(ctx, x.writer, x.request)
 	x.bodyRead = err == nil
 	return body, release, err
--- a/entry/option.go
+++ b/entry/option.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwinch/poplarwinch/claim"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/internal/bytebudget"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/reservation"
@@ -30,6 +31,11 @@
 // WithLimits sets the limits; the default is DefaultLimits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
 
+// WithClientMemory sets the function that ends the oldest incomplete upload if there is one, and the memory for answers in progress.
+func WithClientMemory(reclaimBody func() bool, answers *bytebudget.Budget) Option {
+	return func(s *Server) { s.reclaimBody, s.answers = reclaimBody, answers }
+}
+
 // WithActiveManifest sets the function that returns the active manifest, or nil if there is none.
 func WithActiveManifest(f func() *manifest.Index) Option {
 	return func(s *Server) { s.activeManifest = f }
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/poplarwinch/poplarwinch/claim"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/engine"
+	"github.com/poplarwinch/poplarwinch/internal/bytebudget"
 	"github.com/poplarwinch/poplarwinch/manifest"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 	"github.com/poplarwinch/poplarwinch/reservation"
@@ -45,6 +46,8 @@
 	probe           func(ctx context.Context, u *upstream.Upstream)
 
 	bodies          *bodyBudget
+	reclaimBody     func() bool
+	answers         *bytebudget.Budget
 	tokenEstimator  tokenEstimator
 	metrics         *requestMetrics
 	ready           atomic.Bool
@@ -61,12 +64,13 @@
 	s := &Server{
 		clock: clock.System(), log: log.Log, limits: DefaultLimits(),
 		probe: func(context.Context, *upstream.Upstream) {},
-		idle:  make(chan struct{}, 1), metrics: newMetrics(),
+		idle:  make(chan struct{}, 1), metrics: newMetrics(), answers: bytebudget.New(defaultAnswerMemory),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
 	s.bodies = newBodyBudget(s.limits.BodyMemory, s.limits.MaxBody)
+	s.bodies.reclaim = s.reclaimBody
 	s.streamCanceller = canceller{engines: s.engines, clock: s.clock, log: s.log, pending: map[engine.StreamID]context.CancelFunc{}}
 	return s
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -106,7 +106,7 @@
 	header.Del(timeoutHeader)
 	header.Set(requestIDHeader, string(x.id))
 	header.Set("Customer", string(x.customer.ID))
-	call := service.Call{Method: x.request.Method, Path: target, Header: header}
+	call := service.Call{Method: x.request.Method, Path: target, Header: header, Reserve: x.takeAnswer}
 	return &serviceRun{exchange: x, service: found, call: call}, nil
 }
 
@@ -245,6 +245,7 @@
 		return nil, err
 	}
 	r.attempts++
+	r.releaseAnswer()
 	r.upstreamID = decision.Upstream.ID
 	r.logDecision(&decision)
 	ticket := decision.Upstream.Begin(upstream.Work{})
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -82,6 +82,9 @@
 	if usage, ok := completion.UsageOf(f.Data); ok {
 		s.run.recordUsage(usage)
 	}
+	if !s.run.takeAnswer(int64(len(f.Data))) {
+		return noAnswerMemory()
+	}
 	if err := s.assembler.Add(f.Data); err != nil {
 		return &poplarwinch.Error{
 			Kind: poplarwinch.KindUpstreamFailed, Outcome: poplarwinch.OutcomeFailed, Cause: err,
@@ -100,7 +103,10 @@
 }
 
 func (s *bufferedSink) committed() bool { return s.run.headerSent }
-func (s *bufferedSink) reset()          { s.assembler = s.run.newAssembler() }
+func (s *bufferedSink) reset() {
+	s.run.releaseAnswer()
+	s.assembler = s.run.newAssembler()
+}
 
 // writeComplete sends a complete answer with its Content-Length.
 func (x *exchange) writeComplete(status int, contentType string, body []byte) error {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,6 +81,7 @@
 	operator        *operator.Server
 	alarms          *alarms
 
+	clients   clients
 	listeners listeners
 	loops     sync.WaitGroup
 }
@@ -93,18 +94,19 @@
 	}
 	i.log = i.log.WithField("instance", string(s.Instance.ID))
 	i.alarms = newAlarms(i.clock)
-	i.initClients()
+	i.initPlatformClients()
 	if err := i.initPeers(); err != nil {
 		return nil, err
 	}
 	i.initDecisions()
+	i.initClients()
 	i.initEntry()
 	i.initOperator()
 	return i, nil
 }
 
-// initClients creates the clients of the upstreams and of the platform services.
-func (i *Instance) initClients() {
+// initPlatformClients creates the clients of the upstreams and of the platform services.
+func (i *Instance) initPlatformClients() {
 	platform := i.settings.Platform
 	if i.engines == nil {
 		i.engines = engine.New()
@@ -164,10 +166,10 @@
 func (i *Instance) initEntry() {
 	caller := i.settings.Caller
 	limits := entry.DefaultLimits()
-	limits.MaxBody, limits.BodyMemory = caller.MaxBody, caller.BodyMemory
+	limits.MaxBody, limits.BodyMemory = caller.MaxBody, i.clients.bodies
 	limits.WriteStall, limits.MaxRequests = caller.WriteStall, int64(caller.MaxRequests)
 	i.entry = entry.New(
-		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithActiveManifest(i.store.Active),
+		entry.WithClock(i.clock), entry.WithLog(i.log), entry.WithLimits(limits), entry.WithClientMemory(i.clients.guard.ReclaimBody, i.clients.answers), entry.WithActiveManifest(i.store.Active),
 		entry.WithRouting(i.registry, i.router), entry.WithAdmission(i.admission, i.retries),
 		entry.WithQuarantine(i.quarantine, i.guard), entry.WithProbe(i.watcher.Check), entry.WithEngines(i.engines, i.reservations),
 		entry.WithServices(i.services, i.claims), entry.WithSigner(token.NewSigner([]byte(i.settings.Peers.Secret.Reveal()))),
--- a/instance/listeners.go
+++ b/instance/listeners.go
@@ -10,15 +10,13 @@
 	"net/netip"
 	"time"
 
+	"github.com/poplarwinch/poplarwinch/internal/clientlimit"
 	"github.com/poplarwinch/poplarwinch/settings"
 )
 
 const (
-	// idleTimeout is the time after which callers' idle connections are closed. It exceeds the usual idle timeout of load
-	// balancers, 1 min, so that they do not send a request on a connection that is being closed.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the header of a request, in bytes.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a request, in bytes, if the settings have a larger limit.
+	maxHeaderBytes = 1 << 20
 	// keepAliveIdle is the idle time before the first TCP keep-alive probe. With these three values, a caller that
 	// vanished without closing its connection is detected within 30 s.
 	keepAliveIdle = 15 * time.Second
@@ -77,10 +75,11 @@
 	serveErrors := make(chan error, 1)
 	l.callerServer = &http.Server{
 		Handler: i.entry.Handler(), ReadHeaderTimeout: i.settings.Caller.HeaderTimeout.Duration(),
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: i.settings.Caller.IdleTimeout.Duration(), MaxHeaderBytes: maxHeaderBytes,
+		ConnState: i.clients.guard.ConnState, ConnContext: clientlimit.ConnContext,
 	}
 	i.loops.Go(func() {
-		if err := l.callerServer.Serve(l.caller); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.callerServer.Serve(i.clients.guard.Listen(l.caller)); !errors.Is(err, http.ErrServerClosed) {
 			serveErrors <- fmt.Errorf("serve on %s: %w", l.caller.Addr(), err)
 		}
 	})
--- a/instance/run.go
+++ b/instance/run.go
@@ -13,9 +13,12 @@
 	if err := i.listeners.open(i.settings); err != nil {
 		return err
 	}
+	i.limitRuntime()
+	i.capListeners()
 	loops, stop := context.WithCancel(context.Background())
 	defer stop()
 	listApplied := i.startLoops(loops)
+	i.loops.Go(func() { i.clients.guard.Run(loops) })
 	serveErrors := i.listeners.serve(i)
 	i.log.WithField("version", i.version).WithField("caller", i.listeners.caller.Addr().String()).Info("instance started")
 	i.loops.Go(func() { i.becomeReady(loops, listApplied) })
--- a/instance/status.go
+++ b/instance/status.go
@@ -36,6 +36,7 @@
 		sent, received := i.peers.Traffic()
 		metrics.WriteCounterUint64(w, `poplarwinch_peer_bytes_total{direction="sent"}`, sent)
 		metrics.WriteCounterUint64(w, `poplarwinch_peer_bytes_total{direction="received"}`, received)
+		i.clients.guard.WriteMetrics(w)
 		metrics.WritePrometheus(w, true)
 	}
 }
--- a/internal/hostileclients/platform_test.go
+++ b/internal/hostileclients/platform_test.go
@@ -29,7 +29,7 @@
 var networks atomic.Int64
 
 // startPlatform starts "poplarwinch platform" with a store and a server that answers as much as requests ask for.
-func startPlatform(t *testing.T, s limits) *target {
+func startPlatform(t testing.TB, s limits) *target {
 	t.Helper()
 	store := emulator.NewStore()
 	storeServer := httptest.NewServer(store)
@@ -115,7 +115,7 @@
 }
 
 // freeAddress returns a loopback address on which nothing listens, below the ephemeral ports.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for port := 20_000 + os.Getpid()%10_000; port < 32_000; port++ {
 		address := fmt.Sprintf("127.0.0.1:%d", port)
--- a/internal/hostileclients/process_test.go
+++ b/internal/hostileclients/process_test.go
@@ -25,7 +25,7 @@
 
 // process is a running program under test.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	log     string
 	ended   chan struct{}
@@ -34,7 +34,7 @@
 }
 
 // startProcess starts the program with a limit of descriptors, and stops it at the end of the test.
-func startProcess(t *testing.T, descriptors int, environment []string, arguments ...string) *process {
+func startProcess(t testing.TB, descriptors int, environment []string, arguments ...string) *process {
 	t.Helper()
 	binary, err := filepath.Abs(cmp.Or(os.Getenv("POPLARWINCH_BINARY"), "../../bin/poplarwinch"))
 	if err != nil {
--- a/internal/hostileclients/serve_test.go
+++ b/internal/hostileclients/serve_test.go
@@ -33,7 +33,7 @@
 }`
 
 // startServe starts "poplarwinch serve" with emulated platform services and a plain service.
-func startServe(t *testing.T, s limits) *target {
+func startServe(t testing.TB, s limits) *target {
 	t.Helper()
 	start := func(h http.Handler) *httptest.Server {
 		server := httptest.NewServer(h)
--- a/internal/hostileclients/target_test.go
+++ b/internal/hostileclients/target_test.go
@@ -40,7 +40,7 @@
 }
 
 // startTarget starts a program with its surroundings.
-type startTarget func(t *testing.T, s limits) *target
+type startTarget func(t testing.TB, s limits) *target
 
 // limits are the settings of a program that differ between tests; the zero value stands for the defaults.
 type limits struct {
@@ -117,7 +117,7 @@
 }
 
 // writeFile writes a file of the test's directory.
-func writeFile(t *testing.T, path, text string) {
+func writeFile(t testing.TB, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/service/call.go
+++ b/service/call.go
@@ -10,4 +10,6 @@
 	// Header contains the headers; hop-by-hop headers are not sent.
 	Header http.Header
 	Body   []byte
+	// Reserve takes memory for n more bytes of the answer, or reports false if there is none. It may be nil.
+	Reserve func(n int64) bool
 }
--- a/service/do.go
+++ b/service/do.go
@@ -36,7 +36,7 @@
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 2048))
 		return nil, &RefusedError{Address: address, Message: string(bytes.TrimSpace(text))}
 	}
-	data, err := c.read(call.Method, response)
+	data, err := c.read(&call, response)
 	if err != nil {
 		return nil, &InterruptedError{Address: address, Status: response.StatusCode, Cause: err}
 	}
@@ -67,12 +67,12 @@
 
 // read returns the complete body. net/http returns an error for a body that is shorter than its Content-Length or lacks its
 // last chunk.
-func (c *Client) read(method string, r *http.Response) ([]byte, error) {
+func (c *Client) read(call *Call, r *http.Response) ([]byte, error) {
 	if r.StatusCode < http.StatusOK {
 		return nil, fmt.Errorf("server responded with status %d, which ends no call", r.StatusCode)
 	}
 	limit := int64(c.config.maxResponse)
-	if method == http.MethodHead {
+	if call.Method == http.MethodHead {
 		return nil, nil
 	}
 	if r.ContentLength > limit {
@@ -81,7 +81,7 @@
 	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	data, err := readBody(&reservingReader{Reader: io.LimitReader(r.Body, limit+1), reserve: call.Reserve}, r.ContentLength)
 	if err != nil {
 		return nil, fmt.Errorf("read response body: %w", err)
 	}
--- a/settings/caller.go
+++ b/settings/caller.go
@@ -17,6 +17,10 @@
 	WriteStall clock.Millis
 	// HeaderTimeout is the time within which a caller must send the request header.
 	HeaderTimeout clock.Millis
+	// IdleTimeout is the time after which idle connections are closed.
+	IdleTimeout clock.Millis
+	// MaxHeader is the largest size of a request's headers.
+	MaxHeader poplarwinch.Bytes
 	// MaxRequests bounds the requests in progress.
 	MaxRequests int
 }
@@ -32,5 +36,7 @@
 	c.MaxBody, c.BodyMemory = poplarwinch.Bytes(bodyMiB*mebibyte), poplarwinch.Bytes(memoryMiB*mebibyte)
 	c.WriteStall = clock.Millis(r.number(section, "write-stall-ms", 30_000, 100, 600_000))
 	c.HeaderTimeout = clock.Millis(r.number(section, "header-timeout-ms", 10_000, 100, 600_000))
+	c.IdleTimeout = clock.Millis(r.number(section, "idle-timeout-ms", 120_000, 1000, 3_600_000))
+	c.MaxHeader = poplarwinch.Bytes(r.number(section, "max-header-kib", 16, 4, 1024) << 10)
 	c.MaxRequests = int(r.number(section, "max-requests", 4096, 1, 1_000_000))
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	Listen    Listen
 	Advertise Advertise
 	Caller    Caller
+	Limits    Limits
 	Platform  Platform
 	Peers     Peers
 	TLS       TLS
@@ -28,6 +29,7 @@
 	s.Listen.read(r)
 	s.Advertise.read(r, s.Listen.Peer)
 	s.Caller.read(r)
+	s.Limits.read(r)
 	s.Platform.read(r)
 	s.Peers.read(r)
 	s.TLS.read(r)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,7 +46,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := settings.Caller{MaxBody: 16 << 20, BodyMemory: 256 << 20, WriteStall: 30_000, HeaderTimeout: 10_000, MaxRequests: 4096}
+	want := settings.Caller{
+		MaxBody: 16 << 20, BodyMemory: 256 << 20, WriteStall: 30_000, HeaderTimeout: 10_000, IdleTimeout: 120_000, MaxHeader: 16 << 10, MaxRequests: 4096,
+	}
 	if s.Caller != want {
 		t.Errorf("Caller = %+v, want %+v", s.Caller, want)
 	}
