Client limits: refuse headers at the exact limit

A request whose headers came in one segment passed with up to 4 KB over the limit, since the limit was checked before each read only: headers of 20,000 bytes were served with a limit of 16,384. Reads end at the limit now, with 1 KiB for the request line. TestHeaderLimitOfTheConfiguration failed before and passes with -race.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -41,12 +41,13 @@
 	if !c.reading.Load() {
 		return c.Conn.Read(p)
 	}
-	if c.headerBytes >= c.guard.limits().MaxHeader+requestLineBytes {
+	left := c.guard.limits().MaxHeader + requestLineBytes - c.headerBytes
+	if left <= 0 {
 		return c.refuse(ReasonHeaderSize, "431 Request Header Fields Too Large", p)
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.Conn.Read(p[:min(int64(len(p)), left)])
 	if n > 0 && c.reading.Load() && !c.received(p[:n]) {
-		return c.refuse(ReasonMemory, "503 Service Unavailable", p)
+		return c.refuse(ReasonMemory, "503 Service Unavailable\r\nRetry-After: 1", p)
 	}
 	return n, err
 }
@@ -73,7 +74,7 @@
 	c.guard.refusals.add(reason, c.RemoteAddr().String())
 	c.guard.move(c, refused)
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
-	const headers = "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
+	const headers = "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	if _, err := io.WriteString(c.Conn, "HTTP/1.1 "+status+headers); err != nil {
 		return 0, io.EOF
 	}
