--- a/settings/limits.go
+++ b/settings/limits.go
@@ -38,15 +38,7 @@
 }
 
 // fallbackMemory is assumed if the system does not tell its memory.
-const fallbackMemory = 1 << 30
-
-func machineMemory() poplarwinch.Bytes {
-	var info unix.Sysinfo_t
-	if unix.Sysinfo(&info) != nil {
-		return fallbackMemory
-	}
-	return poplarwinch.Bytes(uint64(info.Totalram) * uint64(info.Unit))
-}
+const fallbackMemory poplarwinch.Bytes = 1 << 30
 
 // fallbackDescriptors is assumed if the system does not tell its limit.
 const fallbackDescriptors = 1024
