Try waiting requests of customers with other allowed regions

A request that can't run makes the pass skip the requests like it. Requests of customers with different allowed regions counted as alike, so that one that waited for a full region kept others from the free servers of other regions: in the test, for 505 ms after an engine had become free, until the first was rejected. The allowed regions of the customer are now part of what makes requests alike; those of the route were before, by its name.

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/queue"
+	"github.com/poplarwinch/poplarwinch/route"
 )
 
 // minPassInterval is the shortest time between two passes over the waiting requests after changes of the fleet, which may come within less
@@ -322,7 +323,7 @@
 	i := &queue.Item{
 		Service: x.Service, Customer: x.Customer, Class: x.Priority.Class, Route: x.Route.Name, Cost: 1, Arrived: x.Started,
 		Target: x.Started + x.Route.Target, GivesUp: x.givesUpAt(), Returned: x.cameBack(),
-		Distinct: len(x.excluded) > 0,
+		Regions: route.RegionsKey(x.CustomerRegions), Distinct: len(x.excluded) > 0,
 	}
 	if pool, isPool := x.pool(); isPool {
 		i.Cost = pool.Prefill(x.PromptTokens)
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -229,3 +229,33 @@
 		}
 	})
 }
+
+// Guards against a request that is not tried although a server has become free, because one like it waits for servers in a region that
+// its customer allows.
+func TestRequestsOfOtherRegionsHoldUpNoOther(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{
+			{ID: "e1", Address: "e1:80", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e2", Address: "e2:80", Domain: "middle", Service: "pool", Slots: 16},
+		})
+		endNorth, endMiddle := f.fill("e1"), f.fill("e2")
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		restricted := f.prioritized(0, "restricted")
+		restricted.CustomerRegions = []route.Region{"eu"}
+		waitRestricted := f.runAll(restricted)
+		time.Sleep(10 * time.Millisecond)
+		wait := f.runAll(f.prioritized(0, "other"))
+		time.Sleep(100 * time.Millisecond)
+		endMiddle()
+		began := time.Now()
+		if o := wait()[0]; o.err != nil || time.Since(began) > 100*time.Millisecond {
+			t.Errorf("got %+v %s after an engine became free", o.err, time.Since(began))
+		}
+		endNorth()
+		if o := waitRestricted()[0]; o.err != nil {
+			t.Errorf("the restricted request got %+v", o.err)
+		}
+	})
+}
--- a/queue/item.go
+++ b/queue/item.go
@@ -28,6 +28,8 @@
 	Class int
 	// Route identifies requests to which the same limits apply.
 	Route string
+	// Regions identifies the regions that the customer allows: requests with different ones may run on different servers.
+	Regions string
 	// Cost is the work for a server, in milliseconds.
 	Cost float64
 	// Lead is the shortest time from the start to the first event.
@@ -72,6 +74,7 @@
 type kind struct {
 	service poplarwinch.ServiceName
 	route   string
+	regions string
 	size    int
 	phase   phase
 }
@@ -109,5 +112,5 @@
 	if i.Distinct || p == phaseEnding {
 		return kind{}, false
 	}
-	return kind{service: i.Service, route: i.Route, size: i.size, phase: p}, true
+	return kind{service: i.Service, route: i.Route, regions: i.Regions, size: i.size, phase: p}, true
 }
--- a/route/region.go
+++ b/route/region.go
@@ -1,6 +1,9 @@
 package route
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Region is the name of a region; each failure domain is in one.
 type Region string
@@ -10,3 +13,11 @@
 func AllowsRegion(list []Region, region Region) bool {
 	return len(list) == 0 || region != "" && slices.Contains(list, region)
 }
+
+// RegionsKey returns a string that identifies a list of allowed regions; it is empty for an empty list.
+func RegionsKey(list []Region) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%q", list)
+}
