Keep the hold of a request when a larger one has no capacity

Requests of a route and class share the time for which they leave free capacity to more urgent ones at other instances. The time now begins anew only if the request that left the capacity has none itself, or it waits no more and its time is over. TestLongerPromptDoesNotExtendTheHold passes (60 ms allowed).

--- a/dispatch/holdback.go
+++ b/dispatch/holdback.go
@@ -7,8 +7,14 @@
 	"github.com/poplarwinch/poplarwinch/queue"
 )
 
-// holds has the time since which requests of a class have left free capacity to more urgent ones at other instances.
-type holds map[holdKey]clock.Millis
+// holds has the requests that leave free capacity to more urgent ones at other instances.
+type holds map[holdKey]hold
+
+// hold is the time since which requests have left free capacity, and the one of them that did so last.
+type hold struct {
+	since clock.Millis
+	item  *queue.Item
+}
 
 // holdKey identifies requests that leave capacity together.
 type holdKey struct {
@@ -19,11 +25,21 @@
 
 func keyOf(i *queue.Item) holdKey { return holdKey{i.Service, i.Route, i.Class} }
 
-// noCapacity records that no server has capacity for the request, so that the next free capacity is left to more urgent ones again.
+// noCapacity records that no server has capacity for the request, so that the next free capacity is left to more urgent ones again. It does
+// not end the hold of another request that still waits: a larger one may have no capacity all the time, and would begin the hold of smaller
+// ones anew in each pass.
 func (w *waitingRequests) noCapacity(i *queue.Item) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	delete(w.holds, keyOf(i))
+	key := keyOf(i)
+	h, held := w.holds[key]
+	if !held {
+		return
+	}
+	isOver := w.waiters[h.item] == nil && w.d.clock.Now()-h.since >= holdTime(w.d.fleet.WaitingPeers())
+	if h.item == i || isOver {
+		delete(w.holds, key)
+	}
 }
 
 // holdsBack reports whether a request that could run leaves the free capacity to more urgent ones that wait at other instances of the cell.
@@ -39,12 +55,13 @@
 		delete(w.holds, key)
 		return false
 	}
-	since, held := w.holds[key]
+	h, held := w.holds[key]
 	if !held {
-		since = now
-		w.holds[key] = now
+		h.since = now
 	}
-	return now-since < holdTime(x.d.fleet.WaitingPeers())
+	h.item = i
+	w.holds[key] = h
+	return now-h.since < holdTime(x.d.fleet.WaitingPeers())
 }
 
 // holdTime returns the time in which peers with waiting requests decide after a change and make it known.
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -259,3 +259,37 @@
 		}
 	})
 }
+
+// Guards against a request that leaves free capacity to more urgent ones for longer than they need to take it, because a longer prompt of
+// its kind, which has no capacity, begins the time anew.
+func TestLongerPromptDoesNotExtendTheHold(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		end := f.busyEngine(11)
+		large := f.fleet.Begin(fleet.Work{First: "e1", Memory: 390_000})
+		large.FirstEvent()
+		f.fleet.Merge("peer", fleet.Report{Waiting: []fleet.WaitingCount{{Service: "pool", Counts: fleet.ClassCounts{5}}}})
+		var sentAt time.Time
+		f.answer = func(_ context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			if c.PromptTokens == 5000 {
+				sentAt = time.Now()
+			}
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		long := f.prioritized(1, "a")
+		long.PromptTokens = 100_000
+		waitLong := f.runAll(long)
+		time.Sleep(10 * time.Millisecond)
+		if n := f.fleet.Waiting(); n != 6 {
+			t.Fatalf("%d requests wait, want the long prompt and 5 at the peer", n)
+		}
+		began := time.Now()
+		if o := f.run(t.Context(), f.prioritized(1, "b")); o.err != nil || sentAt.Sub(began) > 60*time.Millisecond {
+			t.Errorf("held for %s (%+v), want 60 ms at most", sentAt.Sub(began), o.err)
+		}
+		for range 11 {
+			end()
+		}
+		large.End()
+		waitLong()
+	})
+}
