Choose successors without reading whether the answer has begun

The successor of a silent attempt is chosen, and its memory reserved, beside the attempt. Since requests are rejected that are held for too long, both read whether the answer has begun, which the attempt may change at that time: a data race. The successor of a plain request is now chosen without the patience of its caller, which matters only for requests that wait, and a request whose memory was refused is rejected by the code that waits, not by the reservation.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -35,9 +35,8 @@
 	return &cost.Request{Service: x.Service, Route: x.Route.Name, Customer: x.Customer, Model: x.Model, Method: x.Method, Size: size}
 }
 
-// planServer chooses a server of a plain service.
-func (x *run) planServer(candidates []fleet.Candidate) (assignment.Plan, assignment.Verdict) {
-	timeLeft, fullTime := x.plainPatience()
+// planServer chooses a server of a plain service for a request that still waits for timeLeft of fullTime.
+func (x *run) planServer(candidates []fleet.Candidate, timeLeft, fullTime clock.Millis) (assignment.Plan, assignment.Verdict) {
 	if x.d.cost == nil || !x.d.costUses.ServerChoice || x.atPool() {
 		return assignment.Server(candidates, x.d.domain, timeLeft, fullTime)
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -103,7 +103,7 @@
 		changed := x.d.fleet.Changed()
 		selected, err := x.choose()
 		if selected != nil && selected.plan.Shared {
-			selected, err = x.reserve(ctx, selected)
+			selected, err = x.reserveOrReject(ctx, selected)
 		}
 		if selected != nil || err != nil {
 			return selected, err
@@ -190,7 +190,17 @@
 	if pool, isPool := x.pool(); isPool {
 		return assignment.Choose(&pool, candidates, x.prompt())
 	}
-	return x.planServer(candidates)
+	left, full := x.plainPatience()
+	return x.planServer(candidates, left, full)
+}
+
+// planSuccessor is plan for a successor. It runs beside the attempt, so it must not use what changes during one. A successor does not wait,
+// so the patience of the caller does not matter.
+func (x *run) planSuccessor(candidates []fleet.Candidate) (assignment.Plan, assignment.Verdict) {
+	if pool, isPool := x.pool(); isPool {
+		return assignment.Choose(&pool, candidates, x.prompt())
+	}
+	return x.planServer(candidates, x.Deadline-x.d.clock.Now(), x.Deadline-x.Started)
 }
 
 // verdictError returns the error for a request that is rejected now, or nil if it waits.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -50,8 +50,17 @@
 	return list
 }
 
-// reserve reserves the memory of a plan and records its load. Both results are nil if the memory could not be reserved and the request
-// waits.
+// reserveOrReject is reserve for a request that waits for its memory. It is rejected if it has waited for too long.
+func (x *run) reserveOrReject(ctx context.Context, selected *selection) (*selection, error) {
+	selected, err := x.reserve(ctx, selected)
+	if selected == nil && err == nil {
+		return nil, x.notReserved()
+	}
+	return selected, err
+}
+
+// reserve reserves the memory of a plan and records its load. Both results are nil if the memory could not be reserved. It runs beside the
+// attempt for a successor, so it must not use what changes during one.
 func (x *run) reserve(ctx context.Context, selected *selection) (*selection, error) {
 	limit, cancel := context.WithTimeout(ctx, reserveTimeout.Duration())
 	defer cancel()
@@ -64,12 +73,12 @@
 			return nil, ctx.Err()
 		}
 		x.log.WithError(err).Info("memory not reserved; waiting")
-		return nil, x.notReserved()
+		return nil, nil
 	}
 	if first := group.Shares[0].Upstream; !x.d.fleet.Accepts(first, selected.engines()...) {
 		x.log.WithField("upstream", first).Info("a server takes no more requests since memory was reserved; waiting")
 		x.d.background.Go(func() { x.d.reservations.Free(group) })
-		return nil, x.notReserved()
+		return nil, nil
 	}
 	selected.group = group
 	x.applyShares(selected, group.Shares)
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -131,7 +131,7 @@
 	if len(others) == 0 {
 		return nil
 	}
-	plan, verdict := x.plan(others)
+	plan, verdict := x.planSuccessor(others)
 	if verdict != assignment.VerdictRun {
 		return nil
 	}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -276,7 +276,7 @@
 	}
 	leave()
 	if selected != nil && selected.plan.Shared {
-		selected, err = x.reserve(ctx, selected)
+		selected, err = x.reserveOrReject(ctx, selected)
 	}
 	if selected != nil {
 		x.d.waiting.started(item)
