Consider servers without known load in allowed regions

Of a service with more than 64 servers, candidates are those of the own cell and those in recent summaries. If the own region is not allowed and no summary of another failure domain is known, after a start or a cut, no allowed candidate was left and the request was rejected with 'the service has no available server in an allowed region', although there were 50. All allowed servers are candidates then. Requests without allowed regions decide as before. A successor is still chosen only among servers whose load is known.

--- a/dispatch/available.go
+++ b/dispatch/available.go
@@ -64,9 +64,24 @@
 	return selected.freeCandidates
 }
 
+// hasAllowedRegions reports whether the route or the customer allows only some regions.
+func (x *run) hasAllowedRegions() bool {
+	return len(x.Route.AllowedRegions) > 0 || len(x.CustomerRegions) > 0
+}
+
+// allowedCandidates returns the allowed servers of the service whose load is known. If there are none, it returns all allowed ones: of a
+// service with many servers, the load of those in other failure domains is not known after a start or a cut.
+func (x *run) allowedCandidates() []fleet.Candidate {
+	candidates := x.allowed(x.d.fleet.Candidates(x.Service))
+	if len(candidates) == 0 && x.hasAllowedRegions() {
+		return x.allowed(x.d.fleet.AllCandidates(x.Service))
+	}
+	return candidates
+}
+
 // allowed returns the candidates in the regions that both the route and the customer allow.
 func (x *run) allowed(candidates []fleet.Candidate) []fleet.Candidate {
-	if len(x.Route.AllowedRegions) == 0 && len(x.CustomerRegions) == 0 {
+	if !x.hasAllowedRegions() {
 		return candidates
 	}
 	var domain poplarwinch.FailureDomain
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -414,3 +414,32 @@
 		f.fleet.SetEvacuated(nil)
 	})
 }
+
+// Guards against requests that are rejected although their region has servers, because of a service with many servers an instance
+// knows the load of few: those of its cell and those in summaries, of which there are none after a start or a cut.
+func TestAllowedRegionWithoutKnownLoad(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindIdempotent, route.KindStreaming} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			var list []fleet.Server
+			for n := range 100 {
+				for _, service := range []poplarwinch.ServiceName{"pool", "bookings"} {
+					id := poplarwinch.UpstreamID(fmt.Sprintf("%s-%d", service, n))
+					domain := []poplarwinch.FailureDomain{"north", "south"}[n%2]
+					list = append(list, fleet.Server{ID: id, Address: string(id) + ":80", Domain: domain, Service: service, Slots: 16})
+				}
+			}
+			f.fleet.Apply(list)
+			f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+				return complete(http.StatusOK, wholeStream)
+			}
+			r := f.request(kind)
+			r.Route.AllowedRegions = []route.Region{"us"}
+			if o := f.run(t.Context(), r); o.err != nil || len(f.calls) != 1 {
+				t.Fatalf("got %+v, want an answer", o.err)
+			}
+			if d := f.calls[0].Server.Domain; d != "south" {
+				t.Errorf("sent to %s", d)
+			}
+		})
+	}
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -158,7 +158,7 @@
 
 // candidates returns the allowed servers of the service; those that have failed the request are to be avoided.
 func (x *run) candidates() []fleet.Candidate {
-	return x.markExcluded(x.allowed(x.d.fleet.Candidates(x.Service)))
+	return x.markExcluded(x.allowedCandidates())
 }
 
 // markExcluded marks the servers that have failed the request as to be avoided.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -158,6 +158,13 @@
 	return f.candidates(service)
 }
 
+// AllCandidates returns the servers of a service that are available, also those whose load is not known.
+func (f *Fleet) AllCandidates(service poplarwinch.ServiceName) []Candidate {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.addUnknown(f.candidates(service), f.usable[service], f.clock.Now())
+}
+
 // CandidatesWithout returns the servers that Candidates would return after the end of the ticket, apart from its first one.
 func (f *Fleet) CandidatesWithout(t *Ticket, service poplarwinch.ServiceName) []Candidate {
 	f.mutex.Lock()
