Count only requests with the same allowed regions as ahead

A request that waits for limits of servers is rejected at once if those before it need all that the limits allow. Requests that wait for servers in other regions counted too: with 28 requests waiting for one region, one for another region was rejected although it had to wait 200 ms for the limit. Requests of this instance now count if their allowed regions are the same; the counts of peers, which do not say for which regions their requests wait, count for requests that allow all.

--- a/dispatch/limited.go
+++ b/dispatch/limited.go
@@ -19,7 +19,10 @@
 	if !known {
 		return nil
 	}
-	ahead := x.d.waiting.ahead(i) + x.d.fleet.WaitingBefore(x.Service, i.Class)
+	ahead := x.d.waiting.ahead(i)
+	if i.Regions == "" { // the counts of peers do not say for which regions their requests wait
+		ahead += x.d.fleet.WaitingBefore(x.Service, i.Class)
+	}
 	if ahead < allowed {
 		return nil
 	}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -323,7 +323,7 @@
 	i := &queue.Item{
 		Service: x.Service, Customer: x.Customer, Class: x.Priority.Class, Route: x.Route.Name, Cost: 1, Arrived: x.Started,
 		Target: x.Started + x.Route.Target, GivesUp: x.givesUpAt(), Returned: x.cameBack(),
-		Regions: route.RegionsKey(x.CustomerRegions), Distinct: len(x.excluded) > 0,
+		Regions: route.RegionsKey(x.Route.AllowedRegions) + route.RegionsKey(x.CustomerRegions), Distinct: len(x.excluded) > 0,
 	}
 	if pool, isPool := x.pool(); isPool {
 		i.Cost = pool.Prefill(x.PromptTokens)
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -293,3 +293,39 @@
 		waitLong()
 	})
 }
+
+// Guards against a request that is rejected because many wait before it although these wait for servers in another region.
+func TestRequestsOfOtherRegionsAreNotAhead(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{
+			{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6},
+			{ID: "s2", Address: "s2:80", Domain: "middle", Service: "bookings", Slots: 6},
+		})
+		limit := fleet.Notice{Limit: 5}
+		for _, s := range f.fleet.Candidates("bookings") {
+			f.fleet.Observe(s.Server, limit, f.dispatcher.Now())
+		}
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			a, err := complete(http.StatusOK, "x")
+			return withNotice(limit, a, err)
+		}
+		request := func(region route.Region) *dispatch.Request {
+			r := f.request(route.KindIdempotent)
+			r.Priority, r.CustomerRegions, r.Route.Target = &route.Priority{}, []route.Region{region}, 1000
+			return r
+		}
+		for range 2 { // what the limit of s2 allows at once
+			f.run(t.Context(), request("us"))
+		}
+		var list []*dispatch.Request
+		for range 30 {
+			list = append(list, request("eu"))
+		}
+		wait := f.runAll(list...)
+		time.Sleep(time.Millisecond)
+		if o := f.run(t.Context(), request("us")); o.err != nil {
+			t.Errorf("got %+v, want an answer once the limit allows it", o.err)
+		}
+		wait()
+	})
+}
--- a/queue/item.go
+++ b/queue/item.go
@@ -28,7 +28,8 @@
 	Class int
 	// Route identifies requests to which the same limits apply.
 	Route string
-	// Regions identifies the regions that the customer allows: requests with different ones may run on different servers.
+	// Regions identifies the regions that the route and the customer allow, empty if all: requests with different ones may run on
+	// different servers.
 	Regions string
 	// Cost is the work for a server, in milliseconds.
 	Cost float64
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -137,11 +137,12 @@
 // CapacityChanged says that items that could not run may be able to.
 func (q *Queue) CapacityChanged() { q.generation++ }
 
-// Ahead returns the number of items of the service that are more urgent than the item, or as urgent and arrived before it.
+// Ahead returns the number of items of the service with the same regions that are more urgent than the item, or as urgent and arrived
+// before it. Items with other regions may wait for other servers.
 func (q *Queue) Ahead(i *Item) int {
 	n := 0
 	for _, other := range q.items {
-		if other.Service == i.Service && (other.Class < i.Class || other.Class == i.Class && other.Arrived < i.Arrived) {
+		if other.Service == i.Service && other.Regions == i.Regions && (other.Class < i.Class || other.Class == i.Class && other.Arrived < i.Arrived) {
 			n++
 		}
 	}
