Tell waiting requests of different patience apart

A request that can't run makes the pass skip the requests like it. Requests of the same route and size counted as alike although the caller of one gives up much sooner, such as one that came back after a rejection and is tried first. Decisions depend on that time: a prompt that has to run at once may find no engine on which one with more time can run. Requests are now alike only if their patience differs by less than a factor of 1.41. TestItemsOfShorterPatienceHoldUpNoOther failed before and passes now.

--- a/queue/item.go
+++ b/queue/item.go
@@ -18,6 +18,8 @@
 	middleFraction = 0.6
 	// sizesPerDoubling is the number of size ranges for each doubling of the size.
 	sizesPerDoubling = 4
+	// patiencesPerDoubling is the number of ranges for each doubling of the caller's patience.
+	patiencesPerDoubling = 2
 )
 
 // Item is a waiting request.
@@ -46,6 +48,8 @@
 	account *account
 	// size is the range in which Cost lies.
 	size int
+	// patience is the range in which the time from the arrival until the caller gives up lies.
+	patience int
 	// triedAt is the number of the pass in which the request was tried last.
 	triedAt uint64
 	// position is the place in the list of the queue.
@@ -73,11 +77,12 @@
 
 // kind identifies items on which decisions are alike.
 type kind struct {
-	service poplarwinch.ServiceName
-	route   string
-	regions string
-	size    int
-	phase   phase
+	service  poplarwinch.ServiceName
+	route    string
+	regions  string
+	size     int
+	patience int
+	phase    phase
 }
 
 // phase is a part of the time for which an item waits.
@@ -113,5 +118,5 @@
 	if i.Distinct || p == phaseEnding {
 		return kind{}, false
 	}
-	return kind{service: i.Service, route: i.Route, regions: i.Regions, size: i.size, phase: p}, true
+	return kind{service: i.Service, route: i.Route, regions: i.Regions, size: i.size, patience: i.patience, phase: p}, true
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -67,7 +67,9 @@
 
 // Add adds an item. It counts as tried.
 func (q *Queue) Add(i *Item) {
-	i.position, i.triedIn, i.size = len(q.items), q.generation, int(sizesPerDoubling*math.Log2(1+i.Cost))
+	i.position, i.triedIn = len(q.items), q.generation
+	i.size = int(sizesPerDoubling * math.Log2(1+i.Cost))
+	i.patience = int(patiencesPerDoubling * math.Log2(1+float64(max(i.GivesUp-i.Arrived, 0))))
 	q.items = append(q.items, i)
 	l := q.lines[i.Service]
 	if l == nil {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -109,6 +109,23 @@
 	}
 }
 
+// Guards against a request that is not tried because one whose caller gives up sooner can't run: it can't wait for the load of a server.
+func TestItemsOfShorterPatienceHoldUpNoOther(t *testing.T) {
+	q := queue.New()
+	hurried, patient := item(0, "a", 0), item(0, "b", 1)
+	hurried.GivesUp = 700
+	q.Add(hurried)
+	q.Add(patient)
+	p := q.Pass(10)
+	if i := p.Next(); i != hurried {
+		t.Fatalf("got %+v first", i)
+	}
+	p.Failed(hurried)
+	if i := p.Next(); i != patient {
+		t.Errorf("got %+v, want the patient request", i)
+	}
+}
+
 // Guards against late rejections: a request that may be rejected gets each decision although one like it can't run.
 func TestEndingItemsAreTried(t *testing.T) {
 	q := queue.New()
