Probe servers after the hold that follows a freeze

While an instance may have missed an evacuation it sends no probes. The probe of a server whose attempt broke off in that time was left out, so that a crash of the server was never recorded, also where no domain is ever evacuated: attempts break off just then, as servers end connections to a frozen instance. The probe now waits for the end of the hold and is left out only if the domain is evacuated then. TestProbeAfterHold failed before (no probe) and passes now. go test -race ./dispatch passes.

--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -221,6 +221,32 @@
 	}
 }
 
+// Guards against a server that is never probed because its attempt broke off while nothing may be sent after a freeze: its crash would not
+// be recorded.
+func TestProbeAfterHold(t *testing.T) {
+	runInVirtualTime(t, func(_ *testing.T, f *fixture) {
+		f.threeDomains()
+		f.noRetries()
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			f.mutex.Lock()
+			f.heldUntil = f.dispatcher.Now() + 1500
+			f.mutex.Unlock()
+			return failure(dispatch.FailureBroken)
+		}
+		_ = f.run(f.t.Context(), f.request(route.KindStreaming))
+		time.Sleep(1400 * time.Millisecond)
+		f.mutex.Lock()
+		early := len(f.probed)
+		f.mutex.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if early != 0 || len(f.probed) != 1 || f.probed[0].ID != f.calls[0].Server.ID {
+			f.t.Errorf("%d early probes, probed %+v, want the server of the attempt after 1.5 s", early, f.probed)
+		}
+	})
+}
+
 // regionOf is the region of a failure domain in these tests.
 func regionOf(domain poplarwinch.FailureDomain) route.Region {
 	return map[poplarwinch.FailureDomain]route.Region{"north": "eu", "middle": "us", "south": "us"}[domain]
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -21,8 +21,11 @@
 }
 
 // runProbe probes the server, marks it unreachable if the probe fails, and calls done with the result. Servers of an evacuated failure
-// domain are not probed, and done is not called.
+// domain are not probed, and done is not called. While this instance may have missed an evacuation, the probe waits.
 func (d *Dispatcher) runProbe(s fleet.Server, done func(alive bool)) {
+	for hold := d.hold(); hold > 0; hold = d.hold() {
+		_ = d.clock.Sleep(context.Background(), hold)
+	}
 	if !d.mayProbe(s) {
 		return
 	}
