--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -221,6 +221,32 @@
 	}
 }
 
+// Guards against a server that is never probed because its attempt broke off while nothing may be sent after a freeze: its crash would not
+// be recorded.
+func TestProbeAfterHold(t *testing.T) {
+	runInVirtualTime(t, func(_ *testing.T, f *fixture) {
+		f.threeDomains()
+		f.noRetries()
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			f.mutex.Lock()
+			f.heldUntil = f.dispatcher.Now() + 1500
+			f.mutex.Unlock()
+			return failure(dispatch.FailureBroken)
+		}
+		_ = f.run(f.t.Context(), f.request(route.KindStreaming))
+		time.Sleep(1400 * time.Millisecond)
+		f.mutex.Lock()
+		early := len(f.probed)
+		f.mutex.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if early != 0 || len(f.probed) != 1 || f.probed[0].ID != f.calls[0].Server.ID {
+			f.t.Errorf("%d early probes, probed %+v, want the server of the attempt after 1.5 s", early, f.probed)
+		}
+	})
+}
+
 // regionOf is the region of a failure domain in these tests.
 func regionOf(domain poplarwinch.FailureDomain) route.Region {
 	return map[poplarwinch.FailureDomain]route.Region{"north": "eu", "middle": "us", "south": "us"}[domain]
@@ -414,3 +440,32 @@
 		f.fleet.SetEvacuated(nil)
 	})
 }
+
+// Guards against requests that are rejected although their region has servers, because of a service with many servers an instance
+// knows the load of few: those of its cell and those in summaries, of which there are none after a start or a cut.
+func TestAllowedRegionWithoutKnownLoad(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindIdempotent, route.KindStreaming} {
+		runInVirtualTime(t, func(t *testing.T, f *fixture) {
+			var list []fleet.Server
+			for n := range 100 {
+				for _, service := range []poplarwinch.ServiceName{"pool", "bookings"} {
+					id := poplarwinch.UpstreamID(fmt.Sprintf("%s-%d", service, n))
+					domain := []poplarwinch.FailureDomain{"north", "south"}[n%2]
+					list = append(list, fleet.Server{ID: id, Address: string(id) + ":80", Domain: domain, Service: service, Slots: 16})
+				}
+			}
+			f.fleet.Apply(list)
+			f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+				return complete(http.StatusOK, wholeStream)
+			}
+			r := f.request(kind)
+			r.Route.AllowedRegions = []route.Region{"us"}
+			if o := f.run(t.Context(), r); o.err != nil || len(f.calls) != 1 {
+				t.Fatalf("got %+v, want an answer", o.err)
+			}
+			if d := f.calls[0].Server.Domain; d != "south" {
+				t.Errorf("sent to %s", d)
+			}
+		})
+	}
+}
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -229,3 +229,103 @@
 		}
 	})
 }
+
+// Guards against a request that is not tried although a server has become free, because one like it waits for servers in a region that
+// its customer allows.
+func TestRequestsOfOtherRegionsHoldUpNoOther(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{
+			{ID: "e1", Address: "e1:80", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e2", Address: "e2:80", Domain: "middle", Service: "pool", Slots: 16},
+		})
+		endNorth, endMiddle := f.fill("e1"), f.fill("e2")
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		restricted := f.prioritized(0, "restricted")
+		restricted.CustomerRegions = []route.Region{"eu"}
+		waitRestricted := f.runAll(restricted)
+		time.Sleep(10 * time.Millisecond)
+		wait := f.runAll(f.prioritized(0, "other"))
+		time.Sleep(100 * time.Millisecond)
+		endMiddle()
+		began := time.Now()
+		if o := wait()[0]; o.err != nil || time.Since(began) > 100*time.Millisecond {
+			t.Errorf("got %+v %s after an engine became free", o.err, time.Since(began))
+		}
+		endNorth()
+		if o := waitRestricted()[0]; o.err != nil {
+			t.Errorf("the restricted request got %+v", o.err)
+		}
+	})
+}
+
+// Guards against a request that leaves free capacity to more urgent ones for longer than they need to take it, because a longer prompt of
+// its kind, which has no capacity, begins the time anew.
+func TestLongerPromptDoesNotExtendTheHold(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		end := f.busyEngine(11)
+		large := f.fleet.Begin(fleet.Work{First: "e1", Memory: 390_000})
+		large.FirstEvent()
+		f.fleet.Merge("peer", fleet.Report{Waiting: []fleet.WaitingCount{{Service: "pool", Counts: fleet.ClassCounts{5}}}})
+		var sentAt time.Time
+		f.answer = func(_ context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
+			if c.PromptTokens == 5000 {
+				sentAt = time.Now()
+			}
+			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
+		}
+		long := f.prioritized(1, "a")
+		long.PromptTokens = 100_000
+		waitLong := f.runAll(long)
+		time.Sleep(10 * time.Millisecond)
+		if n := f.fleet.Waiting(); n != 6 {
+			t.Fatalf("%d requests wait, want the long prompt and 5 at the peer", n)
+		}
+		began := time.Now()
+		if o := f.run(t.Context(), f.prioritized(1, "b")); o.err != nil || sentAt.Sub(began) > 60*time.Millisecond {
+			t.Errorf("held for %s (%+v), want 60 ms at most", sentAt.Sub(began), o.err)
+		}
+		for range 11 {
+			end()
+		}
+		large.End()
+		waitLong()
+	})
+}
+
+// Guards against a request that is rejected because many wait before it although these wait for servers in another region.
+func TestRequestsOfOtherRegionsAreNotAhead(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.fleet.Apply([]fleet.Server{
+			{ID: "s1", Address: "s1:80", Domain: "north", Service: "bookings", Slots: 6},
+			{ID: "s2", Address: "s2:80", Domain: "middle", Service: "bookings", Slots: 6},
+		})
+		limit := fleet.Notice{Limit: 5}
+		for _, s := range f.fleet.Candidates("bookings") {
+			f.fleet.Observe(s.Server, limit, f.dispatcher.Now())
+		}
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			a, err := complete(http.StatusOK, "x")
+			return withNotice(limit, a, err)
+		}
+		request := func(region route.Region) *dispatch.Request {
+			r := f.request(route.KindIdempotent)
+			r.Priority, r.CustomerRegions, r.Route.Target = &route.Priority{}, []route.Region{region}, 1000
+			return r
+		}
+		for range 2 { // what the limit of s2 allows at once
+			f.run(t.Context(), request("us"))
+		}
+		var list []*dispatch.Request
+		for range 30 {
+			list = append(list, request("eu"))
+		}
+		wait := f.runAll(list...)
+		time.Sleep(time.Millisecond)
+		if o := f.run(t.Context(), request("us")); o.err != nil {
+			t.Errorf("got %+v, want an answer once the limit allows it", o.err)
+		}
+		wait()
+	})
+}
--- a/queue/item.go
+++ b/queue/item.go
@@ -18,6 +18,8 @@
 	middleFraction = 0.6
 	// sizesPerDoubling is the number of size ranges for each doubling of the size.
 	sizesPerDoubling = 4
+	// patiencesPerDoubling is the number of ranges for each doubling of the caller's patience.
+	patiencesPerDoubling = 2
 )
 
 // Item is a waiting request.
@@ -28,6 +30,9 @@
 	Class int
 	// Route identifies requests to which the same limits apply.
 	Route string
+	// Regions identifies the regions that the route and the customer allow, empty if all: requests with different ones may run on
+	// different servers.
+	Regions string
 	// Cost is the work for a server, in milliseconds.
 	Cost float64
 	// Lead is the shortest time from the start to the first event.
@@ -43,6 +48,8 @@
 	account *account
 	// size is the range in which Cost lies.
 	size int
+	// patience is the range in which the time from the arrival until the caller gives up lies.
+	patience int
 	// triedAt is the number of the pass in which the request was tried last.
 	triedAt uint64
 	// position is the place in the list of the queue.
@@ -70,10 +77,12 @@
 
 // kind identifies items on which decisions are alike.
 type kind struct {
-	service poplarwinch.ServiceName
-	route   string
-	size    int
-	phase   phase
+	service  poplarwinch.ServiceName
+	route    string
+	regions  string
+	size     int
+	patience int
+	phase    phase
 }
 
 // phase is a part of the time for which an item waits.
@@ -109,5 +118,5 @@
 	if i.Distinct || p == phaseEnding {
 		return kind{}, false
 	}
-	return kind{service: i.Service, route: i.Route, size: i.size, phase: p}, true
+	return kind{service: i.Service, route: i.Route, regions: i.Regions, size: i.size, patience: i.patience, phase: p}, true
 }
