--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -14,9 +14,10 @@
 	return clock.Millis(maxHeldFraction * float64(x.givesUpAt()-x.Started))
 }
 
-// isHeldTooLong reports whether a request that was sent to no server is to be rejected instead of waiting further.
+// isHeldTooLong reports whether a request that was sent to no server is to be rejected instead of waiting further. Where all requests of
+// the service have the same priority, they wait as long as before priorities were known.
 func (x *run) isHeldTooLong() bool {
-	return !x.begun && x.possibleRuns == 0 && x.d.clock.Now()-x.Started >= x.maxHeldTime()
+	return x.Priority != nil && !x.begun && x.possibleRuns == 0 && x.d.clock.Now()-x.Started >= x.maxHeldTime()
 }
 
 // plainPatience returns the time that the caller of a plain service still waits, and that for which it waits in all. Only the deadline
