Order waiting requests only where the routes of a service have differing priorities

Cause: a few customers with a priority of their own put all requests of a service in order, also on deployments whose routes are alike. Decisions on short prompts waited for those before them.

Change: the order, and the rejections that come with it, need differing priorities of routes. Where only customers have a priority, Request-Urgency is sent.

--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -14,10 +14,13 @@
 	return clock.Millis(maxHeldFraction * float64(x.givesUpAt()-x.Started))
 }
 
+// hasOrder reports whether the waiting requests of the service are put in order.
+func (x *run) hasOrder() bool { return x.Priority != nil && x.Priority.Ordered }
+
 // isHeldTooLong reports whether a request that was sent to no server is to be rejected instead of waiting further. Where all requests of
 // the service have the same priority, they wait as long as before priorities were known.
 func (x *run) isHeldTooLong() bool {
-	return x.Priority != nil && !x.begun && x.possibleRuns == 0 && x.d.clock.Now()-x.Started >= x.maxHeldTime()
+	return x.hasOrder() && !x.begun && x.possibleRuns == 0 && x.d.clock.Now()-x.Started >= x.maxHeldTime()
 }
 
 // plainPatience returns the time that the caller of a plain service still waits, and that for which it waits in all. Only the deadline
@@ -25,7 +28,7 @@
 // before priorities were known.
 func (x *run) plainPatience() (left, full clock.Millis) {
 	end := x.Deadline
-	if x.Priority != nil && !x.begun {
+	if x.hasOrder() && !x.begun {
 		end = x.givesUpAt()
 	}
 	return end - x.d.clock.Now(), end - x.Started
--- a/dispatch/silence_internal_test.go
+++ b/dispatch/silence_internal_test.go
@@ -40,7 +40,7 @@
 		d := New(WithClock(c), WithLog(l), WithFleet(f), WithDomain("north"), WithActive(func() *route.Table { return table }), WithReservations(builder, 3000))
 		now := c.Now()
 		x := &run{d: d, log: l, reply: Reply{Begin: func(*Answer) {}}, Request: &Request{
-			Service: "pool", PromptTokens: prompt, MaxAnswerTokens: 1300, Started: now, Deadline: now + 15_000, Priority: &route.Priority{},
+			Service: "pool", PromptTokens: prompt, MaxAnswerTokens: 1300, Started: now, Deadline: now + 15_000, Priority: &route.Priority{Ordered: true},
 			Route: &route.Route{Name: "x", Target: 10_000, MaxPause: 1000, Kind: route.KindStreaming},
 		}}
 		silent := &selection{first: f.Candidates("pool")[0].Server, ticket: f.Begin(fleet.Work{First: "e1"})}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -224,7 +224,7 @@
 
 // isOrdered reports whether the request waits in the order of the queue. A request that a server may have run does not: its caller's
 // patience is not known from the time of its arrival.
-func (x *run) isOrdered() bool { return x.Priority != nil && !x.begun && x.possibleRuns == 0 }
+func (x *run) isOrdered() bool { return x.hasOrder() && !x.begun && x.possibleRuns == 0 }
 
 // pickInOrder is pick for a request of a service with differing priorities.
 func (x *run) pickInOrder(ctx context.Context) (*selection, error) {
--- a/dispatch/waiting_internal_test.go
+++ b/dispatch/waiting_internal_test.go
@@ -42,7 +42,7 @@
 			d := New(WithClock(c), WithFleet(f), WithDomain("d0"), WithLog(&log.Logger{Handler: discard.New()}), WithActive(func() *route.Table { return table }))
 			x := &run{d: d, log: d.log, Request: &Request{
 				Service: "pool", Customer: "fresh", PromptTokens: 5000, MaxAnswerTokens: 1300, Started: 1000, Deadline: 11_000,
-				Priority: &route.Priority{Class: 2}, Route: &route.Route{Name: "x", Target: 300, MaxPause: 250, Kind: route.KindStreaming},
+				Priority: &route.Priority{Class: 2, Ordered: true}, Route: &route.Route{Name: "x", Target: 300, MaxPause: 250, Kind: route.KindStreaming},
 			}}
 			for n := range waiting {
 				d.waiting.queue.Add(&queue.Item{
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -36,7 +36,7 @@
 // prioritized returns a prompt of a class and customer.
 func (f *fixture) prioritized(class int, customer string) *dispatch.Request {
 	r := f.request(route.KindStreaming)
-	r.Customer, r.Priority = poplarwinch.CustomerID(customer), &route.Priority{Class: class, Urgency: class}
+	r.Customer, r.Priority = poplarwinch.CustomerID(customer), &route.Priority{Class: class, Urgency: class, Ordered: true}
 	r.Route.Name, r.Route.Target, r.Route.MaxPause = fmt.Sprint("class-", class), 4000, 0
 	r.Fingerprint = quarantine.FingerprintOf(r.Customer, poplarwinch.ModelName(r.Route.Name), nil)
 	return r
@@ -111,7 +111,7 @@
 			return complete(http.StatusOK, "id: 1\ndata: a\n\n")
 		}
 		long := f.longPrompt()
-		long.Priority, long.Route.Target = &route.Priority{}, 15_000
+		long.Priority, long.Route.Target = &route.Priority{Ordered: true}, 15_000
 		wait := f.runAll(long)
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
@@ -201,7 +201,7 @@
 		}
 		request := func(class int) *dispatch.Request {
 			r := f.request(route.KindIdempotent)
-			r.Priority = &route.Priority{Class: class}
+			r.Priority = &route.Priority{Class: class, Ordered: true}
 			r.Route.Name, r.Route.Target = fmt.Sprint("class-", class), 1000
 			return r
 		}
@@ -311,7 +311,7 @@
 		}
 		request := func(region route.Region) *dispatch.Request {
 			r := f.request(route.KindIdempotent)
-			r.Priority, r.CustomerRegions, r.Route.Target = &route.Priority{}, []route.Region{region}, 1000
+			r.Priority, r.CustomerRegions, r.Route.Target = &route.Priority{Ordered: true}, []route.Region{region}, 1000
 			return r
 		}
 		for range 2 { // what the limit of s2 allows at once
--- a/route/priority.go
+++ b/route/priority.go
@@ -20,6 +20,10 @@
 	Class int
 	// Urgency is the value for servers, 0 to 9; 0 is the most urgent.
 	Urgency int
+	// Ordered says that waiting requests of the service are put in order, because its routes have differing priorities. Priorities of
+	// customers alone don't do so: with a few customers ahead of many equal ones, the order delayed decisions on short prompts by more than
+	// the few gained.
+	Ordered bool
 }
 
 // PriorityOf returns the priority of a customer's request to a service of the route. It is nil if all requests of the service have the
@@ -58,21 +62,22 @@
 	}
 	t.priorities = map[poplarwinch.ServiceName]map[int]*Priority{}
 	for service, list := range levels {
+		ordered := slices.Min(list) != slices.Max(list)
 		list = slices.Concat(list, ofCustomers)
 		slices.Sort(list)
 		if list = slices.Compact(list); len(list) > 1 {
-			t.priorities[service] = divide(list)
+			t.priorities[service] = divide(list, ordered)
 		}
 	}
 }
 
 // divide assigns classes and urgencies to the levels, which are sorted and distinct. Levels that are valid urgencies are kept as such;
 // otherwise they are numbered.
-func divide(levels []int) map[int]*Priority {
+func divide(levels []int, ordered bool) map[int]*Priority {
 	priorities := make(map[int]*Priority, len(levels))
 	valid := levels[0] >= 0 && levels[len(levels)-1] <= maxUrgency
 	for i, level := range levels {
-		p := &Priority{Class: spread(i, len(levels), PriorityClasses), Urgency: level}
+		p := &Priority{Class: spread(i, len(levels), PriorityClasses), Urgency: level, Ordered: ordered}
 		if !valid {
 			p.Urgency = spread(i, len(levels), maxUrgency+1)
 		}
--- a/route/priority_test.go
+++ b/route/priority_test.go
@@ -29,12 +29,19 @@
 	if got := of(table([]int{3}, route.Customer{ID: "same", Priority: level(3)}), 0, "same"); got != nil {
 		t.Errorf("customer with the priority of the route: got %+v, want none", got)
 	}
+	if got := of(table([]int{3}, route.Customer{ID: "urgent", Priority: level(0)}), 0, "urgent"); got == nil || *got != (route.Priority{Urgency: 0}) {
+		t.Errorf("routes with the same priority: got %+v, want an urgency and no order", got)
+	}
 	mixed := table([]int{2, 5}, route.Customer{ID: "urgent", Priority: level(0)})
 	for _, c := range []struct {
 		route    int
 		customer poplarwinch.CustomerID
 		want     route.Priority
-	}{{0, "plain", route.Priority{Class: 1, Urgency: 2}}, {1, "", route.Priority{Class: 2, Urgency: 5}}, {1, "urgent", route.Priority{Urgency: 0}}} {
+	}{
+		{0, "plain", route.Priority{Class: 1, Urgency: 2, Ordered: true}},
+		{1, "", route.Priority{Class: 2, Urgency: 5, Ordered: true}},
+		{1, "urgent", route.Priority{Urgency: 0, Ordered: true}},
+	} {
 		if got := of(mixed, c.route, c.customer); got == nil || *got != c.want {
 			t.Errorf("route %d, customer %q: got %+v, want %+v", c.route, c.customer, got, c.want)
 		}
