--- a/dispatch/silence_internal_test.go
+++ b/dispatch/silence_internal_test.go
@@ -24,8 +24,10 @@
 		l := &log.Logger{Handler: discard.New()}
 		f := fleet.New(fleet.WithClock(c), fleet.WithDomain("north"))
 		f.Apply([]fleet.Server{
-			{ID: "e1", Domain: "north", Service: "pool", Slots: 16}, {ID: "e2", Domain: "north", Service: "pool", Slots: 16},
-			{ID: "e3", Domain: "north", Service: "pool", Slots: 16}, {ID: "e4", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e1", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e2", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e3", Domain: "north", Service: "pool", Slots: 16},
+			{ID: "e4", Domain: "north", Service: "pool", Slots: 16},
 		})
 		table := (&route.Table{Pools: map[poplarwinch.ServiceName]route.Pool{"pool": {
 			Slots: 16, MemoryTokens: 405_000, StepMillis: 1.31, PrefillRate: 154, PairMillis: 0.162, ChunkTokens: 2048, Stride: 34,
