--- a/queue/item.go
+++ b/queue/item.go
@@ -42,7 +42,8 @@
 	Arrived, Target, GivesUp clock.Millis
 	// Returned says that the caller seems to have come back after a rejection.
 	Returned bool
-	// Distinct says that the result of a decision says nothing of other requests, nor theirs of this one.
+	// Distinct says that the result of a decision says nothing of other requests, nor theirs of this one, because it avoids servers that
+	// have failed it.
 	Distinct bool
 
 	account *account
