--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -11,16 +11,21 @@
 	"time"
 )
 
-// ask sends a request on a new connection and returns the status, or zero if there was no complete answer. It leaves after the given time.
+// ask sends a plain request on a new connection and returns the status, or zero if there was no complete answer. It leaves after the given time.
 func ask(address, method, target, attempt, body string, budget, leave time.Duration) (status int, answer string, err error) {
+	return askWith(address, method, target, attempt, body, budget, leave, "")
+}
+
+// askWith is ask with further header lines.
+func askWith(address, method, target, attempt, body string, budget, leave time.Duration, lines string) (status int, answer string, err error) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, "", err
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(leave))
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\nAuthorization: Token key-1\r\nContent-Length: %d\r\n\r\n%s",
-		method, target, attempt, budget.Milliseconds(), len(body), body)
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\nAuthorization: Token key-1\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, target, attempt, budget.Milliseconds(), lines, len(body), body)
 	if err != nil {
 		return 0, "", err
 	}
--- a/review/standin-2/giveup.go
+++ b/review/standin-2/giveup.go
@@ -26,7 +26,7 @@
 
 // playGiveUp sends a request that crashes servers some time after its client has left.
 func playGiveUp(record *recorder, trouble bool) (string, error) {
-	d, p, err := startSmall(record, 3, func(_ *http.Request, body []byte) behaviour {
+	d, p, err := startSmall(record, "bookings", 3, func(_ *http.Request, body []byte) behaviour {
 		if string(body) == deadlyBody {
 			return behaviour{crashAfter: crashAfter, keeps: true}
 		}
--- a/review/standin-2/path.go
+++ b/review/standin-2/path.go
@@ -12,7 +12,7 @@
 
 // playPath sends requests whose paths have characters that clients should encode, but often don't.
 func playPath(record *recorder, trouble bool) (string, error) {
-	d, p, err := startSmall(record, 1, func(*http.Request, []byte) behaviour { return behaviour{} })
+	d, p, err := startSmall(record, "bookings", 1, func(*http.Request, []byte) behaviour { return behaviour{} })
 	if err != nil {
 		return "", err
 	}
--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -14,7 +14,7 @@
 
 // playRestart sends a request that crashes servers again and again, and kills all processes once in between.
 func playRestart(record *recorder, trouble bool) (string, error) {
-	d, p, err := startSmall(record, 3, func(_ *http.Request, body []byte) behaviour {
+	d, p, err := startSmall(record, "bookings", 3, func(_ *http.Request, body []byte) behaviour {
 		if string(body) == deadlyBody {
 			return behaviour{crashAfter: 20 * time.Millisecond}
 		}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 const (
 	// workTime is the time for which a server works on a request.
 	workTime = 60 * time.Millisecond
+	// events is the number of events of a stream, and eventInterval the time between two.
+	events        = 10
+	eventInterval = 60 * time.Millisecond
 	// slots is the number of requests on which a server works at a time.
 	slots = 16
 	// backAfter is the time from the crash of a server until a new one has taken its place, and removedAfter that until its entry is
@@ -192,7 +196,19 @@
 		return
 	}
 	w.Header().Set("Server-Seal", s.id)
-	_, _ = io.WriteString(w, "answer to "+attempt+strings.Repeat(".", 700))
+	if r.Header.Get("Prompt-Prefix") == "" {
+		_, _ = io.WriteString(w, "answer to "+attempt+strings.Repeat(".", 700))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without one
+	for n := last + 1; n <= events && !s.isDown(); n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, attempt); err != nil || control.Flush() != nil {
+			return
+		}
+		time.Sleep(eventInterval)
+	}
 }
 
 func (p *pool) close() {
--- a/review/standin-2/small.go
+++ b/review/standin-2/small.go
@@ -17,14 +17,14 @@
 	budget = 4 * time.Second
 )
 
-// startSmall starts three instances in three zones with the servers of a plain service.
-func startSmall(record *recorder, each int, behave func(r *http.Request, body []byte) behaviour) (*deployment, *pool, error) {
+// startSmall starts three instances in three zones with the servers of a service.
+func startSmall(record *recorder, service string, each int, behave func(r *http.Request, body []byte) behaviour) (*deployment, *pool, error) {
 	d, err := newDeployment(record, configuration)
 	if err != nil {
 		return nil, nil, err
 	}
 	zones := []string{"north", "middle", "south"}
-	p, err := d.newPool("bookings", zones, each, behave)
+	p, err := d.newPool(service, zones, each, behave)
 	if err != nil {
 		return nil, nil, err
 	}
