--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -12,6 +12,9 @@
 
 func init() { plays["deadly-restart"] = playRestart }
 
+// restartPause is the time until the crashing request comes again.
+const restartPause = 250 * time.Millisecond
+
 // playRestart sends a request that crashes servers again and again, and kills all processes once in between.
 func playRestart(record *recorder, trouble bool) (string, error) {
 	d, p, err := startSmall(record, "bookings", 3, func(_ *http.Request, body []byte) behaviour {
@@ -27,7 +30,7 @@
 	defer p.close()
 	n := 0
 	again := func(length time.Duration) {
-		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(700 * time.Millisecond) {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(restartPause) {
 			n++
 			i := d.instances[n%len(d.instances)]
 			attempt := fmt.Sprintf("deadly-%d", n)
--- a/review/standin-2/retries.go
+++ b/review/standin-2/retries.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -36,22 +35,3 @@
 	}
 	return ""
 }
-
-// sound sends sound bookings until stop is closed and records those that got no success.
-func sound(record *recorder, d *deployment, stop chan struct{}) {
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-		go func() {
-			i := d.instances[n%len(d.instances)]
-			attempt := fmt.Sprintf("sound-%d", n)
-			status, _, err := ask(i.CallerAddress(), "POST", "/book/clean", attempt, "a booking", budget, budget+time.Second)
-			if status != http.StatusOK {
-				record.log("sound booking %s through %s: status %d, %v", attempt, i.Name, status, err)
-			}
-		}()
-	}
-}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -19,7 +19,7 @@
 	// workTime is the time for which a server works on a request.
 	workTime = 60 * time.Millisecond
 	// events is the number of events of a stream, and eventInterval the time between two.
-	events        = 10
+	events        = 38
 	eventInterval = 60 * time.Millisecond
 	// slots is the number of requests on which a server works at a time.
 	slots = 16
@@ -48,14 +48,14 @@
 type behaviour struct {
 	// crashAfter is the time after the beginning of the run at which the server crashes; zero for sound requests.
 	crashAfter time.Duration
-	// keeps says that the server goes on working when the connection of the request is closed.
-	keeps bool
+	// crashAfterFirst is the time after the first event of a stream at which the server crashes; zero for sound requests.
+	crashAfterFirst time.Duration
 }
 
 // arrival is a request that a server began to run.
 type arrival struct {
-	at                                    time.Time
-	server, attempt, method, target, body string
+	at                                           time.Time
+	server, attempt, method, target, body, parts string
 }
 
 // crash is the end of a server.
@@ -175,10 +175,10 @@
 		return
 	}
 	s.pool.mutex.Lock()
-	s.pool.arrivals = append(s.pool.arrivals, arrival{time.Now(), s.id, attempt, r.Method, r.RequestURI, string(body)})
+	s.pool.arrivals = append(s.pool.arrivals, arrival{time.Now(), s.id, attempt, r.Method, r.RequestURI, string(body), r.Header.Get("Prompt-Prefix")})
 	s.pool.mutex.Unlock()
 	b := s.pool.behave(r, body)
-	if b.crashAfter > 0 {
+	if b.crashAfter > 0 || b.crashAfterFirst > 0 {
 		s.pool.d.record.log("server %s begins to run %s", s.id, attempt)
 	}
 	for spent := time.Duration(0); spent < max(workTime, b.crashAfter); spent += 5 * time.Millisecond {
@@ -186,7 +186,7 @@
 		if s.isDown() {
 			return
 		}
-		if r.Context().Err() != nil && !b.keeps {
+		if r.Context().Err() != nil {
 			s.pool.d.record.log("server %s drops %s, whose connection is closed", s.id, attempt)
 			return
 		}
@@ -203,11 +203,15 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without one
+	begun := time.Now()
 	for n := last + 1; n <= events && !s.isDown(); n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, attempt); err != nil || control.Flush() != nil {
 			return
 		}
 		time.Sleep(eventInterval)
+		if b.crashAfterFirst > 0 && time.Since(begun) >= b.crashAfterFirst {
+			s.crash(attempt)
+		}
 	}
 }
 
