--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -59,7 +60,11 @@
 		started = time.Now()
 	}
 	time.Sleep(contactTime + 500*time.Millisecond)
+	stop, lost := make(chan struct{}), &atomic.Int64{}
+	go sound(record, d, stop, lost)
 	again(15 * time.Second)
+	close(stop)
 	time.Sleep(time.Second)
+	record.log("sound bookings since the instances are back that got no success: %d", lost.Load())
 	return judgeRetries(record, p, func(at time.Time) bool { return at.Sub(started) > contactTime || at.Before(started) }), nil
 }
--- a/review/standin-2/small.go
+++ b/review/standin-2/small.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,3 +49,23 @@
 	time.Sleep(contactTime + 500*time.Millisecond)
 	return d, p, nil
 }
+
+// sound sends fifty sound bookings a second until stop is closed. It records those that got no success, and counts them.
+func sound(record *recorder, d *deployment, stop chan struct{}, lost *atomic.Int64) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		go func() {
+			i := d.instances[n%len(d.instances)]
+			attempt := fmt.Sprintf("sound-%d", n)
+			status, _, err := ask(i.CallerAddress(), "POST", "/book/clean", attempt, "a booking", budget, budget+time.Second)
+			if status != http.StatusOK {
+				lost.Add(1)
+				record.log("sound booking %s through %s: status %d, %v", attempt, i.Name, status, err)
+			}
+		}()
+	}
+}
