--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -16,8 +16,19 @@
 	return askWith(address, method, target, attempt, body, budget, leave, "")
 }
 
-// askWith is ask with further header lines.
+// traffic is the record of what is sent, answered and run.
+var traffic *recorder
+
+// askWith is ask with further header lines. It records the request and its answer.
 func askWith(address, method, target, attempt, body string, budget, leave time.Duration, lines string) (status int, answer string, err error) {
+	traffic.log("sent %s %s %s to %s", attempt, method, target, address)
+	status, answer, err = exchange(address, method, target, attempt, body, budget, leave, lines)
+	traffic.log("answered %s: status %d, %d bytes, %v", attempt, status, len(answer), err)
+	return status, answer, err
+}
+
+// exchange sends a request on a new connection and reads the answer.
+func exchange(address, method, target, attempt, body string, budget, leave time.Duration, lines string) (status int, answer string, err error) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, "", err
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -54,13 +54,29 @@
 func freeNetwork() string {
 	for n := os.Getpid(); ; n++ {
 		network := fmt.Sprintf("127.%d.%d", 130+n%100, n/100%250)
-		l, err := net.Listen("tcp", network+".10:9464")
+		if isFree(network) {
+			return network
+		}
+	}
+}
+
+// isFree reports whether the ports of the instances' settings and that for metrics are free on the addresses of three instances.
+func isFree(network string) bool {
+	for _, host := range []string{".10", ".11", ".12"} {
+		for _, port := range []string{":8227", ":8220", ":8229", ":7340", ":9464"} {
+			l, err := net.Listen("tcp", network+host+port)
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+		u, err := net.ListenPacket("udp", network+host+":7340")
 		if err != nil {
-			continue
+			return false
 		}
-		_ = l.Close()
-		return network
+		_ = u.Close()
 	}
+	return true
 }
 
 func newDeployment(record *recorder, configuration string) (*deployment, error) {
@@ -116,6 +132,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
+	started(c.Process)
 	i.command, i.ended, i.status = c, make(chan struct{}), ""
 	ended := i.ended
 	i.d.record.log("%s started, process %d", i.Name, c.Process.Pid)
--- a/review/standin-2/latecrash.go
+++ b/review/standin-2/latecrash.go
@@ -19,6 +19,9 @@
 	// lateCrashTime is the time for which prompts with the part come, each after lateCrashPause.
 	lateCrashTime  = 40 * time.Second
 	lateCrashPause = time.Second
+	// soundPause is the time between two sound prompts, and settleTime that in which the last ones end.
+	soundPause = 200 * time.Millisecond
+	settleTime = 5 * time.Second
 	// maxAfterFifth is the number of requests that the rule allows after the fifth crash.
 	maxAfterFifth = 3
 )
@@ -38,7 +41,7 @@
 	defer p.close()
 	stop := make(chan struct{})
 	var cut, complete counter
-	go countedPrompts(record, d, stop, &cut, &complete)
+	go countedPrompts(record, d, stop, soundPause, &cut, &complete)
 	time.Sleep(2 * time.Second)
 	for n := 0; trouble && n < int(lateCrashTime/lateCrashPause); n++ {
 		go func() {
@@ -53,8 +56,8 @@
 	if !trouble {
 		time.Sleep(lateCrashTime)
 	}
-	time.Sleep(2 * time.Second)
 	close(stop)
+	time.Sleep(settleTime)
 	record.log("sound prompts: %d complete, %d cut off or failed", complete.n(), cut.n())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	traffic = record
+	go endOnSignal(record)
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.log("case %s, with the disruption: %v", os.Args[1], trouble)
 	broken, err := plays[os.Args[1]](record, trouble)
--- a/review/standin-2/ownpart.go
+++ b/review/standin-2/ownpart.go
@@ -15,6 +15,8 @@
 	// ownPartTime is the time for which the request comes again and again, each time after ownPartPause.
 	ownPartTime  = 20 * time.Second
 	ownPartPause = 850 * time.Millisecond
+	// ownPartSoundPause is the time between two sound prompts.
+	ownPartSoundPause = 50 * time.Millisecond
 	// promptBudget is the time that clients of prompts wait.
 	promptBudget = 10 * time.Second
 )
@@ -39,8 +41,8 @@
 	defer d.close()
 	defer p.close()
 	stop := make(chan struct{})
-	defer close(stop)
-	go soundPrompts(record, d, stop)
+	var cut, complete counter
+	go countedPrompts(record, d, stop, ownPartSoundPause, &cut, &complete)
 	time.Sleep(2 * time.Second)
 	n := 0
 	for end := time.Now().Add(ownPartTime); time.Now().Before(end); time.Sleep(ownPartPause) {
@@ -54,25 +56,8 @@
 		status, text, err := askWith(i.CallerAddress(), "POST", "/note/draft", attempt, deadlyBody, promptBudget, promptBudget+time.Second, promptLines(own))
 		record.log("deadly request %s with own part %s through %s: status %d %.80s %v", attempt, own, i.Name, status, strings.TrimSpace(text), err)
 	}
-	time.Sleep(time.Second)
+	close(stop)
+	time.Sleep(settleTime)
+	record.log("sound prompts: %d complete, %d cut off or failed", complete.n(), cut.n())
 	return judgeRetries(record, p, func(time.Time) bool { return true }), nil
 }
-
-// soundPrompts sends sound prompts until stop is closed and records those that got no success.
-func soundPrompts(record *recorder, d *deployment, stop chan struct{}) {
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		go func() {
-			i := d.instances[n%len(d.instances)]
-			attempt := fmt.Sprintf("sound-%d", n)
-			status, _, err := askWith(i.CallerAddress(), "POST", "/note/draft", attempt, "prompt "+attempt, promptBudget, promptBudget+time.Second, promptLines(fmt.Sprintf("%08x", n+1)))
-			if status != http.StatusOK {
-				record.log("sound prompt %s through %s: status %d, %v", attempt, i.Name, status, err)
-			}
-		}()
-	}
-}
--- a/review/standin-2/prompts.go
+++ b/review/standin-2/prompts.go
@@ -14,13 +14,13 @@
 
 func (c *counter) n() int64 { return c.v.Load() }
 
-// countedPrompts sends five sound prompts a second until stop is closed, and counts those that are complete and those that are not.
-func countedPrompts(record *recorder, d *deployment, stop chan struct{}, cut, complete *counter) {
+// countedPrompts sends sound prompts, each after a pause, until stop is closed, and counts those that are complete and those that are not.
+func countedPrompts(record *recorder, d *deployment, stop chan struct{}, pause time.Duration, cut, complete *counter) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(200 * time.Millisecond):
+		case <-time.After(pause):
 		}
 		go func() {
 			i := d.instances[n%len(d.instances)]
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -178,9 +178,7 @@
 	s.pool.arrivals = append(s.pool.arrivals, arrival{time.Now(), s.id, attempt, r.Method, r.RequestURI, string(body), r.Header.Get("Prompt-Prefix")})
 	s.pool.mutex.Unlock()
 	b := s.pool.behave(r, body)
-	if b.crashAfter > 0 || b.crashAfterFirst > 0 {
-		s.pool.d.record.log("server %s begins to run %s", s.id, attempt)
-	}
+	s.pool.d.record.log("server %s begins to run %s", s.id, attempt)
 	for spent := time.Duration(0); spent < max(workTime, b.crashAfter); spent += 5 * time.Millisecond {
 		time.Sleep(5 * time.Millisecond)
 		if s.isDown() {
--- a/review/standin-2/small.go
+++ b/review/standin-2/small.go
@@ -19,13 +19,18 @@
 )
 
 // startSmall starts three instances in three zones with the servers of a service.
-func startSmall(record *recorder, service string, each int, behave func(r *http.Request, body []byte) behaviour) (*deployment, *pool, error) {
-	d, err := newDeployment(record, configuration)
+func startSmall(record *recorder, service string, each int, behave func(r *http.Request, body []byte) behaviour) (d *deployment, p *pool, err error) {
+	d, err = newDeployment(record, configuration)
 	if err != nil {
 		return nil, nil, err
 	}
 	zones := []string{"north", "middle", "south"}
-	p, err := d.newPool(service, zones, each, behave)
+	defer func() {
+		if err != nil {
+			d.close()
+		}
+	}()
+	p, err = d.newPool(service, zones, each, behave)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -43,7 +48,6 @@
 		}
 	}
 	if !d.awaitReady(15 * time.Second) {
-		d.close()
 		return nil, nil, fmt.Errorf("the instances did not become ready")
 	}
 	time.Sleep(contactTime + 500*time.Millisecond)
