--- a/engine/client.go
+++ b/engine/client.go
@@ -3,17 +3,16 @@
 package engine
 
 import (
-	"net/http"
-
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // Client calls model engines by address (IP:port).
 type Client struct {
 	config config
 	// pooled reuses connections. fresh opens one for each call, which also works if the pooled ones are stalled.
-	pooled *http.Transport
-	fresh  *http.Transport
+	pooled *response.Transport
+	fresh  *response.Transport
 }
 
 // New returns a client with the given options.
--- a/engine/exchange.go
+++ b/engine/exchange.go
@@ -9,10 +9,12 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // exchange sends one request with t. It also reports whether any byte of it may have been sent.
-func exchange(ctx context.Context, t *http.Transport, method, url string, header http.Header, data []byte) (*http.Response, bool, error) {
+func exchange(ctx context.Context, t *response.Transport, method, url string, header http.Header, data []byte) (*http.Response, bool, error) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
--- a/engine/open.go
+++ b/engine/open.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // Open sends a prompt and returns its stream once the engine has accepted it. The connection is closed when ctx ends,
@@ -46,7 +48,7 @@
 func streamPath(id StreamID) string { return "/v1/streams/" + url.PathEscape(string(id)) }
 
 // stream opens or resumes a stream with one request.
-func (c *Client) stream(ctx context.Context, t *http.Transport, method, address, path string, header http.Header, data []byte, id StreamID, after int) (*Stream, error) {
+func (c *Client) stream(ctx context.Context, t *response.Transport, method, address, path string, header http.Header, data []byte, id StreamID, after int) (*Stream, error) {
 	parent := ctx
 	ctx, cancel := context.WithCancel(parent)
 	response, sent, err := exchange(ctx, t, method, "http://"+address+path, header, data)
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // newTransport returns a transport; with fresh it opens a new connection for each request.
-func newTransport(c *config, fresh bool) *http.Transport {
+func newTransport(c *config, fresh bool) *response.Transport {
 	dialer := &net.Dialer{Timeout: c.dialTimeout.Duration()}
-	return &http.Transport{
+	return response.NewTransport(&http.Transport{
 		// Proxy is nil, so that proxy settings in the environment do not redirect calls to engines.
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			n, err := dialer.DialContext(ctx, network, address)
@@ -26,5 +28,5 @@
 		IdleConnTimeout:        c.idleConnTimeout.Duration(),
 		ResponseHeaderTimeout:  c.headerTimeout.Duration(),
 		MaxResponseHeaderBytes: 64 << 10,
-	}
+	})
 }
--- /dev/null
+++ b/internal/response/error.go
@@ -0,0 +1,19 @@
+package response
+
+import "fmt"
+
+// MalformedError means that the head of a response is not allowed by HTTP/1.1, or that no request asked for it. The server may have executed
+// the request.
+type MalformedError struct {
+	// Server is the address of the server.
+	Server  string
+	Problem error
+}
+
+// Error returns the server and the problem.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed response from %s: %v", e.Server, e.Problem)
+}
+
+// Unwrap returns the problem.
+func (e *MalformedError) Unwrap() error { return e.Problem }
--- /dev/null
+++ b/internal/response/transport_test.go
@@ -0,0 +1,146 @@
+package response
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/poplarwinch/poplarwinch/emulator/raw"
+)
+
+// zeros is an endless source of zeros.
+type zeros struct{}
+
+// Read fills p.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// server is a server that writes raw bytes, and a client of it.
+type server struct {
+	*httptest.Server
+	transport *Transport
+}
+
+func newServer(t *testing.T, encrypted, keepAlive bool, answer func(c *raw.Connection)) *server {
+	t.Helper()
+	s := &server{Server: httptest.NewUnstartedServer(raw.Handler(answer))}
+	settings := &http.Transport{DisableKeepAlives: !keepAlive, DisableCompression: true}
+	if encrypted {
+		s.StartTLS()
+		settings.TLSClientConfig = s.Client().Transport.(*http.Transport).TLSClientConfig
+	} else {
+		s.Start()
+	}
+	s.transport = NewTransport(settings)
+	t.Cleanup(func() {
+		s.transport.CloseIdleConnections()
+		s.Close()
+	})
+	return s
+}
+
+// send sends a request with a body of the length and returns the body of the response.
+func (s *server) send(t *testing.T, length int64) (string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, io.NopCloser(io.LimitReader(zeros{}, length)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ContentLength = length
+	if length == 0 {
+		r.Body = http.NoBody
+	}
+	response, err := s.transport.RoundTrip(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return string(data), err
+}
+
+// Guards against responses with heads that HTTP/1.1 forbids, also on encrypted connections, with errors that don't name the server.
+func TestMalformedHeads(t *testing.T) {
+	for _, encrypted := range []bool{false, true} {
+		var current atomic.Pointer[raw.Answer]
+		s := newServer(t, encrypted, false, func(c *raw.Connection) {
+			c.ReadBody()
+			c.WriteText(current.Load().Text("X-Sound: a\r\n", "answer"))
+		})
+		for _, broken := range raw.Malformed() {
+			current.Store(&broken)
+			text, err := s.send(t, 4)
+			var malformed *MalformedError
+			if !errors.As(err, &malformed) || malformed.Server != s.Listener.Addr().String() {
+				t.Errorf("%s, encrypted %v: got %q and %v", broken.Name, encrypted, text, err)
+			}
+		}
+		for _, sound := range raw.Sound() {
+			current.Store(&sound)
+			if text, err := s.send(t, 4); err != nil || text != "answer" {
+				t.Errorf("%s, encrypted %v: got %q and %v", sound.Name, encrypted, text, err)
+			}
+		}
+	}
+}
+
+// Guards against results that depend on how the bytes of a head arrive.
+func TestHeadsInTwoReads(t *testing.T) {
+	isMalformed := func(first, second string) bool {
+		h := &head{}
+		final, err := h.scan([]byte(first))
+		if err == nil && !final {
+			_, err = h.scan([]byte(second))
+		}
+		return err != nil
+	}
+	for i, answer := range append(raw.Malformed(), raw.Sound()...) {
+		text := answer.Text("X-Sound: a\r\n", "answer")
+		for n := range text {
+			if got, want := isMalformed(text[:n], text[n:]), i < len(raw.Malformed()); got != want {
+				t.Errorf("%s, %d bytes and the rest: malformed: %v, want %v", answer.Name, n, got, want)
+			}
+		}
+	}
+}
+
+// Guards against a malformed head after a sound response on the same connection.
+func TestMalformedHeadOnAKeptConnection(t *testing.T) {
+	s := newServer(t, false, true, func(c *raw.Connection) {
+		c.ReadBody()
+		c.WriteText("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+		n, err := io.ReadAtLeast(c, make([]byte, 4096), 1) // the second request
+		if n > 0 && err == nil {
+			c.WriteText("HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 6\r\n\r\nsecond")
+		}
+	})
+	if text, err := s.send(t, 0); err != nil || text != "first" {
+		t.Fatalf("got %q and %v", text, err)
+	}
+	var malformed *MalformedError
+	if text, err := s.send(t, 0); !errors.As(err, &malformed) {
+		t.Errorf("got %q and %v", text, err)
+	}
+}
+
+// Guards against bodies in chunks that look complete without their end.
+func TestTruncatedChunks(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nans\r\n3\r\nwer\r\n0\r\nX-Trailer: a\r\n\r\n"
+	var sent atomic.Int64
+	s := newServer(t, false, false, func(c *raw.Connection) { c.WriteText(whole[:sent.Load()]) })
+	for n := range len(whole) {
+		sent.Store(int64(n))
+		if text, err := s.send(t, 0); err == nil {
+			t.Errorf("%d of %d bytes: got %q", n, len(whole), text)
+		}
+	}
+	sent.Store(int64(len(whole)))
+	if text, err := s.send(t, 0); err != nil || text != "answer" {
+		t.Errorf("got %q and %v", text, err)
+	}
+}
--- a/service/client.go
+++ b/service/client.go
@@ -2,9 +2,8 @@
 package service
 
 import (
-	"net/http"
-
 	"github.com/poplarwinch/poplarwinch/clock"
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // Client sends calls to the servers of plain services by address (IP:port).
@@ -12,7 +11,7 @@
 	config config
 	// transport opens a connection for each call. On one that was used before, a late copy of an earlier answer could not be told
 	// from the answer to the call, since services need not name the call in their answers.
-	transport *http.Transport
+	transport *response.Transport
 }
 
 // New returns a client with the given options.
