--- a/instance/broken_answer_test.go
+++ b/instance/broken_answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	emulatedengine "github.com/poplarwinch/poplarwinch/emulator/engine"
 	"github.com/poplarwinch/poplarwinch/emulator/raw"
@@ -200,3 +201,22 @@
 		}
 	})
 }
+
+// TestAnswersThatAreResetReachNoCallerOfTheOwnInterface guards against parts of answers that callers get as complete ones: an upstream
+// answers before it has read the request, breaks off and resets the connection.
+func TestAnswersThatAreResetReachNoCallerOfTheOwnInterface(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 400 * time.Millisecond} {
+		respond := func(c *raw.Connection, r *ownRoute, a *raw.Answer) {
+			c.WriteText(a.Text(r.lines(c), r.content(c, false)))
+			time.Sleep(delay)
+			c.Reset()
+		}
+		forEachAnswer(t, raw.Parts(), respond, func(t *testing.T, b *brokenCluster, r *ownRoute, a *raw.Answer) {
+			for _, size := range r.sizes {
+				if got := b.call(t, r, size); r.isAnswer(got) {
+					t.Errorf("%s, %d bytes, %s: got %d %q as an answer", a.Name, size, delay, got.status, got.body)
+				}
+			}
+		})
+	}
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -1,16 +1,30 @@
 package response
 
 import (
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
-// conn is a connection to a server that checks the heads of its responses.
+// writeStopInterval is the time between two attempts to end a write that is in progress.
+const writeStopInterval = time.Millisecond
+
+// pastDeadline ends a write at once.
+var pastDeadline = time.Unix(1, 0)
+
+// conn is a connection to a server that checks the heads of its responses and tells a reset from an end.
 type conn struct {
 	net.Conn
 	server string
 	// head is the head that is being received, or nil while a body is.
 	head atomic.Pointer[head]
+	// writing is held during a write. It protects writeError, the error of the first write that failed.
+	writing    sync.Mutex
+	writeError error
 }
 
 func newConn(c net.Conn, server string) *conn {
@@ -23,6 +37,9 @@
 // Read reads from the connection. It returns no byte of a read that shows a head to be malformed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		err = c.readError(err)
+	}
 	h := c.head.Load()
 	if h == nil || n == 0 {
 		return n, err
@@ -36,3 +53,39 @@
 	}
 	return n, err
 }
+
+// readError returns the error of a read. The system reports a reset only once: if a write got it, the read sees a regular end.
+func (c *conn) readError(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	// If the server has only ended its side, a write may be blocked. The request is given up then, as net/http does after the end of a
+	// connection. Deadlines that the connection sets for its writes may replace this one, so it is set until the write has ended.
+	for !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(pastDeadline) // fails only on a closed connection, whose writes end
+		time.Sleep(writeStopInterval)
+	}
+	defer c.writing.Unlock()
+	if c.writeError != nil && isReset(c.writeError) {
+		return &ResetError{Server: c.server, Cause: c.writeError}
+	}
+	return err
+}
+
+// Write writes to the connection and keeps the first error.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeError == nil {
+		c.writeError = err
+	}
+	return n, err
+}
+
+// isReset reports whether a write failed because the connection broke. EPIPE says that the server had ended its side in order before; a
+// deadline of the client, or a connection that it closed itself, says nothing of the server.
+func isReset(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
--- a/internal/response/error.go
+++ b/internal/response/error.go
@@ -17,3 +17,19 @@
 
 // Unwrap returns the problem.
 func (e *MalformedError) Unwrap() error { return e.Problem }
+
+// ResetError means that a connection was reset although it seemed to end in order, so that a response that ends with it is not complete.
+type ResetError struct {
+	// Server is the address of the server.
+	Server string
+	// Cause is the error of writing the request.
+	Cause error
+}
+
+// Error returns the server and the cause.
+func (e *ResetError) Error() string {
+	return fmt.Sprintf("connection to %s was reset before the end of the response: %v", e.Server, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ResetError) Unwrap() error { return e.Cause }
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -1,5 +1,5 @@
-// Package response lets an HTTP/1.1 client accept only responses whose heads are well-formed. net/http repairs or skips some malformed lines,
-// which may change the length of the body.
+// Package response lets an HTTP/1.1 client accept only responses whose heads are well-formed and whose ends are known. net/http repairs or
+// skips some malformed lines, which may change the length of the body, and takes some connections that were reset for closed ones.
 package response
 
 import (
@@ -11,7 +11,8 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.Transport for HTTP/1.1 that fails with a *MalformedError if a response has a malformed head.
+// Transport is an http.Transport for HTTP/1.1 that fails with a *MalformedError if a response has a malformed head, and with a *ResetError if
+// its connection was reset.
 type Transport struct{ *http.Transport }
 
 // dialFunc opens a connection.
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/poplarwinch/poplarwinch/emulator/raw"
 )
 
+// uploads are sizes of request bodies: one that may fit into the buffers of a connection, and one that doesn't.
+var uploads = []int64{300_000, 40_000_000}
+
 // zeros is an endless source of zeros.
 type zeros struct{}
 
@@ -128,6 +133,30 @@
 	}
 }
 
+// Guards against a part of a response that looks complete: the server answers before it has read the request, and resets the connection
+// after a while, which the side that writes the request or the one that reads the response may notice first.
+func TestResetIsNoEnd(t *testing.T) {
+	for _, part := range raw.Parts() {
+		for _, length := range uploads {
+			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 400 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %d bytes, %s", part.Name, length, delay), func(t *testing.T) {
+					t.Parallel()
+					s := newServer(t, false, false, func(c *raw.Connection) {
+						c.WriteText(part.Text("", "answer"))
+						time.Sleep(delay)
+						c.Reset()
+					})
+					for range 10 {
+						if text, err := s.send(t, length); err == nil {
+							t.Errorf("got %q as a complete response", text)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against bodies in chunks that look complete without their end.
 func TestTruncatedChunks(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nans\r\n3\r\nwer\r\n0\r\nX-Trailer: a\r\n\r\n"
