--- a/instance/broken_answer_test.go
+++ b/instance/broken_answer_test.go
@@ -220,3 +220,19 @@
 		})
 	}
 }
+
+// TestEarlyAnswersReachCallersOfTheOwnInterface guards against whole answers that are lost because the upstream sent them before it had read
+// the request, and reset the connection then. Calls of services need a length or chunks.
+func TestEarlyAnswersReachCallersOfTheOwnInterface(t *testing.T) {
+	respond := func(c *raw.Connection, r *ownRoute, a *raw.Answer) {
+		c.WriteText(a.Text(r.lines(c), r.content(c, true)))
+		c.Reset()
+	}
+	forEachAnswer(t, raw.Whole()[:2], respond, func(t *testing.T, b *brokenCluster, r *ownRoute, a *raw.Answer) {
+		for _, size := range r.sizes {
+			if got := b.call(t, r, size); !r.isAnswer(got) || got.status != http.StatusOK {
+				t.Errorf("%s, %d bytes: got %d %q, ended: %v", a.Name, size, got.status, got.body, got.ended)
+			}
+		}
+	})
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -22,13 +22,16 @@
 	server string
 	// head is the head that is being received, or nil while a body is.
 	head atomic.Pointer[head]
+	// ended is closed once nothing more can be read.
+	ended   chan struct{}
+	endOnce sync.Once
 	// writing is held during a write. It protects writeError, the error of the first write that failed.
 	writing    sync.Mutex
 	writeError error
 }
 
 func newConn(c net.Conn, server string) *conn {
-	return &conn{Conn: c, server: server}
+	return &conn{Conn: c, server: server, ended: make(chan struct{})}
 }
 
 // expectHead says that the next bytes are the head of a response.
@@ -46,6 +49,7 @@
 	}
 	final, problem := h.scan(p[:n])
 	if problem != nil {
+		c.end()
 		return 0, &MalformedError{Server: c.server, Problem: problem}
 	}
 	if final {
@@ -56,6 +60,7 @@
 
 // readError returns the error of a read. The system reports a reset only once: if a write got it, the read sees a regular end.
 func (c *conn) readError(err error) error {
+	defer c.end()
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
@@ -72,8 +77,18 @@
 	return err
 }
 
-// Write writes to the connection and keeps the first error.
+// Write writes to the connection. If that fails because the server has closed or reset the connection, it returns only once all that has
+// arrived was read or the connection is closed: net/http closes it after a failed write, and a response that has arrived would be lost.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-c.ended
+	}
+	return n, err
+}
+
+// write writes and keeps the first error.
+func (c *conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -89,3 +104,12 @@
 	var number syscall.Errno
 	return errors.As(err, &number) && number != syscall.EPIPE
 }
+
+// end says that nothing more can be read.
+func (c *conn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -157,6 +159,36 @@
 	}
 }
 
+// Guards against whole responses that are lost because the server sent them before it had read the request: it reads on, stops reading, or
+// resets the connection. The last can't be told from a part if the response ends with its connection.
+func TestEarlyResponses(t *testing.T) {
+	for _, whole := range raw.Whole() {
+		for _, length := range uploads {
+			for name, end := range map[string]func(c *raw.Connection){
+				"reads on": func(c *raw.Connection) { c.End(); c.ReadBody() },
+				"stops":    func(c *raw.Connection) { c.End(); time.Sleep(100 * time.Millisecond) },
+				"resets":   (*raw.Connection).Reset,
+			} {
+				if name == "resets" && whole.EndsWithConnection() {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, %d bytes, server %s", whole.Name, length, name), func(t *testing.T) {
+					t.Parallel()
+					s := newServer(t, false, false, func(c *raw.Connection) {
+						c.WriteText(whole.Text("", "answer"))
+						end(c)
+					})
+					for range 10 {
+						if text, err := s.send(t, length); err != nil || text != "answer" {
+							t.Errorf("got %q and %v", text, err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against bodies in chunks that look complete without their end.
 func TestTruncatedChunks(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nans\r\n3\r\nwer\r\n0\r\nX-Trailer: a\r\n\r\n"
@@ -173,3 +205,27 @@
 		t.Errorf("got %q and %v", text, err)
 	}
 }
+
+// Guards against an upload whose connection, goroutines and body are kept after its response has failed or was given up.
+func TestUploadsEnd(t *testing.T) {
+	before := runtime.NumGoroutine()
+	s := newServer(t, false, false, func(c *raw.Connection) {
+		c.WriteText("HTTP/1.1 200 OK\r\n", "Content-Length: 100000\r\n\r\n", strings.Repeat("a", 50_000))
+		c.Reset()
+	})
+	for range 20 {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, io.LimitReader(zeros{}, 40_000_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response, err := s.transport.RoundTrip(r); err == nil {
+			_ = response.Body.Close() // nothing of it was read
+		}
+	}
+	s.Close()
+	for end := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > before; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+	}
+}
