--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -162,6 +162,21 @@
 	return func() { c.guard.move(c, running) }
 }
 
+// ResetUntilComplete makes every end of a request's connection a reset until the returned function is called, also the end of the process.
+// A response that only the end of the connection ends can't look complete before.
+func ResetUntilComplete(ctx context.Context) (complete func()) {
+	c, ok := ctx.Value(contextKey{}).(*Conn)
+	if !ok {
+		return func() {}
+	}
+	tcp, ok := tcpConn(c.Conn)
+	if !ok {
+		return func() {}
+	}
+	_ = tcp.SetLinger(0) // fails only on a closed connection
+	return func() { _ = tcp.SetLinger(-1) }
+}
+
 // Refused marks the connection of a request as one that has got its last response.
 func Refused(ctx context.Context) {
 	if c, ok := ctx.Value(contextKey{}).(*Conn); ok {
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -36,12 +36,18 @@
 
 // setSendBuffer bounds the system's buffer for answers that are not read.
 func setSendBuffer(n net.Conn) {
+	if tcp, ok := tcpConn(n); ok {
+		_ = tcp.SetWriteBuffer(sendBufferBytes) // the system's default is larger, but works
+	}
+}
+
+// tcpConn returns the TCP connection below an accepted one.
+func tcpConn(n net.Conn) (*net.TCPConn, bool) {
 	if wrapped, ok := n.(interface{ NetConn() net.Conn }); ok {
 		n = wrapped.NetConn()
 	}
-	if tcp, ok := n.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(sendBufferBytes) // the system's default is larger, but works
-	}
+	tcp, ok := n.(*net.TCPConn)
+	return tcp, ok
 }
 
 // cappedListener bounds the number of connections of a listener that isn't for callers.
