--- a/emulator/raw/answers.go
+++ b/emulator/raw/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 )
 
@@ -147,3 +148,11 @@
 		{"interim responses", "HTTP/1.1 100 Continue\n\nHTTP/1.1 103 Early Hints\nLink: a\n\nHTTP/1.1 200 OK\n$LINESContent-Length: $LENGTH\n\n$BODY"},
 	}...)
 }
+
+// Handler returns a handler that reads a request and answers it with the header lines and the body.
+func (a *Answer) Handler(lines, body string) http.Handler {
+	return Handler(func(c *Connection) {
+		c.ReadBody()
+		c.WriteText(a.Text(lines, body))
+	})
+}
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/poplarwinch/poplarwinch/internal/response"
 	"github.com/poplarwinch/poplarwinch/replica"
 )
 
@@ -79,7 +80,7 @@
 	defer g.fetches.end(table)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	transport := response.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes})
 	client := connect.NewClient[fetchRequest, fetchResponse](
 		&http.Client{Transport: transport}, "http://"+from.Address.String()+fetchProcedure,
 		connect.WithCodec(g.codec), connect.WithReadMaxBytes(maxTableBytes),
--- a/internal/connection/pool.go
+++ b/internal/connection/pool.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 const (
@@ -21,18 +23,18 @@
 
 // Pool is a pool of HTTP/1.1 connections. It closes its idle connections after a call without a complete response.
 type Pool struct {
-	transport *http.Transport
+	transport *response.Transport
 	client    *http.Client
 }
 
 // New returns an empty pool that follows no redirects and uses no proxy.
 func New() *Pool {
-	base := &http.Transport{
+	base := response.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
 		IdleConnTimeout:     maxIdleAge,
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdle,
-	}
+	})
 	return &Pool{transport: base, client: &http.Client{
 		Transport: bufferingTransport{next: base},
 		// Following a redirect would send the request body a second time.
