--- a/cmd/load/client.go
+++ b/cmd/load/client.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 // client distributes requests over the entry addresses in round-robin order.
@@ -20,13 +22,13 @@
 // newClient returns a client that reuses connections, or opens a new one for each request if
 // disableKeepAlives is set.
 func newClient(entries *entries, disableKeepAlives bool) *client {
-	return &client{entries: entries, http: &http.Client{Transport: &http.Transport{
+	return &client{entries: entries, http: &http.Client{Transport: response.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4096,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
-	}}}
+	})}}
 }
 
 // do sends the request that build returns for an entry. It tries the next entry only if the
@@ -39,9 +41,9 @@
 		if err != nil {
 			return nil, err
 		}
-		response, err := c.http.Do(request)
+		reply, err := c.http.Do(request)
 		if !errors.Is(err, syscall.ECONNREFUSED) {
-			return response, err
+			return reply, err
 		}
 		refused = err
 	}
--- a/cmd/poplarwinch/operator.go
+++ b/cmd/poplarwinch/operator.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/poplarwinch/poplarwinch/internal/response"
 )
 
 const (
@@ -46,20 +48,20 @@
 	}
 	// No proxy and no redirects: a proxy from the environment or a redirect would send the token to another host.
 	client := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     response.NewTransport(&http.Transport{DisableKeepAlives: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	response, err := client.Do(r)
+	reply, err := client.Do(r)
 	if err != nil {
 		return nil, newUnknownOutcomeError("request to the instance at %s failed: %v", o.Operator, err)
 	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	defer reply.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
 	if err != nil || len(data) > maxResponseBytes {
 		return nil, newUnknownOutcomeError("the response of the instance at %s is incomplete or exceeds 32 MiB", o.Operator)
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, responseError(response.StatusCode, data)
+	if reply.StatusCode != http.StatusOK {
+		return nil, responseError(reply.StatusCode, data)
 	}
 	return data, nil
 }
