--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -204,6 +204,11 @@
 
 // relayStream forwards complete events as they arrive.
 func (x *run) relayStream(a *Answer, selected *selection, w *watchdog) error {
+	if x.begun && (a.Status != http.StatusOK || x.eventStream && !a.isEventStream()) {
+		return &CallError{Failure: FailureBroken, Cause: fmt.Errorf(
+			"the server responded with status %d and type %.64q instead of resuming the stream", a.Status, a.Header.Get("Content-Type"),
+		)}
+	}
 	buffer := make([]byte, readBufferBytes)
 	x.splitter.flush()
 	for {
@@ -292,7 +297,7 @@
 // begin sends the status and headers of the response unless they were sent before.
 func (x *run) begin(a *Answer) {
 	if !x.begun {
-		x.begun = true
+		x.begun, x.eventStream = true, a.isEventStream()
 		x.reply.Begin(a)
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -67,8 +67,10 @@
 	// sends is the number of attempts.
 	sends int
 	// begun is set when the status and headers were sent to the caller.
-	begun    bool
-	splitter splitter
+	begun bool
+	// eventStream is set if these were those of an event stream.
+	eventStream bool
+	splitter    splitter
 	// firstEvent is the time from arrival to the first event; zero if there was none.
 	firstEvent clock.Millis
 	// last is the server of the latest attempt.
