--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -229,3 +229,31 @@
 		}
 	}
 }
+
+// Guards against sound responses without a body that are refused: they may say how long the body would be.
+func TestResponsesWithoutBody(t *testing.T) {
+	for _, c := range []struct{ method, head string }{
+		{http.MethodHead, "200 OK\r\nContent-Length: 7"},
+		{http.MethodHead, "200 OK\r\nTransfer-Encoding: chunked"},
+		{http.MethodGet, "304 Not Modified\r\nContent-Length: 7"},
+		{http.MethodGet, "304 Not Modified\r\nETag: \"a\""},
+		{http.MethodGet, "204 No Content\r\nX-Note: a"},
+		{http.MethodGet, "204 No Content\r\nContent-Length: 0"},
+	} {
+		s := newServer(t, false, true, func(n *raw.Connection) { n.WriteText("HTTP/1.1 ", c.head, "\r\n\r\n") })
+		r, err := http.NewRequestWithContext(t.Context(), c.method, s.URL, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := s.transport.RoundTrip(r)
+		if err != nil {
+			t.Errorf("%s, %q: %v", c.method, c.head, err)
+			continue
+		}
+		data, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || len(data) > 0 {
+			t.Errorf("%s, %q: got %q and %v", c.method, c.head, data, err)
+		}
+	}
+}
