--- a/cmd/poplarwinch/broken_answer_test.go
+++ b/cmd/poplarwinch/broken_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch/emulator/raw"
@@ -10,12 +9,10 @@
 
 // Guards against a command that takes a malformed answer, or a part of one, for the instance's.
 func TestBrokenAnswers(t *testing.T) {
-	for _, broken := range append(raw.Malformed(), raw.Parts()[:2]...) {
-		server := httptest.NewServer(broken.Handler("", acceptedBody))
-		client := operatorClient{Operator: server.URL}
+	raw.ServeEach(raw.Broken(), "", acceptedBody, func(broken *raw.Answer, address string) {
+		client := operatorClient{Operator: "http://" + address}
 		if data, err := client.request(t.Context(), http.MethodPut, "/manifest", nil, []byte("{}")); err == nil {
 			t.Errorf("%s: got %q", broken.Name, data)
 		}
-		server.Close()
-	}
+	})
 }
--- a/emulator/raw/answers.go
+++ b/emulator/raw/answers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 )
 
@@ -148,11 +147,3 @@
 		{"interim responses", "HTTP/1.1 100 Continue\n\nHTTP/1.1 103 Early Hints\nLink: a\n\nHTTP/1.1 200 OK\n$LINESContent-Length: $LENGTH\n\n$BODY"},
 	}...)
 }
-
-// Handler returns a handler that reads a request and answers it with the header lines and the body.
-func (a *Answer) Handler(lines, body string) http.Handler {
-	return Handler(func(c *Connection) {
-		c.ReadBody()
-		c.WriteText(a.Text(lines, body))
-	})
-}
--- a/gossip/fetch_internal_test.go
+++ b/gossip/fetch_internal_test.go
@@ -82,23 +82,20 @@
 
 // Guards against a table that is taken from a malformed answer of a peer, or from a part of one.
 func TestBrokenAnswersOfPeers(t *testing.T) {
-	for _, broken := range append(raw.Malformed(), raw.Parts()[:2]...) {
-		table := replica.New("servers")
-		g, err := New(Member{ID: "one", Domain: "north"}, WithFleet(fleet.New()), WithSuspects(quarantine.New()),
-			WithReplicas(map[string]*replica.Replica{"servers": table}))
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, err := g.codec.Marshal(&fetchResponse{Position: replica.Position{Version: 7}, Complete: true})
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := httptest.NewServer(broken.Handler("Content-Type: application/"+g.codec.Name()+"\r\n", string(body)))
-		address := netip.MustParseAddrPort(server.Listener.Addr().String())
-		g.runFetch(Member{ID: "two", Domain: "north", Address: address}, "servers", replica.Position{})
+	table := replica.New("servers")
+	g, err := New(Member{ID: "one", Domain: "north"}, WithFleet(fleet.New()), WithSuspects(quarantine.New()),
+		WithReplicas(map[string]*replica.Replica{"servers": table}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := g.codec.Marshal(&fetchResponse{Position: replica.Position{Version: 7}, Complete: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.ServeEach(raw.Broken(), "Content-Type: application/"+g.codec.Name()+"\r\n", string(body), func(broken *raw.Answer, address string) {
+		g.runFetch(Member{ID: "two", Domain: "north", Address: netip.MustParseAddrPort(address)}, "servers", replica.Position{})
 		if got, _ := table.Position(); got.Version != 0 {
 			t.Errorf("%s: the table has version %d", broken.Name, got.Version)
 		}
-		server.Close()
-	}
+	})
 }
--- a/instance/broken_answer_test.go
+++ b/instance/broken_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -65,13 +64,6 @@
 	return b
 }
 
-// callerResult is what a caller got.
-type callerResult struct {
-	status int
-	body   string
-	ended  bool
-}
-
 // ownRoute is a kind of request at the own interface.
 type ownRoute struct {
 	name, kind, path, body string
@@ -117,7 +109,7 @@
 }
 
 // call sends a request of the route with a prompt or body of the given size.
-func (b *brokenCluster) call(t *testing.T, r *ownRoute, size int) callerResult {
+func (b *brokenCluster) call(t *testing.T, r *ownRoute, size int) raw.Result {
 	t.Helper()
 	b.calls++
 	text := fmt.Sprintf("%s %d", strings.Repeat("x", size), b.calls)
@@ -135,19 +127,13 @@
 	for i := 0; i+1 < len(r.header); i += 2 {
 		request.Header.Set(r.header[i], strings.Replace(r.header[i+1], "KEY", fmt.Sprint("call-", b.calls), 1))
 	}
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
-	if err != nil {
-		return callerResult{}
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	return callerResult{status: response.StatusCode, body: string(data), ended: err == nil}
+	return raw.Call(request)
 }
 
 // isAnswer reports whether the caller takes the result for a complete answer: a stream that has begun ends with [DONE].
-func (r *ownRoute) isAnswer(got callerResult) bool {
-	complete := r.name != "stream" || strings.HasSuffix(strings.TrimSpace(got.body), "[DONE]")
-	return got.ended && got.status != 0 && got.status < http.StatusInternalServerError && complete
+func (r *ownRoute) isAnswer(got raw.Result) bool {
+	complete := r.name != "stream" || strings.HasSuffix(strings.TrimSpace(got.Body), "[DONE]")
+	return got.Ended && got.Status < http.StatusInternalServerError && complete
 }
 
 // answersAtOnce is the number of answers that one cluster is tested with, one after the other.
@@ -181,7 +167,7 @@
 func TestMalformedHeadsReachNoCallerOfTheOwnInterface(t *testing.T) {
 	forEachAnswer(t, raw.Malformed(), respondWhole, func(t *testing.T, b *brokenCluster, r *ownRoute, a *raw.Answer) {
 		if got := b.call(t, r, 10); r.isAnswer(got) {
-			t.Errorf("%s: got %d %q as an answer", a.Name, got.status, got.body)
+			t.Errorf("%s: got %d %q as an answer", a.Name, got.Status, got.Body)
 		}
 		if log := b.log.String(); !strings.Contains(log, "malformed response from ") {
 			t.Errorf("%s: the log doesn't say what was malformed", a.Name)
@@ -196,8 +182,8 @@
 		if r.kind == "service" && a.EndsWithConnection() {
 			return
 		}
-		if got := b.call(t, r, 10); !r.isAnswer(got) || got.status != http.StatusOK {
-			t.Errorf("%s: got %d %q, ended: %v", a.Name, got.status, got.body, got.ended)
+		if got := b.call(t, r, 10); !r.isAnswer(got) || got.Status != http.StatusOK {
+			t.Errorf("%s: got %d %q, ended: %v", a.Name, got.Status, got.Body, got.Ended)
 		}
 	})
 }
@@ -214,7 +200,7 @@
 		forEachAnswer(t, raw.Parts(), respond, func(t *testing.T, b *brokenCluster, r *ownRoute, a *raw.Answer) {
 			for _, size := range r.sizes {
 				if got := b.call(t, r, size); r.isAnswer(got) {
-					t.Errorf("%s, %d bytes, %s: got %d %q as an answer", a.Name, size, delay, got.status, got.body)
+					t.Errorf("%s, %d bytes, %s: got %d %q as an answer", a.Name, size, delay, got.Status, got.Body)
 				}
 			}
 		})
@@ -230,8 +216,8 @@
 	}
 	forEachAnswer(t, raw.Whole()[:2], respond, func(t *testing.T, b *brokenCluster, r *ownRoute, a *raw.Answer) {
 		for _, size := range r.sizes {
-			if got := b.call(t, r, size); !r.isAnswer(got) || got.status != http.StatusOK {
-				t.Errorf("%s, %d bytes: got %d %q, ended: %v", a.Name, size, got.status, got.body, got.ended)
+			if got := b.call(t, r, size); !r.isAnswer(got) || got.Status != http.StatusOK {
+				t.Errorf("%s, %d bytes: got %d %q, ended: %v", a.Name, size, got.Status, got.Body, got.Ended)
 			}
 		}
 	})
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -91,7 +90,7 @@
 
 // addLine adds a line after the status line.
 func (h *head) addLine(line []byte) error {
-	if !bytes.ContainsRune([]byte(lineBlanks), rune(line[0])) {
+	if strings.IndexByte(lineBlanks, line[0]) < 0 {
 		err := h.endField()
 		h.field = append(h.field[:0], line...)
 		return err
@@ -145,7 +144,7 @@
 	case h.minorVersion == 0:
 		return fmt.Errorf("transfer coding %.64q in HTTP/1.0", h.codings[0])
 	case len(h.lengths) > 0:
-		return fmt.Errorf("length %s and transfer coding %.64q", h.lengths[0], h.codings[0])
+		return fmt.Errorf("length %.64s and transfer coding %.64q", h.lengths[0], h.codings[0])
 	case len(h.codings) > 1 || !strings.EqualFold(h.codings[0], chunked):
 		return fmt.Errorf("transfer coding %.64q in place of %s", strings.Join(h.codings, ", "), chunked)
 	}
@@ -161,7 +160,7 @@
 			return 0, fmt.Errorf("length %.64q is no number of bytes", text)
 		}
 		if i > 0 && n != length {
-			return 0, errors.New("different lengths " + strings.Join(h.lengths, ", "))
+			return 0, fmt.Errorf("different lengths %.64q", strings.Join(h.lengths, ", "))
 		}
 		length = n
 	}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -15,9 +15,6 @@
 	"github.com/poplarwinch/poplarwinch/emulator/raw"
 )
 
-// uploads are sizes of request bodies: one that may fit into the buffers of a connection, and one that doesn't.
-var uploads = []int64{300_000, 40_000_000}
-
 // zeros is an endless source of zeros.
 type zeros struct{}
 
@@ -52,13 +49,13 @@
 }
 
 // send sends a request with a body of the length and returns the body of the response.
-func (s *server) send(t *testing.T, length int64) (string, error) {
+func (s *server) send(t *testing.T, length int) (string, error) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, io.NopCloser(io.LimitReader(zeros{}, length)))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, io.NopCloser(io.LimitReader(zeros{}, int64(length))))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.ContentLength = length
+	r.ContentLength = int64(length)
 	if length == 0 {
 		r.Body = http.NoBody
 	}
@@ -139,7 +136,7 @@
 // after a while, which the side that writes the request or the one that reads the response may notice first.
 func TestResetIsNoEnd(t *testing.T) {
 	for _, part := range raw.Parts() {
-		for _, length := range uploads {
+		for _, length := range raw.Uploads() {
 			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 400 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s, %d bytes, %s", part.Name, length, delay), func(t *testing.T) {
 					t.Parallel()
@@ -163,7 +160,7 @@
 // resets the connection. The last can't be told from a part if the response ends with its connection.
 func TestEarlyResponses(t *testing.T) {
 	for _, whole := range raw.Whole() {
-		for _, length := range uploads {
+		for _, length := range raw.Uploads() {
 			for name, end := range map[string]func(c *raw.Connection){
 				"reads on": func(c *raw.Connection) { c.End(); c.ReadBody() },
 				"stops":    func(c *raw.Connection) { c.End(); time.Sleep(100 * time.Millisecond) },
--- a/objects/broken_answer_test.go
+++ b/objects/broken_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/poplarwinch/poplarwinch/emulator/raw"
@@ -11,12 +10,10 @@
 
 // Guards against objects that are read from a malformed answer, or from a part of one.
 func TestBrokenAnswers(t *testing.T) {
-	for _, broken := range append(raw.Malformed(), raw.Parts()[:2]...) {
-		server := httptest.NewServer(broken.Handler("", "answer"))
-		data, err := objects.New(objects.WithEndpoint(server.URL), objects.WithTimeout(timeout)).Get(context.Background(), "key")
+	raw.ServeEach(raw.Broken(), "", "answer", func(broken *raw.Answer, address string) {
+		data, err := objects.New(objects.WithEndpoint("http://"+address), objects.WithTimeout(timeout)).Get(context.Background(), "key")
 		if errorClass(err) != "unavailable" {
 			t.Errorf("%s: got %q and %v", broken.Name, data, err)
 		}
-		server.Close()
-	}
+	})
 }
