--- a/instance/broken_answer_test.go
+++ b/instance/broken_answer_test.go
@@ -71,7 +71,7 @@
 	// answer is the body of an upstream's answer, and lines are the header lines that the instance requires.
 	answer string
 	lines  func(c *raw.Connection) string
-	// sizes are the sizes of request bodies or prompts: one that may fit into the buffers of a connection, and the largest that is allowed.
+	// sizes are the sizes of request bodies or prompts: one that may fit into the buffers of a connection, and one near the limit.
 	sizes []int
 }
 
