Answer resumed streams with their id in the stand-in of the own interface's tests

The stand-in closes each connection after its answer; if the instance sends the next prompt on it before it sees the end, the prompt may have run and the instance resumes its stream, as it should. That request names the stream in its path, and the stand-in took the id from a header that it lacks. The checks are the same, and resumed streams with malformed heads are now refused for their heads, too.

--- a/instance/broken_answer_test.go
+++ b/instance/broken_answer_test.go
@@ -79,8 +79,16 @@
 
 func noLines(*raw.Connection) string { return "" }
 
+// streamID returns the id of the stream that a request begins or resumes.
+func streamID(c *raw.Connection) string {
+	if id, ok := strings.CutPrefix(c.Request.URL.Path, "/v1/streams/"); ok {
+		return id
+	}
+	return c.Request.Header.Get("Request-Id")
+}
+
 func streamLines(c *raw.Connection) string {
-	return "Content-Type: text/event-stream\r\nStream-Id: " + c.Request.Header.Get("Request-Id") + "\r\n"
+	return "Content-Type: text/event-stream\r\nStream-Id: " + streamID(c) + "\r\n"
 }
 
 var ownRoutes = []ownRoute{
@@ -92,7 +100,7 @@
 
 // events returns the body of an engine's answer: one event, with the last one if it is whole.
 func events(c *raw.Connection, whole bool) string {
-	id := c.Request.Header.Get("Request-Id")
+	id := streamID(c)
 	text := "id: " + id + "/1\ndata: {\"choices\":[{\"index\":0,\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n"
 	if whole {
 		text += "id: " + id + "/2\ndata: [DONE]\n\n"
