review: counts in the record of the case limit

Sought: a record of case 15 that says what was sent, answered and run without a line for each of 12,000 requests. Added: counts for each second in review/standin-3.

--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -5,7 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,11 +32,12 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		arrivals = append(arrivals, w.record.since())
+		w.counts.add("reached the server")
 	}}
 	if trouble {
 		one.limit = fmt.Sprintf("%.1f", namedLimit)
 	}
-	w.quiet = true
+	w.quiet, w.counts = true, &counts{values: map[string]int{}}
 	if err := w.deploy(3, []string{"m"}, append((&tally{}).engines(3, false), one)...); err != nil {
 		return result{}, err
 	}
@@ -74,17 +78,48 @@
 // flood sends requests at the offered rate on kept channels, and returns their number once all are answered.
 func (w *world) flood(i *instance, length time.Duration) int {
 	var all sync.WaitGroup
-	start, sent := time.Now(), 0
+	start, sent, noted := time.Now(), 0, time.Now()
 	for time.Since(start) < length {
+		if time.Since(noted) >= time.Second {
+			noted = noted.Add(time.Second)
+			w.record.add("so far: %s", w.counts)
+		}
 		for due := int(time.Since(start).Seconds() * offered); sent < due; sent++ {
 			id := fmt.Sprintf("50%06x", sent)
 			q := call("/read/"+id, "body")
 			q.kept = true
-			all.Go(func() { w.send(i, id, q) })
+			all.Go(func() {
+				w.counts.add("sent")
+				w.counts.add(fmt.Sprintf("answered %d", w.send(i, id, q).status))
+			})
 		}
 		time.Sleep(time.Millisecond)
 	}
 	all.Wait()
+	w.record.add("in all: %s", w.counts)
 	w.record.add("clients have sent %d requests to %s in %s", sent, i.name, time.Since(start).Round(time.Millisecond))
 	return sent
 }
+
+// counts has numbers of events by their names.
+type counts struct {
+	mutex  sync.Mutex
+	values map[string]int
+}
+
+func (c *counts) add(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.values[name]++
+}
+
+// String returns the numbers, ordered by name.
+func (c *counts) String() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		list = append(list, fmt.Sprintf("%d %s", c.values[name], name))
+	}
+	return strings.Join(list, ", ")
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -199,9 +199,9 @@
 	network string // first three parts of the loopback addresses
 	store   *store
 	storeAt string
-	// quiet leaves single requests out of the record.
+	// quiet leaves single requests out of the record, which has their counts then.
 	quiet     bool
-	used      int
+	counts    *counts
 	instances []*instance
 
 	mutex   sync.Mutex
