--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 
 // scenarios has the cases by name. They play without their disruption if trouble is false.
 var scenarios = map[string]func(w *world, trouble bool) (result, error){
+	"route":   route,
 	"models":  models,
 	"pairs":   pairs,
 	"same-id": sameID,
