--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -69,6 +69,9 @@
 	return answer{status: response.StatusCode, body: string(body), err: err}
 }
 
+// soundName begins the ids of sound requests, and badName those of requests that crash servers.
+const soundName, badName = "50", "ba"
+
 // load sends requests at an interval, to one instance after the other, until the length has passed, and waits for their answers.
 func (w *world) load(name string, interval, length time.Duration, make func(n int, id string) request) {
 	var all sync.WaitGroup
@@ -76,7 +79,12 @@
 		id := fmt.Sprintf("%s%04x", name, n)
 		i := w.instances[n%len(w.instances)]
 		q := make(n, id)
-		all.Go(func() { w.send(i, id, q) })
+		all.Go(func() {
+			a := w.send(i, id, q)
+			if name == soundName {
+				w.sound.end(id, a)
+			}
+		})
 		time.Sleep(interval)
 	}
 	all.Wait()
--- a/review/standin-3/crashes.go
+++ b/review/standin-3/crashes.go
@@ -20,6 +20,8 @@
 	badPart, firstPart = "bad0bad0", "5c1e07a2"
 	// calm is the time before the first request that crashes a server, and length that of the whole load.
 	calm, length = 3 * time.Second, 28 * time.Second
+	// soundInterval is the time between two sound requests to the plain service.
+	soundInterval = 25 * time.Millisecond
 )
 
 // tally has the times of the crashes, and those at which requests that crash servers reached one.
@@ -49,7 +51,7 @@
 }
 
 // verdict applies the rule: at most mostLater requests reach servers later than contact after the crash that is enough.
-func (t *tally) verdict(enough int) result {
+func (t *tally) verdict(w *world, enough int) result {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	count := 0
@@ -59,7 +61,7 @@
 		}
 	}
 	return result{broken: count > mostLater, verdict: fmt.Sprintf(
-		"%d crashes; %d requests that crash servers reached one later than %s after crash %d, %d are allowed", len(t.crashes), count, contact, enough, mostLater,
+		"%d crashes; %d requests that crash servers reached one later than %s after crash %d, %d are allowed; %s", len(t.crashes), count, contact, enough, mostLater, w.sound,
 	)}
 }
 
@@ -102,6 +104,9 @@
 	return request{method: http.MethodPost, path: path, body: body, budget: "4000", timeout: 4 * time.Second}
 }
 
+// booking returns a sound request that must not be repeated.
+func booking(_ int, id string) request { return call("/book/"+id, "body of "+id) }
+
 // models: a part of prompts crashes servers, whatever else the request holds, and comes with the names of several models.
 func models(w *world, trouble bool) (result, error) {
 	names := []string{"m1", "m2", "m3", "m4", "m5", "m6"}
@@ -111,28 +116,34 @@
 	}
 	var all sync.WaitGroup
 	all.Go(func() {
-		w.load("50", 100*time.Millisecond, length, func(n int, id string) request { return prompt(id, names[n%len(names)]) })
+		w.load(soundName, 100*time.Millisecond, length, func(n int, id string) request { return prompt(id, names[n%len(names)]) })
 	})
 	time.Sleep(calm)
-	w.load("ba", 500*time.Millisecond, length-calm, func(n int, id string) request { return prompt(id, names[n%len(names)], badPart) })
+	w.load(badName, 500*time.Millisecond, length-calm, func(n int, id string) request { return prompt(id, names[n%len(names)], badPart) })
 	all.Wait()
-	return t.verdict(partCrashes), nil
+	return t.verdict(w, partCrashes), nil
 }
 
-// pairs: a request crashes the servers that run it, and each failure domain has two servers.
+// pairs: a request crashes the servers that run it, and a failure domain has two servers.
 func pairs(w *world, trouble bool) (result, error) {
 	t := &tally{}
-	if err := w.deploy(3, nil, t.plain(6, 3*time.Second, "/read/deadly", trouble)...); err != nil {
+	servers := t.plain(2, 3*time.Second, "/read/deadly", trouble)
+	for _, s := range servers {
+		s.zone = zones[0]
+	}
+	for n, s := range (&tally{}).engines(4, false) {
+		s.zone = zones[1+n%2]
+		servers = append(servers, s)
+	}
+	if err := w.deploy(3, []string{"m"}, servers...); err != nil {
 		return result{}, err
 	}
 	var all sync.WaitGroup
-	all.Go(func() {
-		w.load("50", 200*time.Millisecond, length, func(_ int, id string) request { return call("/read/"+id, "body of "+id) })
-	})
+	all.Go(func() { w.load(soundName, soundInterval, length, booking) })
 	time.Sleep(calm)
-	w.load("ba", 1500*time.Millisecond, length-calm, func(int, string) request { return call("/read/deadly", "deadly body") })
+	w.load(badName, 4*time.Second, length-calm, func(int, string) request { return call("/read/deadly", "deadly body") })
 	all.Wait()
-	return t.verdict(requestCrashes), nil
+	return t.verdict(w, requestCrashes), nil
 }
 
 // sameID: a request crashes the servers that run it, which start again under the ids that they had.
@@ -148,12 +159,12 @@
 	}
 	var all sync.WaitGroup
 	all.Go(func() {
-		w.load("50", 200*time.Millisecond, length, func(_ int, id string) request { return call("/read/"+id, "body of "+id) })
+		w.load(soundName, soundInterval, length, booking)
 	})
 	time.Sleep(calm)
-	w.load("ba", 250*time.Millisecond, length-calm, func(int, string) request { return call("/read/deadly", "deadly body") })
+	w.load(badName, 250*time.Millisecond, length-calm, func(int, string) request { return call("/read/deadly", "deadly body") })
 	all.Wait()
-	return t.verdict(requestCrashes), nil
+	return t.verdict(w, requestCrashes), nil
 }
 
 // copies: a request that must not be repeated crashes the servers that run it, and its client sends several copies at once.
@@ -169,17 +180,17 @@
 	}
 	var all sync.WaitGroup
 	all.Go(func() {
-		w.load("50", 200*time.Millisecond, length, func(_ int, id string) request { return call("/book/"+id, "body of "+id) })
+		w.load(soundName, soundInterval, length, booking)
 	})
 	time.Sleep(calm)
 	for volley := range 4 {
 		for n := range 12 {
-			id := fmt.Sprintf("ba%02x%02x", volley, n)
+			id := fmt.Sprintf("%s%02x%02x", badName, volley, n)
 			i := w.instances[n%len(w.instances)]
 			all.Go(func() { w.send(i, id, call("/book/deadly", "deadly body")) })
 		}
 		time.Sleep(5 * time.Second)
 	}
 	all.Wait()
-	return t.verdict(requestCrashes), nil
+	return t.verdict(w, requestCrashes), nil
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -50,6 +52,7 @@
 		return exitUnable
 	}
 	defer w.close()
+	go w.awaitEnd()
 	found, err := scenario(w, *trouble)
 	switch {
 	case err != nil:
@@ -65,3 +68,12 @@
 	fmt.Println("held:", found.verdict)
 	return 0
 }
+
+// awaitEnd ends all processes if the case is told to end.
+func (w *world) awaitEnd() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+	<-told
+	w.close()
+	os.Exit(exitUnable)
+}
--- a/review/standin-3/route.go
+++ b/review/standin-3/route.go
@@ -48,7 +48,7 @@
 	paths := []string{"/read/", encoded, separate}
 	var all sync.WaitGroup
 	all.Go(func() {
-		w.load("50", 100*time.Millisecond, 12*time.Second, func(n int, id string) request { return get(paths[n%len(paths)] + id) })
+		w.load(soundName, 100*time.Millisecond, 12*time.Second, func(n int, id string) request { return get(paths[n%len(paths)] + id) })
 	})
 	time.Sleep(calm)
 	if trouble {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -223,6 +223,9 @@
 		return
 	}
 	s.world.detail("server %s runs %s", id, attempt)
+	if strings.HasPrefix(attempt, soundName) {
+		s.world.sound.begin(attempt)
+	}
 	header.Set("Server-Seal", "seal-"+id)
 	if stream {
 		s.stream(w, r)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -204,6 +204,9 @@
 	counts    *counts
 	instances []*instance
 
+	// sound counts what became of sound requests.
+	sound *ledger
+
 	mutex   sync.Mutex
 	servers []*server
 	hosts   int
@@ -220,7 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: record, folder: folder, program: program, store: newStore(), hosts: 100}
+	w := &world{record: record, folder: folder, program: program, store: newStore(), hosts: 100, sound: newLedger()}
 	for n := os.Getpid(); w.network == ""; n++ {
 		network := fmt.Sprintf("127.%d.%d", 10+n/200%200, 1+n%200)
 		probe, err := net.Listen("tcp", network+".1:8227")
