--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/poplarwinch ] && [ -x target/review-3/standin-3 ] || { echo "build first"; exit 2; }
-target/review-3/standin-3 -case pairs -trouble=$trouble -record "$folder/record.txt"
+exec target/review-3/standin-3 -case pairs -trouble=$trouble -record "$folder/record.txt"
--- a/review/standin-3/crashes.go
+++ b/review/standin-3/crashes.go
@@ -28,7 +28,13 @@
 type tally struct {
 	mutex   sync.Mutex
 	crashes []time.Duration
-	reached []time.Duration
+	reached []arrival
+}
+
+// arrival is a request that reached a server.
+type arrival struct {
+	at      time.Duration
+	attempt string
 }
 
 // watch makes a server crash on the requests that are bad, and counts them.
@@ -45,7 +51,7 @@
 		}
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
-		t.reached = append(t.reached, s.world.record.since())
+		t.reached = append(t.reached, arrival{s.world.record.since(), r.Header.Get("Attempt-Id")})
 		s.world.record.add("request %s, which crashes servers, reaches %s", r.Header.Get("Attempt-Id"), s.address)
 	}
 }
@@ -54,14 +60,16 @@
 func (t *tally) verdict(w *world, enough int) result {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	count := 0
-	for _, at := range t.reached {
-		if len(t.crashes) >= enough && at > t.crashes[enough-1]+contact {
+	count, attempts := 0, map[string]bool{}
+	for _, a := range t.reached {
+		if len(t.crashes) >= enough && a.at > t.crashes[enough-1]+contact {
 			count++
+			attempts[a.attempt] = true
 		}
 	}
 	return result{broken: count > mostLater, verdict: fmt.Sprintf(
-		"%d crashes; %d requests that crash servers reached one later than %s after crash %d, %d are allowed; %s", len(t.crashes), count, contact, enough, mostLater, w.sound,
+		"%d crashes; %d requests (of %d client attempts) that crash servers reached one later than %s after crash %d, %d are allowed; %s",
+		len(t.crashes), count, len(attempts), contact, enough, mostLater, w.sound,
 	)}
 }
 
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -197,6 +197,7 @@
 	switch expected := r.Header.Get("Expected-Instance"); {
 	case expected != "" && expected != id:
 		header.Set("Instance-Id", id)
+		header.Set("At-Server", s.address)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case attempt == "":
@@ -205,6 +206,7 @@
 		return
 	case full:
 		header.Set("Not-Executed", "1")
+		header.Set("At-Server", s.address)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -163,12 +163,22 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	conflict, current := false, []row{}
 	for _, e := range change.Expected {
 		known := s.rows[e.Table+"\x00"+e.Part+"\x00"+e.Key]
-		if version := known.Version; known.Tombstone && e.Version != 0 || !known.Tombstone && version != e.Version {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return
+		version := known.Version
+		if known.Tombstone {
+			version = 0
+		}
+		if version != 0 {
+			current = append(current, known)
 		}
+		conflict = conflict || version != e.Version
+	}
+	if conflict {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		s.reply(w, current, s.version)
+		return
 	}
 	for _, e := range change.Writes {
 		s.write(e)
@@ -226,12 +236,9 @@
 	w := &world{record: record, folder: folder, program: program, store: newStore(), hosts: 100, sound: newLedger()}
 	for n := os.Getpid(); w.network == ""; n++ {
 		network := fmt.Sprintf("127.%d.%d", 10+n/200%200, 1+n%200)
-		probe, err := net.Listen("tcp", network+".1:8227")
-		if err != nil {
-			continue
+		if isFree(network) {
+			w.network = network
 		}
-		_ = probe.Close()
-		w.network = network
 	}
 	listener, err := net.Listen("tcp", w.network+".90:0")
 	if err != nil {
@@ -249,6 +256,32 @@
 	}
 }
 
+// isFree reports whether the ports that instances and servers use are free on the addresses of a network.
+func isFree(network string) bool {
+	ports := []int{8227, 8220, 8229, 7340, 9464}
+	for host := 1; host <= 3; host++ {
+		for _, port := range ports {
+			if !isPortFree(fmt.Sprintf("%s.%d:%d", network, host, port)) {
+				return false
+			}
+		}
+	}
+	for host := 101; host <= 115; host++ {
+		if !isPortFree(fmt.Sprintf("%s.%d:8080", network, host)) {
+			return false
+		}
+	}
+	return true
+}
+
+func isPortFree(address string) bool {
+	probe, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return probe.Close() == nil
+}
+
 // close ends all processes and removes the folder.
 func (w *world) close() {
 	for _, i := range w.instances {
