--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -115,7 +115,7 @@
 	var failed *CallError
 	switch {
 	case err == nil:
-		x.d.fleet.Succeeded(selected.first.ID)
+		x.d.fleet.Succeeded(selected.first)
 		x.learnEngine(selected)
 		x.recordAnswer(selected)
 		x.d.metrics.attemptEnded(x.Service, "completed")
@@ -147,7 +147,7 @@
 	for _, h := range selected.helpers {
 		if h.Address == failed.AtFault {
 			x.excluded[h.ID] = true
-			x.d.fleet.Failed(h.ID)
+			x.d.fleet.Failed(h.Server)
 			x.d.startProbe(h.Server, func(bool) {})
 			return
 		}
@@ -157,12 +157,12 @@
 	case FailureNotSent:
 		x.d.markUnreachable(selected.first)
 	case FailureReplaced:
-		x.d.fleet.Failed(selected.first.ID)
+		x.d.fleet.Failed(selected.first)
 	case FailureBroken:
-		x.d.fleet.Failed(selected.first.ID)
+		x.d.fleet.Failed(selected.first)
 		x.recordCrash(selected)
 	default:
-		x.d.fleet.Failed(selected.first.ID)
+		x.d.fleet.Failed(selected.first)
 	}
 }
 
@@ -183,7 +183,7 @@
 		if x.retriesServerError() {
 			return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d", a.Status)}
 		}
-		x.d.fleet.Failed(selected.first.ID)
+		x.d.fleet.Failed(selected.first)
 	}
 	if x.begun {
 		return &CallError{Failure: FailureBroken, Cause: fmt.Errorf("the server responded with status %d instead of resuming the stream", a.Status)}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 	// rejectWaiting and endRequests take effect once.
 	rejectWaiting func()
 	endRequests   func()
+	// outages has the servers that broke off attempts and may have crashed.
+	outages *outages
 	// background tracks goroutines that may outlive their request.
 	background sync.WaitGroup
 }
@@ -88,6 +90,8 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.outages = newOutages(d)
+	d.fleet.OnApplied(d.outages.listChanged)
 	return d
 }
 
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -394,7 +394,7 @@
 		f.answer = func(ctx context.Context, _ int, c *dispatch.Call) (*dispatch.Answer, error) {
 			for _, other := range f.fleet.Candidates("pool") {
 				if other.Domain == c.Server.Domain && other.ID != c.Server.ID {
-					f.fleet.Unreachable(other.ID)
+					f.fleet.Unreachable(other.Server)
 				}
 			}
 			return resumedStream(ctx, c, silentTime)
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -42,6 +42,8 @@
 	answer func(ctx context.Context, n int, c *dispatch.Call) (*dispatch.Answer, error)
 	// unreachable are the servers that accept no connections.
 	unreachable map[poplarwinch.UpstreamID]bool
+	// accepts, if set, reports whether a process accepts a connection at the address of a server, in place of unreachable.
+	accepts func(ctx context.Context, s fleet.Server) bool
 	// probed are the servers that were probed so far.
 	probed   []fleet.Server
 	reserved map[engine.ReservationID]poplarwinch.Tokens
@@ -162,7 +164,13 @@
 	return len(f.reserved)
 }
 
-func (f *fixture) reachable(_ context.Context, s fleet.Server) bool {
+func (f *fixture) reachable(ctx context.Context, s fleet.Server) bool {
+	f.mutex.Lock()
+	accepts := f.accepts
+	f.mutex.Unlock()
+	if accepts != nil {
+		return accepts(ctx, s)
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.probed = append(f.probed, s)
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -43,6 +43,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_crashes_recorded_total{service=%q}`, service)).Inc()
 }
 
+// outageDecided counts an outage of a server that broke off attempts, by what has shown whether it crashed.
+func (m *requestMetrics) outageDecided(found evidence) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_outages_decided_total{evidence=%q}`, found)).Inc()
+}
+
+// brokenAttemptDropped counts a broken attempt that was dropped before it was known whether its server crashed, because there were too many.
+func (m *requestMetrics) brokenAttemptDropped(service poplarwinch.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_broken_attempts_dropped_total{service=%q}`, service)).Inc()
+}
+
 // heldByCold counts a decision that was held back because servers are cold.
 func (m *requestMetrics) heldByCold(service poplarwinch.ServiceName) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`poplarwinch_decisions_held_by_cold_servers_total{service=%q}`, service)).Inc()
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -40,13 +40,18 @@
 func (d *Dispatcher) probe(ctx context.Context, s fleet.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return d.reachable(ctx, s)
+	started := d.clock.Now()
+	alive := d.reachable(ctx, s)
+	if alive {
+		d.fleet.Alive(s, started)
+	}
+	return alive
 }
 
 // markUnreachable excludes a server that accepts no connections until it accepts them again. It also probes the other
 // servers of the failure domain: they may be cut off too, and probes find that out before requests are sent to them.
 func (d *Dispatcher) markUnreachable(s fleet.Server) {
-	if !d.fleet.Unreachable(s.ID) {
+	if !d.fleet.Unreachable(s) {
 		return
 	}
 	d.log.WithField("upstream", s.ID).WithField("failure-domain", s.Domain).Warn("dependency lost: server accepts no connections")
@@ -64,7 +69,7 @@
 			continue
 		}
 		if d.probe(context.Background(), s) {
-			d.fleet.Reachable(s.ID)
+			d.fleet.Reachable(s)
 			d.log.WithField("upstream", s.ID).Info("dependency regained: server accepts connections")
 			return
 		}
--- a/dispatch/proof.go
+++ b/dispatch/proof.go
@@ -4,9 +4,13 @@
 	"context"
 	"net/http"
 
+	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/route"
 )
 
+// answerProbeDelay is the time after which a server that ended an answer with its connection is probed.
+const answerProbeDelay clock.Millis = 600
+
 // recordAnswer records a complete answer as proof that the request and the parts of its prompt are harmless. If the end of the connection
 // ended the answer, the server may have crashed: while deaths are held against the request, a probe has to show that it did not.
 func (x *run) recordAnswer(selected *selection) {
@@ -22,7 +26,7 @@
 	}
 	s := selected.first
 	x.d.background.Go(func() {
-		_ = x.d.clock.Sleep(context.Background(), neighbourProbeDelay)
+		_ = x.d.clock.Sleep(context.Background(), answerProbeDelay)
 		x.d.runProbe(s, func(alive bool) {
 			if alive && x.d.fleet.IsListed(s) {
 				x.d.suspects.RecordAnswer(x.suspects, completedAt)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -20,14 +19,10 @@
 	retryAfterShutdown clock.Millis = 50
 	// retryAfterSuspect is the Retry-After hint for a request rejected because it, or a part of its prompt, crashes servers.
 	retryAfterSuspect = 10 * clock.Second
-	// neighbourProbeDelay is the time in which the probes of a server's neighbours have ended.
-	neighbourProbeDelay clock.Millis = 600
 	// eventDelay is the time for which an event may be on its way, and by which reports of crashes from other instances may differ.
 	eventDelay clock.Millis = 50
 	// maxSends bounds the attempts of a request, including those that servers rejected.
 	maxSends = 6
-	// maxLoggedParts bounds the parts of a prompt in a log line.
-	maxLoggedParts = 32
 )
 
 // errShutdown is the cancellation cause of requests that are ended because the process exits.
@@ -62,8 +57,9 @@
 	excluded map[poplarwinch.UpstreamID]bool
 	// possibleRuns is the number of attempts in which a server may have run the request.
 	possibleRuns int
-	// unconfirmedCrashes is the number of attempts that broke off and of which it isn't known yet whether their servers crashed.
-	unconfirmedCrashes atomic.Int64
+	// unconfirmedCrashes is the number of attempts that broke off and of which it isn't known yet whether their servers crashed; nil if none
+	// broke off.
+	unconfirmedCrashes *atomic.Int64
 	// sends is the number of attempts.
 	sends int
 	// begun is set when the status and headers were sent to the caller.
@@ -176,7 +172,10 @@
 
 // mayBeBlocked reports whether the request is blocked once the crashes of its attempts so far are confirmed, and as many further ones.
 func (x *run) mayBeBlocked(further int) bool {
-	return x.d.suspects.IsBlockedAfter(x.Fingerprint, int(x.unconfirmedCrashes.Load())+further)
+	if x.unconfirmedCrashes != nil {
+		further += int(x.unconfirmedCrashes.Load())
+	}
+	return x.d.suspects.IsBlockedAfter(x.Fingerprint, further)
 }
 
 // usableServers returns the number of servers that are not to be avoided.
@@ -196,40 +195,19 @@
 	return !x.begun || x.Route.Resumable && x.splitter.last != ""
 }
 
-// recordCrash probes the server of a broken attempt in the background and, if it is unreachable, records a crash during the request.
-// A server whose whole failure domain is out of reach is more likely cut off; the probes of its neighbours show it.
+// recordCrash records a crash during the request once it is known that the server of a broken attempt has crashed.
 func (x *run) recordCrash(selected *selection) {
-	s, brokeAt, aliveAt := selected.first, x.d.clock.Now(), selected.aliveAt()
+	brokeAt := x.d.clock.Now()
+	if x.unconfirmedCrashes == nil {
+		x.unconfirmedCrashes = &atomic.Int64{}
+	}
 	x.unconfirmedCrashes.Add(1)
-	x.d.startProbe(s, func(alive bool) {
-		defer x.unconfirmedCrashes.Add(-1)
-		if alive {
-			return
-		}
-		_ = x.d.clock.Sleep(context.Background(), neighbourProbeDelay)
-		if x.d.fleet.IsDomainLost(s) {
-			x.log.WithField("upstream", s.ID).WithField("failure-domain", s.Domain).Warn("server cut off with its failure domain; no crash recorded")
-			return
-		}
-		x.d.suspects.RecordCrash(x.suspects, quarantine.Death{Upstream: s.ID, At: brokeAt, Silence: brokeAt - aliveAt})
-		x.d.metrics.crashRecorded(x.Service)
-		x.log.WithFields(log.Fields{
-			"upstream": s.ID, "fingerprint": x.Fingerprint.String(), "deaths": x.d.suspects.Deaths(x.Fingerprint), "parts": x.loggedParts(),
-			"part-count": len(x.SharedParts), "known-suspects": x.d.suspects.Size(), "evicted-suspects": x.d.suspects.Evicted(),
-			"ran-ms": brokeAt - selected.sentAt, "silent-ms": brokeAt - aliveAt, "answered-ms": selected.answeredFor(brokeAt), "recorded-after-ms": x.d.clock.Now() - brokeAt,
-		}).Warn("server crashed while running the request")
+	x.d.outages.add(selected.first, &brokenAttempt{
+		log: x.log, service: x.Service, suspects: x.suspects, parts: x.SharedParts, unconfirmed: x.unconfirmedCrashes,
+		sentAt: selected.sentAt, aliveAt: selected.aliveAt(), brokeAt: brokeAt, answered: selected.answeredFor(brokeAt),
 	})
 }
 
-// loggedParts returns the parts of the prompt for a log line: all, or the first and the last ones.
-func (x *run) loggedParts() []poplarwinch.PromptPartID {
-	n := len(x.SharedParts)
-	if n <= maxLoggedParts {
-		return x.SharedParts
-	}
-	return slices.Concat(x.SharedParts[:maxLoggedParts/2], x.SharedParts[n-maxLoggedParts/2:])
-}
-
 // record logs the end of the request and updates the metrics.
 func (x *run) record(err error) {
 	total := x.d.clock.Now() - x.Started
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -105,7 +105,7 @@
 		},
 		"other engines unreachable": func(f *fixture) func() {
 			for _, id := range []poplarwinch.UpstreamID{"e2", "e3", "e4"} {
-				f.fleet.Unreachable(id)
+				f.fleet.Unreachable(fleet.Server{ID: id, Address: string(id) + ":80", Service: "pool"})
 			}
 			return func() {}
 		},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,6 +66,8 @@
 	coldServices map[poplarwinch.ServiceName]*coldService
 	// onCold is called with the servers that have become cold or ceased to be.
 	onCold func([]ColdChange)
+	// onApplied is called after each list was installed.
+	onApplied func()
 	// changed is closed and replaced when load or servers change.
 	changed chan struct{}
 }
@@ -77,7 +79,7 @@
 		servers: map[poplarwinch.UpstreamID]*serverState{}, peerReports: map[poplarwinch.InstanceID]*peerReport{},
 		summaries: map[summaryKey]*receivedSummary{}, removed: removedServers{}, waiting: map[poplarwinch.ServiceName]ClassCounts{},
 		changed: make(chan struct{}), coldServices: map[poplarwinch.ServiceName]*coldService{},
-		coldBound: ColdBound{Over: defaultColdOver, Slack: defaultColdSlack}, wallClock: clock.System(), onCold: func([]ColdChange) {},
+		coldBound: ColdBound{Over: defaultColdOver, Slack: defaultColdSlack}, wallClock: clock.System(), onCold: func([]ColdChange) {}, onApplied: func() {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -114,10 +116,19 @@
 	f.servers = next
 	f.usable = rank(next)
 	f.resolve()
+	onApplied := f.onApplied
 	f.mutex.Unlock()
+	onApplied()
 	f.wakeWaiters()
 }
 
+// OnApplied sets the function that is called after each list was installed, before requests that wait for a server choose from it.
+func (f *Fleet) OnApplied(onApplied func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.onApplied = onApplied
+}
+
 // Server returns the server with the id if it is listed, not leaving and not in a failure domain under evacuation.
 func (f *Fleet) Server(id poplarwinch.UpstreamID) (Server, bool) {
 	f.mutex.Lock()
@@ -376,20 +387,20 @@
 }
 
 // Succeeded records a complete answer of a server.
-func (f *Fleet) Succeeded(id poplarwinch.UpstreamID) {
-	f.updateHealth(id, func(h *health, now clock.Millis) { h.succeeded(now) })
+func (f *Fleet) Succeeded(s Server) {
+	f.updateHealth(s, func(h *health, now clock.Millis) { h.succeeded(now) })
 }
 
 // Failed records an answer that failed or broke off.
-func (f *Fleet) Failed(id poplarwinch.UpstreamID) {
-	f.updateHealth(id, func(h *health, now clock.Millis) { h.failed(now) })
+func (f *Fleet) Failed(s Server) {
+	f.updateHealth(s, func(h *health, now clock.Millis) { h.failed(now) })
 }
 
 // Unreachable records that a server accepts no connection and reports whether that is new. The server is avoided until
 // Reachable or Succeeded is called for it.
-func (f *Fleet) Unreachable(id poplarwinch.UpstreamID) bool {
+func (f *Fleet) Unreachable(s Server) bool {
 	f.mutex.Lock()
-	m := f.servers[id]
+	m := f.start(s)
 	changed := m != nil && !m.health.unreachable
 	if changed {
 		m.health.unreachable = true
@@ -402,8 +413,8 @@
 }
 
 // Reachable records that a server accepts connections again.
-func (f *Fleet) Reachable(id poplarwinch.UpstreamID) {
-	f.updateHealth(id, func(h *health, _ clock.Millis) { h.unreachable, h.peersUnreachableUntil = false, 0 })
+func (f *Fleet) Reachable(s Server) {
+	f.updateHealth(s, func(h *health, _ clock.Millis) { h.unreachable, h.peersUnreachableUntil = false, 0 })
 	f.notifyChange(ReachNear)
 }
 
@@ -424,23 +435,6 @@
 	return list
 }
 
-// IsDomainLost reports whether this instance can reach no server in the failure domain of s, and there are others than s.
-func (f *Fleet) IsDomainLost(s Server) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	others := 0
-	for _, m := range f.servers {
-		if m.server.Domain != s.Domain || m.server.ID == s.ID {
-			continue
-		}
-		if !m.health.unreachable {
-			return false
-		}
-		others++
-	}
-	return others > 0
-}
-
 // HasSeveralPrefills reports whether one of the servers has more than one prompt, or part of one, in prefill, as far as this instance
 // knows.
 func (f *Fleet) HasSeveralPrefills(ids []poplarwinch.UpstreamID) bool {
@@ -455,18 +449,11 @@
 	return false
 }
 
-// IsListed reports whether the server is still listed as the same process.
-func (f *Fleet) IsListed(s Server) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	m := f.servers[s.ID]
-	return m != nil && m.server.same(s)
-}
-
-func (f *Fleet) updateHealth(id poplarwinch.UpstreamID, update func(*health, clock.Millis)) {
+// updateHealth updates the health of a server that is still listed as the same process. Results of an earlier one say nothing of it.
+func (f *Fleet) updateHealth(s Server, update func(*health, clock.Millis)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if m := f.servers[id]; m != nil {
+	if m := f.start(s); m != nil {
 		update(&m.health, f.clock.Now())
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -159,21 +159,21 @@
 // Guards against requests that keep trying a server which is unreachable or fails half of the time.
 func TestHealth(t *testing.T) {
 	w := newFixture()
-	if !w.Unreachable("e1") || w.Unreachable("e1") {
+	if !w.Unreachable(w.candidate(t, "e1").Server) || w.Unreachable(w.candidate(t, "e1").Server) {
 		t.Error("only the first failure to connect is new")
 	}
 	if !w.candidate(t, "e1").Avoid {
 		t.Error("an unreachable server is not avoided")
 	}
-	w.Reachable("e1")
+	w.Reachable(w.candidate(t, "e1").Server)
 	if w.candidate(t, "e1").Avoid {
 		t.Error("a server that is reachable again is avoided")
 	}
-	w.Failed("e2")
+	w.Failed(w.candidate(t, "e2").Server)
 	if w.candidate(t, "e2").Avoid {
 		t.Error("one failure is enough to avoid a server")
 	}
-	w.Failed("e2")
+	w.Failed(w.candidate(t, "e2").Server)
 	if !w.candidate(t, "e2").Avoid {
 		t.Error("a failing server is not avoided")
 	}
@@ -293,3 +293,57 @@
 		t.Errorf("after the end and the peer's silence: got %d", got)
 	}
 }
+
+// Guards against a new start of a server that is avoided for good because a probe of the one before found it unreachable late, and against
+// failures and answers of the one before that count for it.
+func TestHealthBelongsToOneStart(t *testing.T) {
+	w := newFixture()
+	old := w.candidate(t, "e1").Server
+	next := old
+	next.Boot = old.Boot + 1
+	w.Apply([]fleet.Server{next, w.candidate(t, "e2").Server})
+	if w.Unreachable(old) || w.candidate(t, "e1").Avoid {
+		t.Error("the new start is avoided because the one before is unreachable")
+	}
+	for range 5 {
+		w.Failed(old)
+	}
+	if w.candidate(t, "e1").Avoid {
+		t.Error("the new start is avoided because the one before failed")
+	}
+	w.Unreachable(next)
+	w.Succeeded(old)
+	w.Reachable(old)
+	w.Alive(old, w.time.Now())
+	if !w.candidate(t, "e1").Avoid || w.AliveAt(next) != 0 {
+		t.Error("a sign of life of the start before counts for the new one")
+	}
+}
+
+// Guards against a start of a server that seems to be over because an old list comes back, or to go on although another server has its
+// address.
+func TestListingOfAStart(t *testing.T) {
+	w := newFixture()
+	s := w.candidate(t, "e1").Server
+	s.Boot = 5
+	older, later, other, elsewhere := s, s, s, s
+	older.Boot, later.Boot = 4, 6
+	other.ID, other.Boot = "new", 7
+	elsewhere.ID, elsewhere.Address = "elsewhere", "other:80"
+	for name, c := range map[string]struct {
+		list []fleet.Server
+		want fleet.Listing
+	}{
+		"itself":                   {[]fleet.Server{s, elsewhere}, fleet.ListingPresent},
+		"nothing":                  {nil, fleet.ListingAbsent},
+		"an earlier start":         {[]fleet.Server{older}, fleet.ListingAbsent},
+		"a later start":            {[]fleet.Server{later}, fleet.ListingReplaced},
+		"another at its address":   {[]fleet.Server{other}, fleet.ListingReplaced},
+		"both, as entries overlap": {[]fleet.Server{s, other}, fleet.ListingReplaced},
+	} {
+		w.Apply(c.list)
+		if got := w.Listing(s); got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -24,12 +24,14 @@
 	unreachable           bool
 	peersUnreachableUntil clock.Millis
 	trialAt               clock.Millis
+	// aliveAt is the latest time at which the server accepted a connection or completed an answer; zero if unknown.
+	aliveAt clock.Millis
 }
 
 // succeeded records a complete answer.
 func (h *health) succeeded(now clock.Millis) {
 	h.failureRate *= 1 - newResultWeight
-	h.lastResultAt, h.unreachable, h.peersUnreachableUntil = now, false, 0
+	h.lastResultAt, h.aliveAt, h.unreachable, h.peersUnreachableUntil = now, now, false, 0
 }
 
 // failed records an answer that failed or broke off.
