--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -326,7 +326,8 @@
 	w := newFixture()
 	s := w.candidate(t, "e1").Server
 	s.Boot = 5
-	older, later, other, elsewhere := s, s, s, s
+	older, later, other, elsewhere, alias := s, s, s, s, s
+	alias.ID = "alias"
 	older.Boot, later.Boot = 4, 6
 	other.ID, other.Boot = "new", 7
 	elsewhere.ID, elsewhere.Address = "elsewhere", "other:80"
@@ -340,6 +341,7 @@
 		"a later start":            {[]fleet.Server{later}, fleet.ListingReplaced},
 		"another at its address":   {[]fleet.Server{other}, fleet.ListingReplaced},
 		"both, as entries overlap": {[]fleet.Server{s, other}, fleet.ListingReplaced},
+		"itself under two ids":     {[]fleet.Server{s, alias}, fleet.ListingPresent},
 	} {
 		w.Apply(c.list)
 		if got := w.Listing(s); got != c.want {
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -24,12 +24,16 @@
 		}
 		return ListingAbsent // a stale entry of an earlier start
 	}
+	listed := f.start(s) != nil
 	for id, m := range f.servers {
-		if id != s.ID && m.server.Address == s.Address && m.server.Boot >= s.Boot {
+		if id == s.ID || m.server.Address != s.Address {
+			continue
+		}
+		if m.server.Boot > s.Boot || m.server.Boot == s.Boot && !listed { // one process may be listed under two ids
 			return ListingReplaced
 		}
 	}
-	if f.start(s) == nil {
+	if !listed {
 		return ListingAbsent
 	}
 	return ListingPresent
