--- a/dispatch/crashing_part_test.go
+++ b/dispatch/crashing_part_test.go
@@ -244,6 +244,98 @@
 	})
 }
 
+// Guards against a crashing part that is learned anew for each model, customer or route with which it comes, and against a sound part of
+// nine prompts in ten that is blocked instead.
+func TestCrashingPartWithAllModels(t *testing.T) {
+	for name, vary := range map[string]func(r *dispatch.Request, n int){
+		"models":    func(r *dispatch.Request, n int) { r.Model = poplarwinch.ModelName(fmt.Sprint("m", n%6)) },
+		"customers": func(r *dispatch.Request, n int) { r.Customer = poplarwinch.CustomerID(fmt.Sprint("c", n%6)) },
+		"routes":    func(r *dispatch.Request, n int) { r.Route.Name = fmt.Sprint("route-", n%6) },
+		"all": func(r *dispatch.Request, n int) {
+			r.Model, r.Customer = poplarwinch.ModelName(fmt.Sprint("m", n%6)), poplarwinch.CustomerID(fmt.Sprint("c", n%5))
+			r.Route.Name = fmt.Sprint("route-", n%4)
+		},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				runInVirtualTime(t, func(t *testing.T, f *fixture) { playCrashingPart(t, f, seed, vary) })
+			})
+		}
+	}
+}
+
+// playCrashingPart plays prompts of which nine in ten have a common part, and one in ten a crashing one.
+func playCrashingPart(t *testing.T, f *fixture, seed uint64, vary func(r *dispatch.Request, n int)) {
+	s := newCrashingServers(f, 12)
+	random := rand.New(rand.NewPCG(seed, 1))
+	var wait sync.WaitGroup
+	var mutex sync.Mutex
+	failed, sound := 0, 0
+	for n := range 300 {
+		var parts []poplarwinch.PromptPartID
+		if random.Float64() < 0.9 {
+			parts = append(parts, "common")
+		}
+		bad := n > 30 && random.Float64() < 0.1
+		if bad {
+			parts = append(parts, crashingPart)
+		}
+		r, late := s.prompt(n, parts...), n >= 150
+		vary(r, n)
+		wait.Go(func() {
+			o := f.run(t.Context(), r)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if late && !bad {
+				sound++
+				if o.err != nil {
+					failed++
+				}
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	wait.Wait()
+	if len(s.crashes) < 3 {
+		t.Fatalf("%d servers crashed, want 3 at least", len(s.crashes))
+	}
+	if n := s.sendsAfter(s.crashes[min(len(s.crashes), 5)-1] + learningTime); n > 3 {
+		t.Errorf("%d attempts with the part 3 s after the fifth crash or the last one, %d crashes in all; want 3 at most", n, len(s.crashes))
+	}
+	if sound < 100 || failed > sound/100 {
+		t.Errorf("%d of %d sound prompts failed in the second half", failed, sound)
+	}
+}
+
+// Guards against an answer that clears a part, or a trial that tests its block, with effect for one model only.
+func TestBlockOfAPartEndsForAllModels(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.blame(crashingPart)
+		f.answer = func(context.Context, int, *dispatch.Call) (*dispatch.Answer, error) {
+			return complete(http.StatusOK, wholeStream)
+		}
+		send := func(model poplarwinch.ModelName) *poplarwinch.Error {
+			r := f.request(route.KindStreaming)
+			r.Model, r.SharedParts = model, []poplarwinch.PromptPartID{crashingPart}
+			return f.run(t.Context(), r).err
+		}
+		for _, model := range []poplarwinch.ModelName{"m", "n", "o"} {
+			if send(model) == nil {
+				t.Errorf("the part is not blocked for model %s", model)
+			}
+		}
+		time.Sleep(3 * time.Minute)
+		if err := send("n"); err != nil {
+			t.Errorf("the trial got %v", err)
+		}
+		for _, model := range []poplarwinch.ModelName{"m", "n", "o"} {
+			if err := send(model); err != nil {
+				t.Errorf("after the answer of model n the part is blocked for model %s: %v", model, err)
+			}
+		}
+	})
+}
+
 // Guards against a part that is taken for harmless because its server fell silent after the first event, and was found crashed later.
 func TestCrashAfterTheFirstEventCounts(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
@@ -263,7 +355,7 @@
 			time.Sleep(2 * time.Second)
 			f.fleet.Apply([]fleet.Server{{ID: poplarwinch.UpstreamID(fmt.Sprint("n", n)), Address: "n:80", Domain: "north", Service: "pool", Slots: 16}})
 		}
-		suspects := quarantine.NewPromptSuspects(quarantine.Fingerprint{}, "m", []poplarwinch.PromptPartID{crashingPart})
+		suspects := quarantine.NewPromptSuspects(quarantine.Fingerprint{}, []poplarwinch.PromptPartID{crashingPart})
 		if r := f.suspects.Rule(suspects); !r.Blocked || r.Part != 1 {
 			t.Errorf("the part is not blocked after %d crashes", len(f.calls))
 		}
--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -96,7 +96,7 @@
 							if blocked := d.load(100*time.Millisecond, 40*time.Second, "common"); blocked > 0 {
 								t.Errorf("%d sound requests were rejected", blocked)
 							}
-							suspects := quarantine.NewPromptSuspects(d.call(0, "common").Fingerprint, "m", []poplarwinch.PromptPartID{"common"})
+							suspects := quarantine.NewPromptSuspects(d.call(0, "common").Fingerprint, []poplarwinch.PromptPartID{"common"})
 							for _, fingerprint := range append(suspects.Parts, suspects.Request) {
 								if n := f.suspects.Deaths(fingerprint); n > 0 {
 									t.Errorf("%d crashes are held against a sound request or its part", n)
--- a/dispatch/proof_test.go
+++ b/dispatch/proof_test.go
@@ -33,7 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(t *testing.T, f *fixture) {
-				suspects := quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "/x/", nil), "m", []poplarwinch.PromptPartID{crashingPart})
+				suspects := quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "/x/", nil), []poplarwinch.PromptPartID{crashingPart})
 				f.suspects.RecordCrash(suspects, quarantine.Death{Upstream: "gone", At: f.dispatcher.Now(), Silence: 100})
 				f.answer = func(_ context.Context, _ int, call *dispatch.Call) (*dispatch.Answer, error) {
 					f.mutex.Lock()
@@ -63,7 +63,7 @@
 // comes later.
 func TestAnswerClearsNoLaterCrash(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T, f *fixture) {
-		suspects := quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "/x/", nil), "m", []poplarwinch.PromptPartID{crashingPart})
+		suspects := quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "/x/", nil), []poplarwinch.PromptPartID{crashingPart})
 		crash := func(id poplarwinch.UpstreamID) {
 			f.suspects.RecordCrash(suspects, quarantine.Death{Upstream: id, At: f.dispatcher.Now(), Silence: 100})
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -85,7 +85,7 @@
 func newRun(d *Dispatcher, r *Request, reply Reply) *run {
 	x := &run{
 		Request: r, d: d, reply: reply, excluded: map[serverStart]bool{},
-		suspects: quarantine.NewPromptSuspects(r.Fingerprint, r.Model, r.SharedParts),
+		suspects: quarantine.NewPromptSuspects(r.Fingerprint, r.SharedParts),
 		log:      d.log.WithFields(log.Fields{"request-id": r.ID, "route": r.Route.Name, "customer": r.Customer}),
 	}
 	if n := r.UnidentifiedParts; n > 0 {
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -339,7 +339,7 @@
 func (f *fixture) blame(parts ...poplarwinch.PromptPartID) {
 	for n := range 3 {
 		request := quarantine.FingerprintOf("c", "/x/", fmt.Append(nil, "blamed", n))
-		f.suspects.RecordCrash(quarantine.NewPromptSuspects(request, "m", parts), quarantine.Death{
+		f.suspects.RecordCrash(quarantine.NewPromptSuspects(request, parts), quarantine.Death{
 			Upstream: poplarwinch.UpstreamID(fmt.Sprint("crashed", n)), At: f.dispatcher.Now(), Silence: 100,
 		})
 		time.Sleep(400 * time.Millisecond)
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -93,7 +93,7 @@
 			Tokens: estimate, MaxNewTokens: request.MaxTokens, Blocks: request.Blocks, Class: routing.ClassOf(estimate),
 		},
 	}
-	p.suspects = quarantine.NewPromptSuspects(p.fingerprint, request.Model, request.SharedParts)
+	p.suspects = quarantine.NewPromptSuspects(p.fingerprint, request.SharedParts)
 	if n := request.UnidentifiedParts; n > 0 {
 		x.log.WithField("messages", len(request.SharedParts)+n).WithField("unidentified", n).
 			Warn("prompt has too many messages; a crash can't be attributed to the last ones")
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -15,7 +15,7 @@
 	m := clock.NewManual(1_000_000)
 	register := quarantine.New(quarantine.WithClock(m.Clock()))
 	suspects := func(name string) quarantine.PromptSuspects {
-		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", []poplarwinch.PromptPartID{"part"})
+		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), []poplarwinch.PromptPartID{"part"})
 	}
 	for n := range 3 {
 		death := quarantine.Death{Upstream: poplarwinch.UpstreamID(fmt.Sprint("e", n)), At: m.Now(), Silence: 100}
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -53,7 +53,7 @@
 	now := clock.Monotonic()
 	_, suspects := startWithSuspects(t, instances, now)
 	prompt := func(name string, parts ...poplarwinch.PromptPartID) quarantine.PromptSuspects {
-		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", parts)
+		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), parts)
 	}
 	for n := range 5 {
 		crash := quarantine.Death{Upstream: poplarwinch.UpstreamID(fmt.Sprintf("e%d", n)), At: now.Now(), Silence: 50}
@@ -98,7 +98,7 @@
 			ids = append(ids, poplarwinch.PromptPartID(fmt.Sprint(name, "-", p)))
 		}
 		ids[parts-2] = "bad"
-		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), "m", ids)
+		return quarantine.NewPromptSuspects(quarantine.FingerprintOf("c", "m", []byte(name)), ids)
 	}
 	sent := func() (most, sum int64) {
 		for _, i := range list {
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -22,7 +22,7 @@
 			parts = append(parts, poplarwinch.PromptPartID(id))
 		}
 	}
-	return NewPromptSuspects(FingerprintOf("c", "m", []byte(name)), "m", parts)
+	return NewPromptSuspects(FingerprintOf("c", "m", []byte(name)), parts)
 }
 
 // play runs a script of crashes ("crash ENGINE REQUEST..."), complete answers ("answer REQUEST"), answers that go on ("progress REQUEST MS")
@@ -344,7 +344,7 @@
 	if len(report) != reportedSuspects {
 		t.Fatalf("%d suspects in the report, want %d", len(report), reportedSuspects)
 	}
-	if report[0].Fingerprint != FingerprintOfPart("m", "bad") {
+	if report[0].Fingerprint != FingerprintOfPart("bad") {
 		t.Errorf("the blocked part is not the first of %v", report)
 	}
 }
@@ -372,7 +372,7 @@
 // Guards against memory that grows with the number of requests, and against parts that are forgotten at once for it.
 func TestSurvivalsAreBounded(t *testing.T) {
 	var s survivals
-	part := FingerprintOfPart("m", "i")
+	part := FingerprintOfPart("i")
 	s.record(part, survival{completedAt: start}, start)
 	for n := range 2 * maxSurvivals {
 		s.record(fingerprint(n), survival{completedAt: start}, start)
@@ -394,7 +394,7 @@
 	}
 	play(t, m, g, "wait 7000, crash z new:i:bad")
 	report := g.Report()
-	for _, f := range []Fingerprint{promptOf("new").Request, FingerprintOfPart("m", "bad")} {
+	for _, f := range []Fingerprint{promptOf("new").Request, FingerprintOfPart("bad")} {
 		if !slices.ContainsFunc(report, func(s Suspect) bool { return s.Fingerprint == f }) {
 			t.Errorf("%s is not among the %d suspects of the report", f, len(report))
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -16,10 +16,10 @@
 }
 
 // NewPromptSuspects returns the fingerprints for a request and the shared parts of its prompt.
-func NewPromptSuspects(request Fingerprint, model poplarwinch.ModelName, parts []poplarwinch.PromptPartID) PromptSuspects {
+func NewPromptSuspects(request Fingerprint, parts []poplarwinch.PromptPartID) PromptSuspects {
 	p := PromptSuspects{Request: request}
 	for _, id := range parts {
-		p.Parts = append(p.Parts, FingerprintOfPart(model, id))
+		p.Parts = append(p.Parts, FingerprintOfPart(id))
 	}
 	return p
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -10,7 +10,7 @@
 	"github.com/poplarwinch/poplarwinch"
 )
 
-// Fingerprint identifies a request by its caller and what it asks for, or a part of prompts by model and id.
+// Fingerprint identifies a request by its caller and what it asks for, or a part of prompts by its id.
 type Fingerprint [16]byte
 
 // FingerprintOf returns the fingerprint of a request. Each part is hashed with its length first, so that no caller can
@@ -40,11 +40,9 @@
 	)
 }
 
-// FingerprintOfPart returns the fingerprint of a part of the model's prompts. It has fewer fields than that of a request, so that the
-// hashed bytes are never the same.
-func FingerprintOfPart(model poplarwinch.ModelName, part poplarwinch.PromptPartID) Fingerprint {
-	return hashFields([]byte(model), []byte(part))
-}
+// FingerprintOfPart returns the fingerprint of a part of prompts, whichever the customer, the route and the model. It has fewer fields than
+// that of a request, so that the hashed bytes are never the same.
+func FingerprintOfPart(part poplarwinch.PromptPartID) Fingerprint { return hashFields([]byte(part)) }
 
 func hashFields(fields ...[]byte) Fingerprint {
 	h := sha256.New()
