--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -28,7 +28,7 @@
 
 // fixture is a dispatcher with scripted servers, in virtual time.
 type fixture struct {
-	t          *testing.T
+	t          testing.TB
 	dispatcher *dispatch.Dispatcher
 	fleet      *fleet.Fleet
 	suspects   *quarantine.Register
@@ -65,7 +65,7 @@
 	listMissing bool
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{
 		t: t, log: memory.New(), unreachable: map[poplarwinch.UpstreamID]bool{}, reserved: map[engine.ReservationID]poplarwinch.Tokens{},
 		retriesPerRequest: 0.2, sharedRetries: 100,
