--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/fleet"
@@ -12,8 +13,11 @@
 	// to the probe that shows whether it is still unreachable. Servers of a failure domain that is cut off, or returns, don't do so at
 	// quite the same moment.
 	proofDelay clock.Millis = 100
-	// outageInterval is the time between two looks at a server whose state is not known yet.
-	outageInterval clock.Millis = 500
+	// minOutageInterval is the time between two looks at a server whose state is not known yet. It grows with the age of the outage, by
+	// outageAgePerInterval, up to maxOutageInterval; changes of the list and of neighbours make a look due at once.
+	minOutageInterval    clock.Millis = 500
+	maxOutageInterval                 = 5 * clock.Second
+	outageAgePerInterval              = 8
 	// listDelay is the time by which the server list shows a start of a server that accepts connections.
 	listDelay = clock.Second
 	// outagePeriod is the time after which an outage is given up: crashes that are older count no longer.
@@ -53,7 +57,7 @@
 	// deadAt is the time at which the server was first found unreachable since it was last known to be alive; zero if it never was.
 	deadAt clock.Millis
 	// wasDead says that it was found unreachable at some time.
-	wasDead bool
+	wasDead atomic.Bool
 	// aliveAt is the latest time at which it is known to have been alive.
 	aliveAt clock.Millis
 }
@@ -97,13 +101,14 @@
 	return evidenceNone
 }
 
-// untilNextLook returns the time until neighbours of a server that has just become unreachable can show that it crashed, and otherwise
-// outageInterval.
+// untilNextLook returns the time until neighbours of a server that has just become unreachable can show that it crashed, and otherwise the
+// interval for the age of the outage.
 func (o *outage) untilNextLook() clock.Millis {
-	if left := o.deadAt + proofDelay - o.d.clock.Now(); o.isDead() && left > 0 {
+	now := o.d.clock.Now()
+	if left := o.deadAt + proofDelay - now; o.isDead() && left > 0 {
 		return left
 	}
-	return outageInterval
+	return min(max(minOutageInterval, (now-o.openedAt)/outageAgePerInterval), maxOutageInterval)
 }
 
 // isDead reports whether the server has been unreachable since it was last known to be alive.
@@ -145,7 +150,8 @@
 		return true
 	}
 	if !o.isDead() {
-		o.deadAt, o.wasDead = started, true
+		o.deadAt = started
+		o.wasDead.Store(true)
 	}
 	d.markUnreachable(o.server)
 	return false
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -16,7 +16,7 @@
 const (
 	// maxHeldAttempts and maxHeldSuspects bound the broken attempts that are held until their outages are decided, and the requests and parts
 	// of prompts in them. The oldest ones of the longest outage give way.
-	maxHeldAttempts = 4096
+	maxHeldAttempts = 1024
 	maxHeldSuspects = 1 << 16
 	// maxLoggedParts bounds the parts of a prompt in a log line.
 	maxLoggedParts = 32
@@ -141,64 +141,123 @@
 func (l *outages) listChanged() {
 	l.mutex.Lock()
 	var open []*outage
+	var starts []fleet.Server
 	for _, o := range l.open {
-		open = append(open, o)
+		open, starts = append(open, o), append(starts, o.server)
 	}
 	l.mutex.Unlock()
-	for _, o := range open {
-		if l.d.fleet.Listing(o.server) == fleet.ListingReplaced {
-			l.decide(o, evidenceReplaced)
-		} else {
+	if len(open) == 0 {
+		return
+	}
+	var ended []verdict
+	for i, listing := range l.d.fleet.Listings(starts) {
+		if listing != fleet.ListingReplaced {
+			open[i].wake()
+		} else if v, ok := l.end(open[i], evidenceReplaced); ok {
+			ended = append(ended, v)
+		}
+	}
+	l.conclude(ended...)
+}
+
+// regained makes the next look at a server that is reachable again, and at its neighbours, due.
+func (l *outages) regained(s *fleet.Server) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, o := range l.open {
+		if o.server.Domain == s.Domain {
 			o.wake()
 		}
 	}
 }
 
+// verdict is what was found about an outage that is over.
+type verdict struct {
+	outage   *outage
+	found    evidence
+	attempts []*brokenAttempt
+}
+
 // decide ends an outage and records crashes if that is what the evidence shows. It reports false if the outage goes on, as an attempt broke
 // off meanwhile that the server hasn't survived.
 func (l *outages) decide(o *outage, found evidence) bool {
-	l.mutex.Lock()
-	if l.open[startOf(&o.server)] != o {
-		l.mutex.Unlock()
-		return true
+	v, ok := l.end(o, found)
+	if ok {
+		l.conclude(v)
 	}
-	if found == evidenceReturned && !o.haveReturned(l.d.clock.Now()) {
-		l.mutex.Unlock()
+	select {
+	case <-o.decided:
+		return true
+	default:
 		return false
 	}
+}
+
+// end ends an outage. It reports false if that was done before, or the outage goes on.
+func (l *outages) end(o *outage, found evidence) (verdict, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.open[startOf(&o.server)] != o || found == evidenceReturned && !o.haveReturned(l.d.clock.Now()) {
+		return verdict{}, false
+	}
 	delete(l.open, startOf(&o.server))
 	close(o.decided)
-	attempts := o.attempts
+	v := verdict{outage: o, found: found, attempts: o.attempts}
 	o.attempts = nil
-	for _, a := range attempts {
+	for _, a := range v.attempts {
 		l.forget(a)
 	}
-	l.mutex.Unlock()
-	l.conclude(o, attempts, found)
-	return true
-}
-
-// conclude records the crashes of an outage that was decided, or logs that there were none.
-func (l *outages) conclude(o *outage, attempts []*brokenAttempt, found evidence) {
-	l.d.metrics.outageDecided(found)
-	crashes := 0
-	for _, a := range attempts {
-		if found == evidenceReplaced || found == evidenceNeighbour && a.returnedAt == 0 {
-			a.recordCrash(l.d, &o.server, found)
-			crashes++
+	return v, true
+}
+
+// conclude records the crashes of outages that are over, or logs that there were none. The caller may be installing the list, so that
+// crashes are recorded together and logged in the background.
+func (l *outages) conclude(ended ...verdict) {
+	var crashes []quarantine.Crash
+	for i := range ended {
+		v := &ended[i]
+		l.d.metrics.outageDecided(v.found)
+		v.attempts = slices.DeleteFunc(v.attempts, func(a *brokenAttempt) bool { return !v.isCrash(a) })
+		for _, a := range v.attempts {
+			crashes = append(crashes, quarantine.Crash{Suspects: a.suspects, Death: a.death(&v.outage.server)})
+			l.d.metrics.crashRecorded(a.service)
 		}
 	}
-	if found != evidenceReplaced && crashes == 0 && o.wasDead {
-		l.d.log.WithFields(log.Fields{
-			"upstream": o.server.ID, "failure-domain": o.server.Domain, "evidence": found, "attempts": len(attempts), "age-ms": l.d.clock.Now() - o.openedAt,
+	if len(crashes) > 0 {
+		l.d.suspects.RecordCrashes(crashes)
+	}
+	l.d.background.Go(func() {
+		for i := range ended {
+			ended[i].log(l.d)
+		}
+	})
+}
+
+// isCrash reports whether the server crashed during the attempt.
+func (v *verdict) isCrash(a *brokenAttempt) bool {
+	return v.found == evidenceReplaced || v.found == evidenceNeighbour && a.returnedAt == 0
+}
+
+// log logs the crash for each of its attempts, or that there was none although the server was unreachable.
+func (v *verdict) log(d *Dispatcher) {
+	s := &v.outage.server
+	for _, a := range v.attempts {
+		a.logCrash(d, s, v.found)
+	}
+	if len(v.attempts) == 0 && v.outage.wasDead.Load() {
+		d.log.WithFields(log.Fields{
+			"upstream": s.ID, "failure-domain": s.Domain, "evidence": v.found, "age-ms": d.clock.Now() - v.outage.openedAt,
 		}).Warn("server was unreachable; no crash recorded")
 	}
 }
 
-// recordCrash records that the server of the attempt crashed.
-func (a *brokenAttempt) recordCrash(d *Dispatcher, s *fleet.Server, found evidence) {
-	d.suspects.RecordCrash(a.suspects, quarantine.Death{Upstream: s.ID, Boot: s.Boot, At: a.brokeAt, Silence: a.brokeAt - a.aliveAt})
-	d.metrics.crashRecorded(a.service)
+// death returns the death of the server as the attempt noticed it.
+func (a *brokenAttempt) death(s *fleet.Server) quarantine.Death {
+	return quarantine.Death{Upstream: s.ID, Boot: s.Boot, At: a.brokeAt, Silence: a.brokeAt - a.aliveAt}
+}
+
+// logCrash logs that the server crashed during the attempt.
+func (a *brokenAttempt) logCrash(d *Dispatcher, s *fleet.Server, found evidence) {
 	a.log.WithFields(log.Fields{
 		"upstream": s.ID, "fingerprint": a.suspects.Request.String(), "deaths": d.suspects.Deaths(a.suspects.Request), "parts": a.loggedParts(),
 		"part-count": len(a.parts), "known-suspects": d.suspects.Size(), "evicted-suspects": d.suspects.Evicted(), "evidence": found,
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -70,6 +70,7 @@
 		}
 		if d.probe(context.Background(), s) {
 			d.fleet.Reachable(s)
+			d.outages.regained(&s)
 			d.log.WithField("upstream", s.ID).Info("dependency regained: server accepts connections")
 			return
 		}
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -15,28 +15,41 @@
 )
 
 // Listing returns what the list says of the start s of a server.
-func (f *Fleet) Listing(s Server) Listing {
+func (f *Fleet) Listing(s Server) Listing { return f.Listings([]Server{s})[0] }
+
+// Listings returns what the list says of several starts of servers.
+func (f *Fleet) Listings(starts []Server) []Listing {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if m := f.servers[s.ID]; m != nil && m.server.Boot != s.Boot {
-		if m.server.Boot > s.Boot {
-			return ListingReplaced
-		}
-		return ListingAbsent // a stale entry of an earlier start
+	byAddress := make(map[string][]int, len(starts))
+	result := make([]Listing, len(starts))
+	for i := range starts {
+		result[i] = f.listingByID(&starts[i])
+		byAddress[starts[i].Address] = append(byAddress[starts[i].Address], i)
 	}
-	listed := f.start(s) != nil
-	for id, m := range f.servers {
-		if id == s.ID || m.server.Address != s.Address {
-			continue
-		}
-		if m.server.Boot > s.Boot || m.server.Boot == s.Boot && !listed { // one process may be listed under two ids
-			return ListingReplaced
+	for _, m := range f.servers {
+		for _, i := range byAddress[m.server.Address] {
+			if m.server.ID == starts[i].ID {
+				continue
+			}
+			isLater := m.server.Boot > starts[i].Boot
+			if isLater || m.server.Boot == starts[i].Boot && result[i] == ListingAbsent { // one process may be listed under two ids
+				result[i] = ListingReplaced
+			}
 		}
 	}
-	if !listed {
-		return ListingAbsent
+	return result
+}
+
+// listingByID returns what the entry with the server's id says. The caller holds the lock.
+func (f *Fleet) listingByID(s *Server) Listing {
+	switch m := f.servers[s.ID]; {
+	case m != nil && m.server.same(*s):
+		return ListingPresent
+	case m != nil && m.server.Boot > s.Boot:
+		return ListingReplaced
 	}
-	return ListingPresent
+	return ListingAbsent
 }
 
 // Current returns the start of the server that is listed now at the same address, or s if there is none. A server that was chosen some time
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -51,10 +51,25 @@
 	return list
 }
 
+// Crash is the crash of an engine during an attempt.
+type Crash struct {
+	Suspects PromptSuspects
+	Death    Death
+}
+
 // RecordCrash records the crash of an engine during an attempt.
 func (g *Register) RecordCrash(p PromptSuspects, d Death) {
+	g.RecordCrashes([]Crash{{Suspects: p, Death: d}})
+}
+
+// RecordCrashes records crashes during several attempts, which is less work than one after the other.
+func (g *Register) RecordCrashes(crashes []Crash) {
+	var suspects []Suspect
+	for i := range crashes {
+		suspects = append(suspects, crashes[i].Suspects.suspects(crashes[i].Death)...)
+	}
 	g.mutex.Lock()
-	changed := g.mergeOwn(p.suspects(d))
+	changed := g.mergeOwn(suspects)
 	g.mutex.Unlock()
 	if len(changed) > 0 {
 		g.onChange()
