--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -50,6 +50,13 @@
 	return a.returnedAt > 0
 }
 
+// confirm ends the wait for what became of the server, unless it has returned. A crash must have been recorded before.
+func (a *brokenAttempt) confirm() {
+	if a.returnedAt == 0 {
+		a.unconfirmed.Add(-1)
+	}
+}
+
 // outages has the servers that broke off attempts, until it is known whether they have crashed.
 type outages struct {
 	d     *Dispatcher
@@ -100,6 +107,7 @@
 		a := longest.attempts[0]
 		longest.attempts = longest.attempts[1:]
 		l.forget(a)
+		a.confirm()
 		l.d.metrics.brokenAttemptDropped(a.service)
 	}
 }
@@ -107,9 +115,6 @@
 // forget subtracts an attempt that is held no longer. The caller holds the lock.
 func (l *outages) forget(a *brokenAttempt) {
 	l.attempts, l.suspects = l.attempts-1, l.suspects-a.size()
-	if a.returnedAt == 0 {
-		a.unconfirmed.Add(-1)
-	}
 }
 
 // needsProbe reports whether an attempt broke off since the server was last known to be alive.
@@ -217,15 +222,21 @@
 	for i := range ended {
 		v := &ended[i]
 		l.d.metrics.outageDecided(v.found)
-		v.attempts = slices.DeleteFunc(v.attempts, func(a *brokenAttempt) bool { return !v.isCrash(a) })
 		for _, a := range v.attempts {
-			crashes = append(crashes, quarantine.Crash{Suspects: a.suspects, Death: a.death(&v.outage.server)})
-			l.d.metrics.crashRecorded(a.service)
+			if v.isCrash(a) {
+				crashes = append(crashes, quarantine.Crash{Suspects: a.suspects, Death: a.death(&v.outage.server)})
+				l.d.metrics.crashRecorded(a.service)
+			}
 		}
 	}
 	if len(crashes) > 0 {
 		l.d.suspects.RecordCrashes(crashes)
 	}
+	for i := range ended {
+		for _, a := range ended[i].attempts {
+			a.confirm()
+		}
+	}
 	l.d.background.Go(func() {
 		for i := range ended {
 			ended[i].log(l.d)
@@ -240,11 +251,14 @@
 
 // log logs the crash for each of its attempts, or that there was none although the server was unreachable.
 func (v *verdict) log(d *Dispatcher) {
-	s := &v.outage.server
+	s, crashes := &v.outage.server, 0
 	for _, a := range v.attempts {
-		a.logCrash(d, s, v.found)
+		if v.isCrash(a) {
+			a.logCrash(d, s, v.found)
+			crashes++
+		}
 	}
-	if len(v.attempts) == 0 && v.outage.wasDead.Load() {
+	if crashes == 0 && v.outage.wasDead.Load() {
 		d.log.WithFields(log.Fields{
 			"upstream": s.ID, "failure-domain": s.Domain, "evidence": v.found, "age-ms": d.clock.Now() - v.outage.openedAt,
 		}).Warn("server was unreachable; no crash recorded")
