--- a/gossip/starts.go
+++ b/gossip/starts.go
@@ -6,18 +6,20 @@
 	"github.com/poplarwinch/poplarwinch/quarantine"
 )
 
-// encodeStarts returns what a report says of the starts of the servers that crashed, once for each start and not with each death. It is a
-// suspect without a fingerprint, which older versions skip, and each of its deaths has the start's boot in place of Silence.
+// encodeStarts returns what a report says of the starts of servers that crashed more than once under their id, once for each start and not
+// with each death. Most servers start again under another id, and add nothing. It is a suspect without a fingerprint, which older versions
+// skip, and each of its deaths has the start's boot in place of Silence.
 func encodeStarts(list []quarantine.Suspect, now clock.Millis) suspect {
 	type start struct {
 		upstream poplarwinch.UpstreamID
 		boot     int64
 	}
+	again := startedAgain(list)
 	encoded, known := suspect{}, map[start]bool{}
 	for i := range list {
 		for _, d := range list[i].Deaths {
 			s := start{d.Upstream, d.Boot}
-			if d.Boot == 0 || known[s] {
+			if d.Boot == 0 || !again[d.Upstream] || known[s] {
 				continue
 			}
 			known[s] = true
@@ -27,6 +29,19 @@
 	return encoded
 }
 
+// startedAgain returns the servers that have several deaths in a suspect.
+func startedAgain(list []quarantine.Suspect) map[poplarwinch.UpstreamID]bool {
+	again := map[poplarwinch.UpstreamID]bool{}
+	for i := range list {
+		seen := map[poplarwinch.UpstreamID]bool{}
+		for _, d := range list[i].Deaths {
+			again[d.Upstream] = again[d.Upstream] || seen[d.Upstream]
+			seen[d.Upstream] = true
+		}
+	}
+	return again
+}
+
 // starts has what a report says of the starts of servers; see encodeStarts.
 type starts map[poplarwinch.UpstreamID][]death
 
