--- a/gossip/starts.go
+++ b/gossip/starts.go
@@ -8,18 +8,23 @@
 
 // encodeStarts returns what a report says of the starts of servers that crashed more than once under their id, once for each start and not
 // with each death. Most servers start again under another id, and add nothing. It is a suspect without a fingerprint, which older versions
-// skip, and each of its deaths has the start's boot in place of Silence.
+// skip, and each of its deaths has the start's boot in place of Silence. Deaths whose start isn't known stand there too, with a boot of zero, so
+// that they aren't taken for those of another start.
 func encodeStarts(list []quarantine.Suspect, now clock.Millis) suspect {
 	type start struct {
 		upstream poplarwinch.UpstreamID
 		boot     int64
+		at       clock.Millis // of a death whose start isn't known; zero for others
 	}
 	again := startedAgain(list)
 	encoded, known := suspect{}, map[start]bool{}
 	for i := range list {
 		for _, d := range list[i].Deaths {
-			s := start{d.Upstream, d.Boot}
-			if d.Boot == 0 || !again[d.Upstream] || known[s] {
+			s := start{upstream: d.Upstream, boot: d.Boot}
+			if d.Boot == 0 {
+				s.at = d.At
+			}
+			if !again[d.Upstream] || known[s] {
 				continue
 			}
 			known[s] = true
@@ -62,8 +67,8 @@
 // since reports of one death differ by less than the time from a start to its death.
 func (s starts) bootOf(d death) (boot int64) {
 	nearest := clock.Millis(0)
-	for _, start := range s[d.Upstream] {
-		if distance := max(start.Age-d.Age, d.Age-start.Age); boot == 0 || distance < nearest {
+	for i, start := range s[d.Upstream] {
+		if distance := max(start.Age-d.Age, d.Age-start.Age); i == 0 || distance < nearest {
 			boot, nearest = int64(start.Silence), distance
 		}
 	}
--- a/gossip/starts_internal_test.go
+++ b/gossip/starts_internal_test.go
@@ -62,3 +62,35 @@
 		t.Errorf("the starts of a server that crashed twice take %d bytes, want 40 at most", added)
 	}
 }
+
+// Guards against two crashes of a server that starts again under its id which count as one, because one of two instances that each recorded one
+// of them reports the other one without its start.
+func TestCrashesOfOneServerAtTwoInstances(t *testing.T) {
+	m := clock.NewManual(1_000_000)
+	suspects := quarantine.NewPromptSuspects(quarantine.Fingerprint{1}, nil)
+	var registers []*quarantine.Register
+	for range 3 {
+		registers = append(registers, quarantine.New(quarantine.WithClock(m.Clock())))
+	}
+	exchange := func() {
+		for _, from := range registers {
+			report := encodeSuspects(from.Suspects(), m.Now())
+			for _, to := range registers {
+				if to != from {
+					to.Merge(decodeSuspects(report, m.Now()))
+				}
+			}
+		}
+	}
+	for n := range 2 {
+		registers[n].RecordCrash(suspects, quarantine.Death{Upstream: "s1", Boot: int64(n + 1), At: m.Now(), Silence: 20})
+		exchange()
+		m.Advance(2000)
+		exchange()
+	}
+	for n, g := range registers {
+		if got := g.Deaths(suspects.Request); got != 2 {
+			t.Errorf("instance %d knows of %d crashes, want 2", n, got)
+		}
+	}
+}
