--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/poplarwinch/poplarwinch"
 	"github.com/poplarwinch/poplarwinch/clock"
 	"github.com/poplarwinch/poplarwinch/dispatch"
+	"github.com/poplarwinch/poplarwinch/fleet"
 	"github.com/poplarwinch/poplarwinch/quarantine"
 )
 
@@ -217,3 +218,28 @@
 		}
 	})
 }
+
+// Guards against crashes of a server that count as one because the list has the entry of a start before, as when the store is slow.
+func TestCrashesOfAServerWhoseEntryIsOld(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, f *fixture) {
+		d := newDomains(f, layout{service: "bookings", domains: 1, servers: 2, back: time.Hour, sameID: true})
+		d.isBad = func(c *dispatch.Call) bool { return isBadCall(d, c) }
+		bad := d.call(0, "common", crashingPart)
+		bad.Route.MaxAttempts = 1
+		entry := d.hosts[0].server
+		for range 2 {
+			d.fleet.Apply([]fleet.Server{entry, {ID: "other", Address: d.hosts[1].server.Address, Domain: entry.Domain, Service: "pool"}})
+			bad.Started = f.dispatcher.Now()
+			bad.Deadline = bad.Started + 4000
+			d.run(t.Context(), bad)
+			time.Sleep(1500 * time.Millisecond)
+			d.mutex.Lock()
+			d.hosts[0].up, d.hosts[0].broken = true, make(chan struct{}) // it is started again, and its entry isn't written
+			d.mutex.Unlock()
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if n := f.suspects.Deaths(bad.Fingerprint); n != 2 {
+			t.Errorf("%d crashes are recorded, want 2", n)
+		}
+	})
+}
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -224,10 +224,13 @@
 		l.d.metrics.outageDecided(v.found)
 		for _, a := range v.attempts {
 			if v.isCrash(a) {
-				crashes = append(crashes, quarantine.Crash{Suspects: a.suspects, Death: a.death(&v.outage.server)})
+				crashes = append(crashes, quarantine.Crash{Suspects: a.suspects, Death: a.death(l.d.fleet, &v.outage.server)})
 				l.d.metrics.crashRecorded(a.service)
 			}
 		}
+		if v.found == evidenceNeighbour {
+			l.d.fleet.Crashed(v.outage.server)
+		}
 	}
 	if len(crashes) > 0 {
 		l.d.suspects.RecordCrashes(crashes)
@@ -265,9 +268,13 @@
 	}
 }
 
-// death returns the death of the server as the attempt noticed it.
-func (a *brokenAttempt) death(s *fleet.Server) quarantine.Death {
-	return quarantine.Death{Upstream: s.ID, Boot: s.Boot, At: a.brokeAt, Silence: a.brokeAt - a.aliveAt}
+// death returns the death of the server as the attempt noticed it. The start isn't known if the one in the list crashed before the attempt.
+func (a *brokenAttempt) death(f *fleet.Fleet, s *fleet.Server) quarantine.Death {
+	boot := s.Boot
+	if f.HasCrashedBefore(*s, a.sentAt) {
+		boot = 0
+	}
+	return quarantine.Death{Upstream: s.ID, Boot: boot, At: a.brokeAt, Silence: a.brokeAt - a.aliveAt}
 }
 
 // logCrash logs that the server crashed during the attempt.
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -26,6 +26,8 @@
 	trialAt               clock.Millis
 	// aliveAt is the latest time at which the server accepted a connection or completed an answer; zero if unknown.
 	aliveAt clock.Millis
+	// crashedAt is the time at which a crash of this start was recorded; zero if none was.
+	crashedAt clock.Millis
 }
 
 // succeeded records a complete answer.
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -86,6 +86,20 @@
 	return 0
 }
 
+// Crashed records that this start of the server has crashed.
+func (f *Fleet) Crashed(s Server) {
+	f.updateHealth(s, func(h *health, now clock.Millis) { h.crashedAt = now })
+}
+
+// HasCrashedBefore reports whether a crash of this start was recorded before a time. If the server runs requests after it, the list is older
+// than the process.
+func (f *Fleet) HasCrashedBefore(s Server, at clock.Millis) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m := f.start(s)
+	return m != nil && m.health.crashedAt > 0 && m.health.crashedAt < at
+}
+
 // IsUnreachable reports whether this instance can't connect to the server.
 func (f *Fleet) IsUnreachable(s Server) bool {
 	f.mutex.Lock()
