--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -114,6 +114,40 @@
 	}
 }
 
+// Guards against a sound request or a common part that is rejected because servers are started again for no request's sake, and against one that
+// is blamed because its failure domain was cut off for a minute.
+func TestRestartsAndLongCutsBlockNothing(t *testing.T) {
+	restart := func(d *domains, interval time.Duration, hosts ...int) {
+		for n := range 6 * len(d.hosts) {
+			for _, offset := range hosts {
+				time.AfterFunc(time.Duration(n)*interval, func() { d.crash(d.hosts[(n+offset)%len(d.hosts)]) })
+			}
+		}
+	}
+	for name, play := range map[string]func(d *domains){
+		"one after the other": func(d *domains) { restart(d, 2*time.Second, 0) },
+		"two at a time":       func(d *domains) { restart(d, 3*time.Second, 0, 3) },
+		"a minute's cut":      func(d *domains) { d.cut(0, time.Minute) },
+	} {
+		for _, service := range []poplarwinch.ServiceName{"bookings", "pool"} {
+			for _, servers := range []int{1, 2, 3} {
+				for _, sameID := range []bool{false, true} {
+					l := layout{service: service, domains: 3, servers: servers, back: time.Second, sameID: sameID}
+					t.Run(name+", "+l.String(), func(t *testing.T) {
+						runInVirtualTime(t, func(t *testing.T, f *fixture) {
+							d := newDomains(f, l)
+							time.AfterFunc(time.Second, func() { play(d) })
+							if blocked := d.load(200*time.Millisecond, 70*time.Second, "common"); blocked > 0 {
+								t.Errorf("%d sound requests were rejected", blocked)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
 // cutInTurns cuts off one failure domain after the other, twice each.
 func cutInTurns(d *domains, length, interval time.Duration) {
 	for n := range 2 * d.layout.domains {
--- a/quarantine/death.go
+++ b/quarantine/death.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// uncertainStartWindow is the time within which two deaths of an engine may be the same one although the start of its process isn't
-	// known to both.
+	// uncertainStartWindow is the time within which two deaths of an engine may be the same one although they name different starts, or
+	// are the same one if neither names any.
 	uncertainStartWindow = 10 * clock.Second
 	// maxReportSkew bounds the difference between the times of a death in two reports because of their ways.
 	maxReportSkew clock.Millis = 200
@@ -36,13 +36,17 @@
 	if d.Upstream != other.Upstream {
 		return false
 	}
-	if d.Boot == other.Boot && d.Boot != 0 {
+	isClose := max(d.At-other.At, other.At-d.At) < uncertainStartWindow
+	overlaps := !d.isBefore(other) && !other.isBefore(d)
+	switch {
+	case d.Boot == 0 && other.Boot == 0:
+		return isClose || overlaps
+	case d.Boot == other.Boot:
 		return true
+	case d.Boot == 0 || other.Boot == 0:
+		return overlaps
 	}
-	if max(d.At-other.At, other.At-d.At) >= uncertainStartWindow {
-		return false
-	}
-	return d.Boot == other.Boot || !d.isBefore(other) && !other.isBefore(d)
+	return isClose && overlaps
 }
 
 // isBefore reports whether the engine is known to have been alive after d and before other.
--- a/quarantine/death_test.go
+++ b/quarantine/death_test.go
@@ -35,6 +35,8 @@
 		"a start not known to one":                    {[]reportedDeath{{0, 0, 100}, {1, 60, 200}}, 1},
 		"a start not known to one, and the next":      {[]reportedDeath{{0, 0, 100}, {1, 60, 200}, {2, 3000, 100}}, 2},
 		"a start not known to one, and the one after": {[]reportedDeath{{0, 0, 100}, {2, 3000, 100}}, 2},
+		"a start not known to one, noticed late":      {[]reportedDeath{{1, 0, 100}, {0, 12_000, 12_050}}, 1},
+		"starts not known, noticed late":              {[]reportedDeath{{0, 0, 100}, {0, 12_000, 12_050}}, 1},
 		"starts not known":                            {[]reportedDeath{{0, 0, 100}, {0, 3000, 100}}, 1},
 		"starts not known, later":                     {[]reportedDeath{{0, 0, 100}, {0, 10_000, 100}}, 2},
 	} {
