--- a/quarantine/death_test.go
+++ b/quarantine/death_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/poplarwinch/poplarwinch"
+
 	"github.com/poplarwinch/poplarwinch/clock"
 )
 
@@ -123,3 +125,56 @@
 		t.Errorf("a row of the version before gives %+v and %v", decoded.groups, err)
 	}
 }
+
+// manyDeaths returns deaths of a count of engines that died at the same time, noticed over a second.
+func manyDeaths(name string, count int, at clock.Millis) []Death {
+	var deaths []Death
+	for n := range count {
+		late := clock.Millis(1000 * n / count)
+		deaths = append(deaths, Death{Upstream: poplarwinch.UpstreamID(fmt.Sprint(name, n)), Boot: 1, At: at + late, Silence: late + 200})
+	}
+	return deaths
+}
+
+// Guards against a crashing part whose block ends because more engines die at the same moment than deaths are kept, also at a peer and in the
+// row of the store.
+func TestManyDeathsAtOnceDoNotEndABlock(t *testing.T) {
+	m := clock.NewManual(start)
+	g, peer, restarted := newTest(t, m), newTest(t, m), newTest(t, m)
+	for n := range clock.Millis(3) {
+		g.RecordCrash(promptOf(fmt.Sprint("first", n, ":bad")), Death{Upstream: poplarwinch.UpstreamID(fmt.Sprint("first", n)), Boot: 1, At: start + 300*n, Silence: 100})
+	}
+	m.Advance(5000)
+	for n, d := range manyDeaths("e", 3*maxDeaths, m.Now()-2000) {
+		g.RecordCrash(promptOf(fmt.Sprint("r", n, ":bad")), d)
+	}
+	m.Advance(2000)
+	peer.Merge(g.Report())
+	groups, _ := g.lasting()
+	restarted.restore(groups)
+	for name, r := range map[string]*Register{"itself": g, "a peer": peer, "a restarted instance": restarted} {
+		if !r.Rule(promptOf("other:bad")).Blocked {
+			t.Errorf("%s: the part is not blocked", name)
+		}
+	}
+}
+
+// Guards against instances that tell each other of the same deaths for ever, because each has others of those that are too many to be kept.
+func TestDeathsBeyondTheLimitAreNoChange(t *testing.T) {
+	m := clock.NewManual(start)
+	g := newTest(t, m)
+	p := promptOf("new:bad")
+	deaths := manyDeaths("e", 2*maxDeaths, start)
+	m.Advance(2000)
+	for _, d := range deaths {
+		g.RecordCrash(p, d)
+	}
+	m.Advance(reportPeriod)
+	g.Report()
+	for _, d := range deaths {
+		g.Merge(p.suspects(d))
+	}
+	if n := len(g.pending); n > 0 {
+		t.Errorf("%d suspects are reported again for deaths that were known before and are too many to be kept", n)
+	}
+}
--- a/quarantine/lasting.go
+++ b/quarantine/lasting.go
@@ -79,7 +79,7 @@
 		if len(deaths) < lastingDeaths || g.survivals.completedAt(s.Fingerprint) > 0 && !blocks.suspects[s.Fingerprint] {
 			continue
 		}
-		deaths = deaths[max(0, len(deaths)-storedDeaths):]
+		deaths = atMost(deaths, storedDeaths)
 		addLasting(byUpstreams, lastingMember{s.Fingerprint, s.Position}, deaths)
 	}
 	for _, list := range byUpstreams {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -148,7 +148,7 @@
 	if c.isBlocked {
 		s.Deaths = s.unclearedDeaths()
 	} else {
-		s.Deaths = s.Deaths[max(0, len(s.Deaths)-reportedDeaths):]
+		s.Deaths = atMost(s.Deaths, reportedDeaths)
 	}
 	return s
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -21,7 +21,7 @@
 	Fingerprint Fingerprint
 	// Position is the place of a part in its prompts, from 1; zero for a whole request.
 	Position int
-	// Deaths are the distinct deaths ordered by time, at most maxDeaths.
+	// Deaths are the distinct deaths ordered by time, at most maxDeaths; see atMost.
 	Deaths []Death
 }
 
@@ -86,7 +86,8 @@
 	if i >= 0 && s.Deaths[i].with(d) == s.Deaths[i] {
 		return s, false
 	}
-	s.Deaths = slices.Clone(s.Deaths)
+	known := s.Deaths
+	s.Deaths = slices.Clone(known)
 	for ; i >= 0; i = s.indexOf(d) { // what is known of a death now may show that another report is about it too
 		d = s.Deaths[i].with(d)
 		s.Deaths = slices.Delete(s.Deaths, i, i+1)
@@ -95,6 +96,20 @@
 	slices.SortFunc(s.Deaths, func(a, b Death) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
 	})
-	s.Deaths = s.Deaths[max(0, len(s.Deaths)-maxDeaths):]
-	return s, true
+	s.Deaths = atMost(s.Deaths, maxDeaths)
+	return s, !slices.Equal(s.Deaths, known)
+}
+
+// atMost returns at most limit of the deaths, which are ordered by time: the first one that is not cleared and the latest ones. Without the
+// first one, many engines that die at the same time would hide that others died before, and end the block of what crashes them.
+func atMost(deaths []Death, limit int) []Death {
+	dropped := len(deaths) - limit
+	if dropped <= 0 {
+		return deaths
+	}
+	first := slices.IndexFunc(deaths, func(d Death) bool { return !d.Cleared })
+	if first < 0 || first > dropped {
+		return deaths[dropped:]
+	}
+	return append([]Death{deaths[first]}, deaths[dropped+1:]...)
 }
